--- /dev/null
+++ b/src/constants.rs
@@ -0,0 +1,143 @@
+//! Every constant of the service, with its unit and its reason.
+//!
+//! Facts about a deployment are not here: they come from the settings file and
+//! from the cloud's catalog.
+
+/// Seconds → milliseconds.
+pub const MS_PER_S: u64 = 1_000;
+
+// ---- protocol limits -------------------------------------------------------
+
+/// Bytes a request body may hold (protocol page).
+pub const MAX_BODY_BYTES: usize = 64 * 1024;
+/// Bytes of a response that we read at most. Watches have no limit of their
+/// own, so this guards only against a runaway peer.
+pub const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
+/// Bytes of the head of a request or response; ours are below 1 KiB.
+pub const MAX_HEAD_BYTES: usize = 8 * 1024;
+/// Headers of a request or response; enough for any ordinary client.
+pub const MAX_HEADERS: usize = 48;
+/// Tasks a job may have (protocol page).
+pub const MAX_TASKS: u64 = 100_000;
+/// Machines a rental request may ask for (protocol page).
+pub const MAX_RENT: u32 = 50;
+/// Names a release request may hold (protocol page).
+pub const MAX_RELEASE: usize = 100;
+/// Machines a page of the rental list holds (protocol page).
+pub const LIST_PAGE: u32 = 500;
+/// Entries a page of a store listing holds: 512 KiB hold at least this many of
+/// our largest records.
+pub const STORE_PAGE: u32 = 400;
+
+// ---- clocks ----------------------------------------------------------------
+
+/// Parts per thousand by which two steady clocks may differ: twice the 0.05 %
+/// of the protocol page, since both sides may be off, rounded up.
+pub const DRIFT_PER_MILLE: u64 = 2;
+/// ms added to a lease before a machine counts as dead: timers fire late by a
+/// few ms, and the answer that renewed the lease took time to be written.
+pub const LEASE_MARGIN_MS: u64 = 700;
+
+// ---- parts -----------------------------------------------------------------
+
+/// ms that a hold lives without renewal. Longer than a restart takes (3 to 5 s
+/// and loading), so that a node takes its own part back and nothing moves;
+/// shorter than a cancellation allows for a successor to act.
+pub const HOLD_TTL_MS: u64 = 10_000;
+/// ms between renewals: four may fail before the hold ends.
+pub const HOLD_RENEW_MS: u64 = 2_000;
+/// ms that a part must have been without holder before a node other than its
+/// home takes it: a home that is just starting goes first.
+pub const TAKEOVER_WAIT_MS: u64 = 1_500;
+/// Bits of a machine token below the part's token: a machine's own fence
+/// counter. 2^20 fences a holder's life, while revisions stay below 2^44.
+pub const FENCE_BITS: u32 = 20;
+/// ms of the time that a cancellation allows which are kept for delivery when
+/// a node answers reports without knowing the store.
+pub const BLIND_MARGIN_MS: u64 = 2_000;
+
+// ---- peers -----------------------------------------------------------------
+
+/// ms between two refreshes of a copy of another part (design page).
+pub const COPY_REFRESH_MS: u64 = 2_000;
+/// ms between two syncs with one owner when something changed: batches the
+/// tasks of one job without being felt by a user.
+pub const SYNC_GAP_MS: u64 = 40;
+/// ms after which an unanswered direct sync is given up.
+pub const SYNC_TIMEOUT_MS: u64 = 1_500;
+/// ms between two syncs through the mailbox: two values a round must fit the
+/// write budget beside everything else.
+pub const MAIL_GAP_MS: u64 = 1_500;
+/// Direct syncs that must fail in a row before the mailbox is used.
+pub const MAIL_AFTER_FAILURES: u32 = 2;
+/// Version of the format between controllers.
+pub const PEER_VERSION: u8 = 1;
+
+// ---- workers ---------------------------------------------------------------
+
+/// ms after which an unanswered `/commands` is given up.
+pub const COMMAND_TIMEOUT_MS: u64 = 2_500;
+/// ms between two tries to reach a machine directly after a failure.
+pub const COMMAND_RETRY_MS: u64 = 1_000;
+/// ms between two sendings of the same stop order: the worker needs time to
+/// save before it answers with the end.
+pub const KILL_REPEAT_MS: u64 = 1_500;
+/// Images remembered per machine; a worker keeps its most recent ones.
+pub const IMAGES_REMEMBERED: usize = 24;
+
+// ---- store -----------------------------------------------------------------
+
+/// ms after which an unanswered store request is given up.
+pub const STATE_TIMEOUT_MS: u64 = 1_500;
+/// ms between two refreshes of the job table while polls wait for one.
+pub const REFRESH_BUSY_MS: u64 = 60;
+/// ms between two refreshes when nobody waits: bounds how late a new job or a
+/// cancellation is seen by the part that has to act on it.
+pub const REFRESH_IDLE_MS: u64 = 200;
+/// Share of the store's request budget left to other nodes' bursts, percent.
+pub const BUDGET_PERCENT: u64 = 90;
+/// Tasks in one chunk of a job's task record: a full chunk of live attempts
+/// stays well below the smallest value size that the settings allow.
+pub const CHUNK_TASKS: u32 = 64;
+/// Settled ends of jobs remembered by a node, so that repeated polls need no
+/// read; about 60 bytes each.
+pub const ENDS_REMEMBERED: usize = 20_000;
+
+// ---- users -----------------------------------------------------------------
+
+/// Seconds a refused user is asked to wait, when nothing better is known.
+pub const RETRY_AFTER_S: u64 = 1;
+/// ms a user request may wait for the store before it is refused.
+pub const USER_TIMEOUT_MS: u64 = 1_600;
+/// ms a connection may be idle before it is closed.
+pub const IDLE_TIMEOUT_MS: u64 = 65_000;
+/// ms that a request may take to arrive in full.
+pub const READ_TIMEOUT_MS: u64 = 10_000;
+/// Sockets kept for workers, peers, store and cloud; the rest is for users.
+pub const SOCKET_RESERVE: usize = 300;
+
+// ---- cloud -----------------------------------------------------------------
+
+/// ms after which an unanswered cloud request is given up.
+pub const CLOUD_TIMEOUT_MS: u64 = 5_000;
+/// ms between two readings of the rental list by one node.
+pub const LIST_EVERY_MS: u64 = 4_000;
+/// ms between two readings of the catalog: spot prices move slowly.
+pub const CATALOG_EVERY_MS: u64 = 60_000;
+/// ms for which a kind and zone that had no capacity is not asked again.
+pub const NO_CAPACITY_MS: u64 = 12_000;
+/// ms that a cloud in trouble is left alone.
+pub const CLOUD_TROUBLE_MS: u64 = 2_000;
+
+// ---- placement -------------------------------------------------------------
+
+/// ms between two passes of the placer.
+pub const PLACE_GAP_MS: u64 = 50;
+/// ms of the core's clock tick.
+pub const TICK_MS: u64 = 100;
+/// Failures in a row, with no success between, that quarantine a machine.
+pub const QUARANTINE_ERRORS: u32 = 3;
+/// ms that a job waits after a failed attempt, doubled with each failure.
+pub const ERROR_BACKOFF_MS: u64 = 1_000;
+/// ms that the doubling stops at.
+pub const ERROR_BACKOFF_MAX_MS: u64 = 30_000;
--- /dev/null
+++ b/src/coordination/fleet.rs
@@ -0,0 +1,152 @@
+//! What to rent: room for what the queues lack, less what is already booting.
+
+use std::collections::BTreeMap;
+
+use crate::constants::{MAX_RENT, NO_CAPACITY_MS};
+use crate::model::{Catalog, Room};
+use crate::protocol::cloud::Rental;
+
+/// Tasks that found no room.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Demand {
+    /// The team.
+    pub team: String,
+    /// What each takes.
+    pub need: Room,
+    /// Allowed types, or any.
+    pub types: Option<Vec<String>>,
+    /// The only allowed zone.
+    pub zone: Option<String>,
+    /// May use spot machines.
+    pub spot: bool,
+    /// How many.
+    pub count: u32,
+    /// All in one zone.
+    pub one_zone: bool,
+}
+
+/// A machine that is booting, as a bin to fill.
+#[derive(Clone, Debug)]
+pub struct Bin {
+    /// Type.
+    pub kind: String,
+    /// Zone.
+    pub zone: String,
+    /// Spot or ordinary.
+    pub spot: bool,
+    /// Free room.
+    pub free: Room,
+}
+
+/// Kinds and zones that had no capacity, and until when they are left alone.
+#[derive(Default, Debug)]
+pub struct Shortage(BTreeMap<(String, String, bool), u64>);
+
+impl Shortage {
+    /// Notes a refusal.
+    pub fn note(&mut self, rental: &Rental, now: u64) {
+        self.0.insert(
+            (rental.kind.clone(), rental.zone.clone(), rental.spot),
+            now + NO_CAPACITY_MS,
+        );
+    }
+
+    fn open(&self, kind: &str, zone: &str, spot: bool, now: u64) -> bool {
+        self.0
+            .get(&(kind.to_owned(), zone.to_owned(), spot))
+            .is_none_or(|&until| now >= until)
+    }
+}
+
+/// The machines to rent now: (type, zone, spot) and how many.
+pub fn plan(
+    lacking: &[Demand],
+    booting: &[Bin],
+    count_by_zone: &BTreeMap<String, usize>,
+    catalog: &Catalog,
+    shortage: &Shortage,
+    now: u64,
+) -> Vec<(String, String, bool, u32)> {
+    let mut bins: Vec<Bin> = booting.to_vec();
+    let known = bins.len();
+    let mut zones_used = count_by_zone.clone();
+    for d in lacking {
+        for _ in 0..d.count {
+            let allowed = |b: &Bin| {
+                (d.spot || !b.spot)
+                    && d.types.as_ref().is_none_or(|t| t.contains(&b.kind))
+                    && d.zone.as_ref().is_none_or(|z| z == &b.zone)
+                    && b.free.covers(&d.need)
+            };
+            // Cheap room first for those who may use it.
+            let place = bins
+                .iter()
+                .position(|b| b.spot && allowed(b))
+                .or_else(|| bins.iter().position(allowed));
+            if let Some(i) = place {
+                bins[i].free = bins[i].free.minus(&d.need);
+                continue;
+            }
+            let mut offers: Vec<(f64, usize, &str, &str, bool, Room)> = Vec::new();
+            for t in catalog.values() {
+                if d.types
+                    .as_ref()
+                    .is_some_and(|types| !types.contains(&t.name))
+                    || !t.room.covers(&d.need)
+                {
+                    continue;
+                }
+                for zone in &t.zones {
+                    if d.zone.as_ref().is_some_and(|z| z != zone) {
+                        continue;
+                    }
+                    for spot in [true, false] {
+                        if spot && (!d.spot || t.spot_price <= 0.0)
+                            || !shortage.open(&t.name, zone, spot, now)
+                        {
+                            continue;
+                        }
+                        let price = if spot { t.spot_price } else { t.price };
+                        let fit = tasks_in(&t.room, &d.need).min(u64::from(d.count)).max(1);
+                        offers.push((
+                            price / fit as f64,
+                            zones_used.get(zone).copied().unwrap_or(0),
+                            &t.name,
+                            zone,
+                            spot,
+                            t.room,
+                        ));
+                    }
+                }
+            }
+            let best = offers
+                .into_iter()
+                .min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+            let Some((_, _, kind, zone, spot, room)) = best else {
+                break;
+            };
+            *zones_used.entry(zone.to_owned()).or_default() += 1;
+            bins.push(Bin {
+                kind: kind.to_owned(),
+                zone: zone.to_owned(),
+                spot,
+                free: room.minus(&d.need),
+            });
+        }
+    }
+    let mut counts: BTreeMap<(String, String, bool), u32> = BTreeMap::new();
+    for b in bins.into_iter().skip(known) {
+        *counts.entry((b.kind, b.zone, b.spot)).or_default() += 1;
+    }
+    counts
+        .into_iter()
+        .map(|((k, z, s), n)| (k, z, s, n.min(MAX_RENT)))
+        .collect()
+}
+
+fn tasks_in(room: &Room, need: &Room) -> u64 {
+    let ratio = |have: u64, need: u64| have.checked_div(need).unwrap_or(u64::MAX);
+    ratio(room.cpus, need.cpus)
+        .min(ratio(room.gpus, need.gpus))
+        .min(ratio(room.memory, need.memory))
+}
--- /dev/null
+++ b/src/coordination/mod.rs
@@ -0,0 +1,703 @@
+//! Decisions. Events and the time go in, effects come out; nothing here does
+//! I/O, so the same code runs in the process and in the model tests.
+//!
+//! A node holds one [`Part`] by right and others while their home is away.
+//! Each part has an owner's side ([`owner`]) and a placer's side ([`placer`]).
+
+pub mod fleet;
+pub mod owner;
+pub mod placement;
+pub mod placer;
+
+use std::collections::{BTreeMap, HashMap};
+
+use tracing::{debug, info, warn};
+
+use crate::constants::*;
+use crate::coordination::fleet::{Bin, Shortage, plan};
+use crate::coordination::owner::{CommandCall, CommandResult, Owner, SyncRefusal, Timing};
+use crate::coordination::placer::{Placer, Promise, TxnOutcome, TxnVerdict};
+use crate::model::{Catalog, JobId, MachineId, Room};
+use crate::policy::Policy;
+use crate::protocol::cloud::{Rental, RentalEntry};
+use crate::protocol::peer::{JobNote, Rented, Sync, View};
+use crate::protocol::state::Txn;
+use crate::protocol::users::{Phase, team_limit};
+use crate::protocol::worker::{Report, ReportReply};
+use crate::settings::{Member, Settings};
+use crate::storage::Mirror;
+use crate::storage::records::ChunkRecord;
+
+/// What the process has to do. Each names the part and its token, so that an
+/// answer to a part that is no longer held is dropped.
+#[derive(Debug)]
+pub enum Effect {
+    /// Make a transaction.
+    Txn(Lot, Txn),
+    /// Call a worker.
+    Command(Lot, CommandCall),
+    /// Sync with an owner on another node.
+    Sync(Lot, Sync),
+    /// Ask another part's placer to sync with us.
+    Nudge(u16),
+    /// Rent machines.
+    Rent(Lot, Rental),
+    /// Give machines back.
+    Release(Lot, Vec<MachineId>),
+}
+
+/// A part with the token under which something was asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Lot {
+    /// The part.
+    pub part: u16,
+    /// Its token.
+    pub token: u64,
+}
+
+/// What to answer to a worker's report.
+#[derive(Debug)]
+pub enum ReportAnswer {
+    /// 200 with orders.
+    Orders(ReportReply),
+    /// 421: report to this controller.
+    Elsewhere(String),
+    /// 503.
+    Unable,
+}
+
+/// How a rental went.
+#[derive(Debug)]
+pub enum RentResult {
+    /// These machines were rented.
+    Rented(Vec<MachineId>),
+    /// None available.
+    NoCapacity,
+    /// Ask again, with the same name: it may have been executed.
+    Again,
+}
+
+#[derive(Clone, Default)]
+struct Line {
+    last: u64,
+    busy: bool,
+    dirty: bool,
+}
+
+struct Part {
+    lot: Lot,
+    owner: Owner,
+    placer: Placer,
+    lines: Vec<Line>,
+    last_place: u64,
+    renting: Option<Rental>,
+    rent_busy: bool,
+    rent_after: u64,
+    bookings: u64,
+    shortage: Shortage,
+    nudged: BTreeMap<u16, u64>,
+}
+
+/// Facts that do not change while the process runs.
+pub struct Config {
+    /// All controllers; the index is the part.
+    pub members: Vec<Member>,
+    /// Our own index.
+    pub me: u16,
+    /// Limits of the teams.
+    pub limits: HashMap<String, Room>,
+    /// Team names in order.
+    pub teams: Vec<String>,
+    /// Times of the workers.
+    pub timing: Timing,
+    /// ms after the last proof of the store's word for which reports may be
+    /// answered without a newer one.
+    pub blind_ms: u64,
+    /// Changes a transaction may hold.
+    pub txn_ops: usize,
+}
+
+impl Config {
+    /// Derives the facts from the settings.
+    pub fn new(settings: &Settings) -> Self {
+        let members = settings.members();
+        let me = members
+            .iter()
+            .position(|m| m.host == settings.host_name)
+            .unwrap_or(0) as u16;
+        let w = &settings.cluster.workers;
+        let ms = |s: f64| (s * 1000.0) as u64;
+        let mut teams: Vec<String> = settings
+            .cluster
+            .teams
+            .iter()
+            .map(|t| t.name.clone())
+            .collect();
+        teams.sort_unstable();
+        Self {
+            limits: settings
+                .cluster
+                .teams
+                .iter()
+                .map(|t| (t.name.clone(), team_limit(t)))
+                .collect(),
+            teams,
+            timing: Timing {
+                lease_ms: ms(w.lease_s),
+                report_ms: ms(w.report_s),
+            },
+            // A cancellation told by another node right after our last word
+            // from the store must still be carried out in time: whatever we
+            // keep alive until then ends with its lease.
+            blind_ms: ms(w.cancel_s - w.lease_s).saturating_sub(BLIND_MARGIN_MS),
+            txn_ops: settings.cluster.state.txn_ops,
+            members,
+            me,
+        }
+    }
+
+    /// The part that a machine belongs to: one of its zone's, by its name.
+    pub fn part_of(&self, zone: &str, machine: &MachineId) -> u16 {
+        let local: Vec<u16> = (0..self.members.len() as u16)
+            .filter(|&i| self.members[usize::from(i)].zone == zone)
+            .collect();
+        let hash = machine
+            .as_str()
+            .bytes()
+            .fold(0xcbf2_9ce4_8422_2325u64, |h, b| {
+                (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3)
+            });
+        match local.len() {
+            0 => (hash % self.members.len() as u64) as u16,
+            n => local[(hash % n as u64) as usize],
+        }
+    }
+
+    /// The part that serves a team unless the store says otherwise.
+    pub fn default_part(&self, team: &str) -> u16 {
+        let at = self.teams.iter().position(|t| t == team).unwrap_or(0);
+        (at % self.members.len()) as u16
+    }
+}
+
+/// One node's decisions.
+pub struct Core {
+    /// Facts.
+    pub config: Config,
+    /// The followed keys.
+    pub mirror: Mirror,
+    /// Machine types, once known.
+    pub catalog: Option<Catalog>,
+    policy: Policy,
+    parts: BTreeMap<u16, Part>,
+    notes: HashMap<JobId, JobNote>,
+    /// When the last successful reading of the store began, ms.
+    store_heard: Option<u64>,
+}
+
+impl Core {
+    /// A node without parts.
+    pub fn new(config: Config, policy: Policy) -> Self {
+        Self {
+            config,
+            mirror: Mirror::default(),
+            catalog: None,
+            policy,
+            parts: BTreeMap::new(),
+            notes: HashMap::new(),
+            store_heard: None,
+        }
+    }
+
+    // ---- parts -------------------------------------------------------------
+
+    /// Parts held, with their tokens.
+    pub fn held(&self) -> Vec<Lot> {
+        self.parts.values().map(|p| p.lot).collect()
+    }
+
+    /// Takes a part, with its task records.
+    pub fn adopt(&mut self, lot: Lot, chunks: &[(JobId, u32, ChunkRecord, u64)], now: u64) {
+        let parts = self.config.members.len() as u16;
+        let mut owner = Owner::new(
+            lot.part,
+            lot.token,
+            parts,
+            self.config.timing,
+            self.policy.clone(),
+            now,
+        );
+        if let Some(catalog) = &self.catalog {
+            owner.set_types(catalog.values());
+        }
+        let mut placer = Placer::new(
+            lot.part,
+            lot.token,
+            parts,
+            self.config.limits.clone(),
+            self.config.txn_ops,
+        );
+        for (id, chunk, record, version) in chunks {
+            placer.load_chunk(id, *chunk, record, *version);
+        }
+        info!(
+            part = lot.part,
+            token = lot.token,
+            chunks = chunks.len(),
+            "part taken"
+        );
+        self.parts.insert(
+            lot.part,
+            Part {
+                lot,
+                owner,
+                placer,
+                lines: vec![Line::default(); usize::from(parts)],
+                last_place: 0,
+                renting: None,
+                rent_busy: false,
+                rent_after: 0,
+                bookings: 0,
+                shortage: Shortage::default(),
+                nudged: BTreeMap::new(),
+            },
+        );
+        self.jobs_changed();
+    }
+
+    /// Gives a part up.
+    pub fn abandon(&mut self, part: u16) {
+        if self.parts.remove(&part).is_some() {
+            warn!(part, "part given up");
+        }
+    }
+
+    fn part(&mut self, lot: Lot) -> Option<&mut Part> {
+        self.parts.get_mut(&lot.part).filter(|p| p.lot == lot)
+    }
+
+    /// Learns the machine types.
+    pub fn set_catalog(&mut self, catalog: Catalog) {
+        for part in self.parts.values_mut() {
+            part.owner.set_types(catalog.values());
+        }
+        self.catalog = Some(catalog);
+    }
+
+    /// The mirror was brought up to date by a reading that began at `began`.
+    pub fn refreshed(&mut self, began: u64, changed: bool) {
+        self.store_heard = Some(began);
+        if !changed {
+            return;
+        }
+        let revision = self.mirror.revision.unwrap_or_default();
+        let lost: Vec<u16> = self
+            .parts
+            .values()
+            .filter(|p| {
+                revision >= p.lot.token
+                    && self
+                        .mirror
+                        .parts
+                        .get(&p.lot.part)
+                        .is_none_or(|h| h.token != p.lot.token)
+            })
+            .map(|p| p.lot.part)
+            .collect();
+        for part in lost {
+            self.abandon(part);
+        }
+        self.jobs_changed();
+    }
+
+    fn team_part(mirror: &Mirror, config: &Config, team: &str) -> u16 {
+        mirror
+            .teams
+            .get(team)
+            .copied()
+            .filter(|&p| usize::from(p) < config.members.len())
+            .unwrap_or_else(|| config.default_part(team))
+    }
+
+    fn jobs_changed(&mut self) {
+        let (mirror, config) = (&self.mirror, &self.config);
+        for part in self.parts.values_mut() {
+            let index = part.lot.part;
+            part.placer.set_jobs(
+                mirror
+                    .jobs
+                    .iter()
+                    .filter(|(_, j)| Self::team_part(mirror, config, &j.record.spec.team) == index),
+            );
+            for line in &mut part.lines {
+                line.dirty = true;
+            }
+        }
+        self.notes.retain(|id, _| mirror.jobs.contains_key(id));
+    }
+
+    /// Phase and counts of an unfinished job, as far as this node knows.
+    pub fn progress(&self, id: &JobId) -> (Phase, u64, u64, String) {
+        let own = self.parts.values().find_map(|p| p.placer.job_note(id));
+        let (done, running, reason) = own
+            .or_else(|| {
+                self.notes
+                    .get(id)
+                    .map(|n| (u64::from(n.done), u64::from(n.running), n.reason.clone()))
+            })
+            .unwrap_or_else(|| (0, 0, "its team's controller has not taken it up yet".into()));
+        (
+            if running > 0 {
+                Phase::Running
+            } else {
+                Phase::Queued
+            },
+            done,
+            running,
+            reason,
+        )
+    }
+
+    // ---- events ------------------------------------------------------------
+
+    /// A worker reported.
+    pub fn report(&mut self, report: &Report, now: u64) -> ReportAnswer {
+        let index = self.config.part_of(&report.zone, &report.machine);
+        let blind = self
+            .store_heard
+            .is_none_or(|at| now > at + self.config.blind_ms);
+        match self.parts.get_mut(&index) {
+            Some(_) if blind => ReportAnswer::Unable,
+            Some(part) => part
+                .owner
+                .report(report, now)
+                .map_or(ReportAnswer::Unable, ReportAnswer::Orders),
+            None => match self.mirror.parts.get(&index) {
+                Some(holder)
+                    if holder.host != self.config.members[usize::from(self.config.me)].host =>
+                {
+                    ReportAnswer::Elsewhere(holder.host.clone())
+                }
+                _ => ReportAnswer::Unable,
+            },
+        }
+    }
+
+    /// A call to a worker ended.
+    pub fn command_done(&mut self, lot: Lot, call: &CommandCall, result: CommandResult, now: u64) {
+        if let Some(part) = self.part(lot) {
+            part.owner.call_done(call, result, now);
+        }
+    }
+
+    /// A placer on another node says what it wants.
+    pub fn sync_in(&mut self, sync: &Sync, now: u64) -> Result<View, SyncRefusal> {
+        for note in &sync.notes {
+            if self.mirror.jobs.contains_key(&note.job) {
+                self.notes.insert(note.job.clone(), note.clone());
+            }
+        }
+        let part = self.parts.get_mut(&sync.to).ok_or(SyncRefusal::Token)?;
+        part.owner.sync(sync, now)
+    }
+
+    /// An owner on another node answered, or did not.
+    pub fn sync_done(&mut self, lot: Lot, to: u16, view: Option<View>, now: u64) {
+        if let Some(part) = self.part(lot) {
+            let line = &mut part.lines[usize::from(to)];
+            line.busy = false;
+            match view {
+                Some(view) => {
+                    part.placer.take_view(view, now);
+                }
+                None => debug!(part = lot.part, to, "sync failed"),
+            }
+        }
+    }
+
+    /// An owner on another node has news for one of our parts.
+    pub fn nudged(&mut self, part: u16, from: u16) {
+        if let Some(line) = self
+            .parts
+            .get_mut(&part)
+            .and_then(|p| p.lines.get_mut(usize::from(from)))
+        {
+            line.dirty = true;
+        }
+    }
+
+    /// A transaction ended. Returns keys to read again, or that the part is
+    /// lost.
+    pub fn txn_done(&mut self, lot: Lot, outcome: TxnOutcome) -> TxnVerdict {
+        let Some(part) = self.part(lot) else {
+            return TxnVerdict::Fine;
+        };
+        let (verdict, ends) = part.placer.txn_done(outcome);
+        for line in &mut part.lines {
+            line.dirty = true;
+        }
+        for id in ends {
+            self.mirror.settle(&id, Phase::Done);
+        }
+        if verdict == TxnVerdict::Lost {
+            self.abandon(lot.part);
+        }
+        verdict
+    }
+
+    /// A key of ours was read again.
+    pub fn reread(&mut self, lot: Lot, job: &JobId, chunk: u32, version: u64) {
+        if let Some(part) = self.part(lot) {
+            part.placer.reread(job, chunk, version);
+        }
+    }
+
+    /// A rental ended.
+    pub fn rented(&mut self, lot: Lot, rental: &Rental, result: RentResult, now: u64) {
+        let place = |id: &MachineId| self.config.part_of(&rental.zone, id);
+        let promises: Vec<Promise> = match &result {
+            RentResult::Rented(machines) => machines
+                .iter()
+                .map(|id| Promise {
+                    part: place(id),
+                    at: now,
+                    rented: Rented {
+                        machine: id.clone(),
+                        kind: rental.kind.clone(),
+                        zone: rental.zone.clone(),
+                        spot: rental.spot,
+                        age_ms: 0,
+                    },
+                })
+                .collect(),
+            _ => Vec::new(),
+        };
+        let Some(part) = self.part(lot) else { return };
+        part.rent_busy = false;
+        match result {
+            RentResult::Rented(machines) => {
+                info!(
+                    part = lot.part,
+                    count = machines.len(),
+                    asked = rental.count,
+                    kind = rental.kind,
+                    zone = rental.zone,
+                    spot = rental.spot,
+                    "machines rented"
+                );
+                if (machines.len() as u32) < rental.count {
+                    part.shortage.note(rental, now);
+                }
+                part.renting = None;
+                for p in promises {
+                    part.lines[usize::from(p.part)].dirty = true;
+                    part.placer.promises.push(p);
+                }
+            }
+            RentResult::NoCapacity => {
+                info!(
+                    part = lot.part,
+                    kind = rental.kind,
+                    zone = rental.zone,
+                    spot = rental.spot,
+                    "no capacity"
+                );
+                part.shortage.note(rental, now);
+                part.renting = None;
+            }
+            RentResult::Again => part.rent_after = now + CLOUD_TROUBLE_MS,
+        }
+    }
+
+    /// A release ended.
+    pub fn released(&mut self, lot: Lot, machines: &[MachineId], done: bool, now: u64) {
+        if let Some(part) = self.part(lot) {
+            part.owner.released(machines, done, now);
+        }
+    }
+
+    /// The rental list was read.
+    pub fn listed(&mut self, entries: &[RentalEntry], now: u64) {
+        let mut by_part: BTreeMap<u16, Vec<RentalEntry>> = BTreeMap::new();
+        for e in entries {
+            by_part
+                .entry(self.config.part_of(&e.zone, &e.id))
+                .or_default()
+                .push(e.clone());
+        }
+        for (index, part) in &mut self.parts {
+            if let Some(entries) = by_part.get(index) {
+                part.owner.listed(entries, now);
+            }
+        }
+    }
+
+    /// True when this node knows enough to take requests.
+    pub fn ready(&self) -> bool {
+        self.mirror.revision.is_some() && self.catalog.is_some()
+    }
+
+    // ---- the pump ----------------------------------------------------------
+
+    /// Does all that is due and returns what the process has to do. Call it
+    /// after every event and at every tick.
+    pub fn pump(&mut self, now: u64) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        // A sync within this node may give a placer something to do at once.
+        for _ in 0..3 {
+            if !self.pump_once(now, &mut effects) {
+                break;
+            }
+        }
+        effects
+    }
+
+    fn pump_once(&mut self, now: u64, effects: &mut Vec<Effect>) -> bool {
+        let mut again = false;
+        let indices: Vec<u16> = self.parts.keys().copied().collect();
+        for &index in &indices {
+            let Some(part) = self.parts.get_mut(&index) else {
+                continue;
+            };
+            let lot = part.lot;
+            part.owner.tick(now);
+            effects.extend(
+                part.owner
+                    .calls(now)
+                    .into_iter()
+                    .map(|c| Effect::Command(lot, c)),
+            );
+            let names = part.owner.releases();
+            if !names.is_empty() {
+                effects.push(Effect::Release(lot, names));
+            }
+            for asker in part.owner.take_dirty() {
+                match self.parts.get_mut(&asker) {
+                    Some(p) => p.lines[usize::from(index)].dirty = true,
+                    None => {
+                        if let Some(p) = self.parts.get_mut(&index) {
+                            p.nudged.entry(asker).or_insert(now);
+                        }
+                    }
+                }
+            }
+        }
+        for &index in &indices {
+            let Some(part) = self.parts.get_mut(&index) else {
+                continue;
+            };
+            let lot = part.lot;
+            let nudges: Vec<u16> = part.nudged.keys().copied().collect();
+            part.nudged.clear();
+            effects.extend(nudges.into_iter().map(Effect::Nudge));
+            if part.placer.wants_pass(now) && now >= part.last_place + PLACE_GAP_MS {
+                part.last_place = now;
+                part.placer.place(now);
+            }
+            if let Some(txn) = part.placer.next_txn() {
+                effects.push(Effect::Txn(lot, txn));
+            }
+            self.pump_rent(index, now, effects);
+            again |= self.pump_syncs(index, now, effects);
+        }
+        again
+    }
+
+    fn pump_syncs(&mut self, index: u16, now: u64, effects: &mut Vec<Effect>) -> bool {
+        let mut again = false;
+        for to in 0..self.config.members.len() as u16 {
+            let Some(holder) = self.mirror.parts.get(&to) else {
+                continue;
+            };
+            let local = self.parts.get(&to).map(|p| p.lot.token);
+            let Some(part) = self.parts.get_mut(&index) else {
+                return again;
+            };
+            let line = &mut part.lines[usize::from(to)];
+            let due =
+                now >= line.last + COPY_REFRESH_MS || line.dirty && now >= line.last + SYNC_GAP_MS;
+            if line.busy || !due {
+                continue;
+            }
+            line.last = now;
+            line.dirty = false;
+            let token = local.unwrap_or(holder.token);
+            let sync = part.placer.sync_for(to, token, now);
+            if local.is_none() {
+                line.busy = true;
+                effects.push(Effect::Sync(part.lot, sync));
+                continue;
+            }
+            let view = self
+                .parts
+                .get_mut(&to)
+                .and_then(|p| p.owner.sync(&sync, now).ok());
+            if let (Some(view), Some(part)) = (view, self.parts.get_mut(&index)) {
+                again |= part.placer.take_view(view, now);
+            }
+        }
+        again
+    }
+
+    fn pump_rent(&mut self, index: u16, now: u64, effects: &mut Vec<Effect>) {
+        let Some(catalog) = &self.catalog else { return };
+        let Some(part) = self.parts.get_mut(&index) else {
+            return;
+        };
+        if part.rent_busy || now < part.rent_after {
+            return;
+        }
+        if part.renting.is_none() {
+            if part.placer.lacking.is_empty() {
+                return;
+            }
+            let room = |kind: &str| catalog.get(kind).map(|t| t.room).unwrap_or_default();
+            let mut bins: Vec<Bin> = part
+                .placer
+                .machines()
+                .filter(|m| !m.up && m.open && m.renter.is_none_or(|r| r == index))
+                .map(|m| Bin {
+                    kind: m.kind.clone(),
+                    zone: m.zone.clone(),
+                    spot: m.spot,
+                    free: room(&m.kind),
+                })
+                .collect();
+            bins.extend(part.placer.promises.iter().map(|p| Bin {
+                kind: p.rented.kind.clone(),
+                zone: p.rented.zone.clone(),
+                spot: p.rented.spot,
+                free: room(&p.rented.kind),
+            }));
+            let mut zones: BTreeMap<String, usize> = BTreeMap::new();
+            for m in part.placer.machines() {
+                *zones.entry(m.zone.clone()).or_default() += 1;
+            }
+            let Some((kind, zone, spot, count)) = plan(
+                &part.placer.lacking,
+                &bins,
+                &zones,
+                catalog,
+                &part.shortage,
+                now,
+            )
+            .into_iter()
+            .next() else {
+                return;
+            };
+            part.bookings += 1;
+            // The part's token never comes again, so the name is never reused.
+            part.renting = Some(Rental {
+                booking: format!("r-{}-{}-{}", index, part.lot.token, part.bookings),
+                kind,
+                zone,
+                spot,
+                count,
+            });
+        }
+        if let Some(rental) = part.renting.clone() {
+            part.rent_busy = true;
+            effects.push(Effect::Rent(part.lot, rental));
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/owner.rs
@@ -0,0 +1,1048 @@
+//! The owner's side of a part: its machines, what is on them, and the proofs
+//! that an attempt is over.
+//!
+//! An attempt counts as over only when
+//! * the worker's newest report says that it exited,
+//! * it is missing from a report that the worker sent after it had seen this
+//!   owner's token, and no start order for it can still arrive,
+//! * the worker is in a later session than the one it was started in,
+//! * the cloud has answered the release of its machine, or
+//! * the lease has surely run out since this owner, and nobody after it, last
+//!   answered the machine.
+
+use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
+use std::net::SocketAddr;
+
+use tracing::{info, warn};
+
+use crate::constants::*;
+use crate::model::{AttemptId, JobId, MachineId, Room};
+use crate::policy::Policy;
+use crate::protocol::cloud::RentalEntry;
+use crate::protocol::peer::{AttemptView, Cause, MachineView, Rented, Standing, Sync, View};
+use crate::protocol::worker::{Commands, Order, Report, ReportReply, TaskPhase, Verb};
+
+/// Times that bound the owner's proofs, from the settings.
+#[derive(Clone, Copy, Debug)]
+pub struct Timing {
+    /// Lease of a worker, ms.
+    pub lease_ms: u64,
+    /// Time between reports, ms.
+    pub report_ms: u64,
+}
+
+impl Timing {
+    /// ms after our last answer from which on a lease has surely run out,
+    /// whatever the drift of the clocks.
+    pub fn dead_after_ms(&self) -> u64 {
+        self.lease_ms + self.lease_ms * DRIFT_PER_MILLE / 1000 + LEASE_MARGIN_MS
+    }
+}
+
+/// A task seen on a machine.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Seen {
+    phase: TaskPhase,
+    cause: Option<Cause>,
+}
+
+/// A machine of this part.
+#[derive(Debug)]
+struct Machine {
+    addr: Option<SocketAddr>,
+    kind: String,
+    zone: String,
+    spot: bool,
+    room: Room,
+    session: u64,
+    seq: u64,
+    /// Highest token that the worker has shown.
+    token_seen: u64,
+    /// Our counter below the part's token; raised to fence orders whose fate
+    /// is unknown.
+    fence: u64,
+    /// Token of the newest order whose fate is unknown.
+    ambiguous: Option<u64>,
+    /// Starts that went out in the answer to this report; settled by the next.
+    answered_with_starts: Option<u64>,
+    /// A `/commands` call is under way.
+    calling: bool,
+    call_after: u64,
+    /// When we last answered a report, ms.
+    answered: Option<u64>,
+    /// When the worker was last heard in any way, ms.
+    heard: Option<u64>,
+    /// Sessions up to this one have surely ended.
+    dead_session: u64,
+    tasks: BTreeMap<AttemptId, Seen>,
+    images: VecDeque<String>,
+    notice: bool,
+    closing: bool,
+    quarantined: bool,
+    releasing: bool,
+    release_wanted: bool,
+    failures: BTreeSet<JobId>,
+    renter: Option<u16>,
+    since: u64,
+    booked: u64,
+    idle_since: Option<u64>,
+}
+
+impl Machine {
+    fn new(kind: &str, zone: &str, spot: bool, room: Room, now: u64) -> Self {
+        Self {
+            addr: None,
+            kind: kind.to_owned(),
+            zone: zone.to_owned(),
+            spot,
+            room,
+            session: 0,
+            seq: 0,
+            token_seen: 0,
+            fence: 0,
+            ambiguous: None,
+            answered_with_starts: None,
+            calling: false,
+            call_after: 0,
+            answered: None,
+            heard: None,
+            dead_session: 0,
+            tasks: BTreeMap::new(),
+            images: VecDeque::new(),
+            notice: false,
+            closing: false,
+            quarantined: false,
+            releasing: false,
+            release_wanted: false,
+            failures: BTreeSet::new(),
+            renter: None,
+            since: now,
+            booked: now,
+            idle_since: None,
+        }
+    }
+
+    fn open(&self) -> bool {
+        !(self.notice || self.closing || self.quarantined || self.release_wanted)
+    }
+
+    /// No order that could start something is of unknown fate.
+    fn settled(&self) -> bool {
+        self.ambiguous.is_none() && self.answered_with_starts.is_none() && !self.calling
+    }
+
+    fn remember_image(&mut self, image: &str) {
+        if let Some(at) = self.images.iter().position(|i| i == image) {
+            self.images.remove(at);
+        }
+        self.images.push_front(image.to_owned());
+        self.images.truncate(IMAGES_REMEMBERED);
+    }
+}
+
+/// How far an attempt has come here.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Stage {
+    /// Not judged yet: the machine has not shown our token.
+    Unjudged,
+    /// Has room. `sent`: session that a start order went out to.
+    Accepted { sent: Option<u64>, seen: bool },
+    /// Over.
+    Ended(Standing),
+}
+
+#[derive(Debug)]
+struct Held {
+    from: u16,
+    machine: MachineId,
+    need: Room,
+    image: String,
+    go: bool,
+    kill: Option<u32>,
+    killed_at: Option<u64>,
+    stage: Stage,
+}
+
+#[derive(Default, Debug)]
+struct Asker {
+    token: u64,
+    seq: u64,
+}
+
+/// A call to a worker that the process has to make.
+#[derive(Debug, Clone)]
+pub struct CommandCall {
+    /// The machine.
+    pub machine: MachineId,
+    /// Its address.
+    pub addr: SocketAddr,
+    /// What to send.
+    pub commands: Commands,
+}
+
+/// How a call to a worker went.
+#[derive(Debug)]
+pub enum CommandResult {
+    /// Executed; the report that came back.
+    Executed(Report),
+    /// Refused: the token or session was not right; the report.
+    Refused(Report),
+    /// Surely not sent.
+    NotSent,
+    /// May have been executed, or may be later.
+    Unknown,
+}
+
+/// Why a sync was not taken.
+#[derive(Debug, PartialEq, Eq, thiserror::Error)]
+pub enum SyncRefusal {
+    /// Meant for another owner of this part, or from a past owner of its own.
+    #[error("token out of date")]
+    Token,
+    /// Older than one already taken.
+    #[error("late message")]
+    Late,
+}
+
+/// The owner of a part.
+pub struct Owner {
+    part: u16,
+    token: u64,
+    started: u64,
+    timing: Timing,
+    policy: Policy,
+    parts: u16,
+    rooms: BTreeMap<String, Room>,
+    boot_ms: BTreeMap<String, u64>,
+    machines: BTreeMap<MachineId, Machine>,
+    held: BTreeMap<AttemptId, Held>,
+    askers: BTreeMap<u16, Asker>,
+    gone: HashSet<MachineId>,
+    missing: BTreeMap<MachineId, u64>,
+    releasing: bool,
+    last_tick: u64,
+    silent_floor: u64,
+    dirty: BTreeSet<u16>,
+}
+
+impl Owner {
+    /// An owner that has just got its part with this token.
+    pub fn new(
+        part: u16,
+        token: u64,
+        parts: u16,
+        timing: Timing,
+        policy: Policy,
+        now: u64,
+    ) -> Self {
+        Self {
+            part,
+            token,
+            started: now,
+            timing,
+            policy,
+            parts,
+            rooms: BTreeMap::new(),
+            boot_ms: BTreeMap::new(),
+            machines: BTreeMap::new(),
+            held: BTreeMap::new(),
+            askers: BTreeMap::new(),
+            gone: HashSet::new(),
+            missing: BTreeMap::new(),
+            releasing: false,
+            last_tick: now,
+            silent_floor: now,
+            dirty: BTreeSet::new(),
+        }
+    }
+
+    /// Learns the machine types.
+    pub fn set_types<'a>(&mut self, types: impl Iterator<Item = &'a crate::model::MachineType>) {
+        for t in types {
+            self.rooms.insert(t.name.clone(), t.room);
+            self.boot_ms
+                .insert(t.name.clone(), (t.boot_s * 1000.0) as u64);
+        }
+        for m in self.machines.values_mut() {
+            m.room = self.rooms.get(&m.kind).copied().unwrap_or_default();
+        }
+    }
+
+    fn base(&self) -> u64 {
+        self.token << FENCE_BITS
+    }
+
+    fn fresh(&self, m: &Machine) -> bool {
+        m.token_seen >= self.base()
+    }
+
+    /// Parts whose attempts changed since the last call.
+    pub fn take_dirty(&mut self) -> BTreeSet<u16> {
+        std::mem::take(&mut self.dirty)
+    }
+
+    // ---- workers -----------------------------------------------------------
+
+    /// A report came in; `None` means that it must not be answered with 200.
+    pub fn report(&mut self, report: &Report, now: u64) -> Option<ReportReply> {
+        if self.gone.contains(&report.machine) {
+            return None;
+        }
+        if report.token >> FENCE_BITS > self.token {
+            // The worker has seen a later owner: our answer would only hold it
+            // here while its lease runs out.
+            return None;
+        }
+        let newer = self.take_report(report, now, true);
+        let m = self.machines.get_mut(&report.machine)?;
+        if report.session <= m.dead_session {
+            return None;
+        }
+        m.answered = Some(now);
+        if !newer {
+            // A late report: the worker does not wait for this answer any more.
+            return Some(ReportReply {
+                token: (self.token << FENCE_BITS) + m.fence,
+                orders: Vec::new(),
+            });
+        }
+        let with_starts = m.ambiguous.is_some() && !m.calling;
+        let orders = if self.fresh(&self.machines[&report.machine]) {
+            self.orders(&report.machine, now, with_starts, true)
+        } else {
+            Vec::new()
+        };
+        let m = self.machines.get_mut(&report.machine)?;
+        if orders.iter().any(|o| o.verb == Verb::Launch) {
+            m.answered_with_starts = Some(report.seq);
+        }
+        Some(ReportReply {
+            token: (self.token << FENCE_BITS) + m.fence,
+            orders,
+        })
+    }
+
+    /// Takes a report of any origin; true if it is the newest known.
+    fn take_report(&mut self, report: &Report, now: u64, hello: bool) -> bool {
+        let room = self.rooms.get(&report.kind).copied().unwrap_or_default();
+        let m = self
+            .machines
+            .entry(report.machine.clone())
+            .or_insert_with(|| {
+                info!(machine = %report.machine, part = self.part, "machine came up unannounced");
+                Machine::new(&report.kind, &report.zone, report.spot, room, now)
+            });
+        self.missing.remove(&report.machine);
+        if (report.session, report.seq) <= (m.session, m.seq) || report.session <= m.dead_session {
+            return false;
+        }
+        if m.heard.is_none() {
+            info!(machine = %report.machine, part = self.part, after_ms = now - m.booked, "machine is up");
+        }
+        if report.session > m.session {
+            // Orders for an earlier session are refused by the worker.
+            m.ambiguous = None;
+            m.answered_with_starts = None;
+            if m.session > 0 {
+                info!(machine = %report.machine, session = report.session, "new session");
+            }
+        }
+        m.addr = report.address.parse().ok();
+        m.session = report.session;
+        m.seq = report.seq;
+        m.heard = Some(now);
+        m.token_seen = m.token_seen.max(report.token);
+        if report.notice_s.is_some() && !m.notice {
+            m.notice = true;
+            info!(machine = %report.machine, seconds = report.notice_s, "the cloud takes this machine");
+        }
+        if m.ambiguous.is_some_and(|t| m.token_seen > t) {
+            m.ambiguous = None;
+        }
+        if hello && m.answered_with_starts.is_some_and(|seq| report.seq > seq) {
+            m.answered_with_starts = None;
+        }
+        m.tasks.clear();
+        for t in &report.tasks {
+            match AttemptId::parse(&t.piece, t.attempt) {
+                Some(id) => {
+                    let cause =
+                        (t.phase == TaskPhase::Exited).then(|| Cause::read(t.cause.as_deref()));
+                    m.tasks.insert(
+                        id,
+                        Seen {
+                            phase: t.phase,
+                            cause,
+                        },
+                    );
+                }
+                None => {
+                    warn!(machine = %report.machine, piece = t.piece, "task name not understood")
+                }
+            }
+        }
+        self.judge(&report.machine.clone(), now);
+        true
+    }
+
+    /// Re-judges all attempts of a machine.
+    fn judge(&mut self, machine: &MachineId, now: u64) {
+        let ids: Vec<AttemptId> = self
+            .held
+            .iter()
+            .filter(|(_, h)| &h.machine == machine)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in ids {
+            self.judge_one(&id, now);
+        }
+        self.update_idle(machine, now);
+    }
+
+    fn judge_one(&mut self, id: &AttemptId, now: u64) {
+        let Some(held) = self.held.get(id) else {
+            return;
+        };
+        if matches!(held.stage, Stage::Ended(_)) {
+            return;
+        }
+        let machine = held.machine.clone();
+        let stage = self.next_stage(id, held, now);
+        if stage == held.stage {
+            return;
+        }
+        let (image, from) = (held.image.clone(), held.from);
+        if let Stage::Accepted { .. } = stage
+            && let Some(m) = self.machines.get_mut(&machine)
+        {
+            m.remember_image(&image);
+        }
+        if let Stage::Ended(standing) = stage {
+            info!(attempt = %id, machine = %machine, part = self.part, ?standing, "attempt is over");
+            self.note_end(&machine, id, standing);
+        }
+        self.dirty.insert(from);
+        if let Some(h) = self.held.get_mut(id) {
+            h.stage = stage;
+        }
+    }
+
+    fn next_stage(&self, id: &AttemptId, held: &Held, now: u64) -> Stage {
+        if self.gone.contains(&held.machine) {
+            return Stage::Ended(Standing::Gone);
+        }
+        let Some(m) = self.machines.get(&held.machine) else {
+            return held.stage;
+        };
+        if let Some(seen) = m.tasks.get(id) {
+            return match seen.cause {
+                Some(cause) => Stage::Ended(Standing::Exited(cause)),
+                None => Stage::Accepted {
+                    sent: Some(m.session),
+                    seen: true,
+                },
+            };
+        }
+        // Absence proves something only once the worker has shown our token:
+        // before that, an order of an earlier owner may still arrive.
+        if !self.fresh(m) {
+            return held.stage;
+        }
+        match held.stage {
+            Stage::Unjudged if held.kill.is_some() => Stage::Ended(Standing::Gone),
+            Stage::Unjudged => {
+                let fits = m.open()
+                    && m.session > m.dead_session
+                    && self.free(&held.machine).covers(&held.need);
+                if fits {
+                    Stage::Accepted {
+                        sent: None,
+                        seen: false,
+                    }
+                } else {
+                    Stage::Ended(Standing::Refused)
+                }
+            }
+            Stage::Accepted { sent: None, .. } if held.kill.is_some() => {
+                Stage::Ended(Standing::Gone)
+            }
+            Stage::Accepted { sent: None, .. } if m.dead(now, &self.timing) => {
+                Stage::Ended(Standing::Gone)
+            }
+            Stage::Accepted {
+                sent: Some(session),
+                ..
+            } if session < m.session || session <= m.dead_session => Stage::Ended(Standing::Gone),
+            Stage::Accepted {
+                sent: Some(_),
+                seen,
+            } if m.settled() => {
+                // Guards against a start order that arrives late: only a
+                // machine with no order of unknown fate proves absence.
+                if seen || held.kill.is_some() {
+                    Stage::Ended(Standing::Gone)
+                } else {
+                    Stage::Accepted {
+                        sent: None,
+                        seen: false,
+                    }
+                }
+            }
+            stage => stage,
+        }
+    }
+
+    /// Counts failures: a machine on which several jobs in a row failed is
+    /// not used any more.
+    fn note_end(&mut self, machine: &MachineId, id: &AttemptId, standing: Standing) {
+        let Some(m) = self.machines.get_mut(machine) else {
+            return;
+        };
+        match standing {
+            Standing::Exited(Cause::Error) => {
+                m.failures.insert(id.job.clone());
+                if m.failures.len() >= QUARANTINE_ERRORS as usize && !m.quarantined {
+                    m.quarantined = true;
+                    warn!(machine = %machine, "machine fails its tasks; no longer used");
+                }
+            }
+            Standing::Exited(Cause::Done) => m.failures.clear(),
+            _ => {}
+        }
+    }
+
+    /// Room not taken by accepted attempts. Tasks that nobody has claimed yet
+    /// have unknown needs, so a machine with such a task has no room.
+    fn free(&self, machine: &MachineId) -> Room {
+        let Some(m) = self.machines.get(machine) else {
+            return Room::default();
+        };
+        let unclaimed = m
+            .tasks
+            .iter()
+            .any(|(id, seen)| seen.phase != TaskPhase::Exited && !self.held.contains_key(id));
+        if unclaimed {
+            return Room::default();
+        }
+        self.held
+            .values()
+            .filter(|h| &h.machine == machine && matches!(h.stage, Stage::Accepted { .. }))
+            .fold(m.room, |free, h| free.minus(&h.need))
+    }
+
+    fn busy(&self, machine: &MachineId) -> usize {
+        let held = self
+            .held
+            .values()
+            .filter(|h| &h.machine == machine && !matches!(h.stage, Stage::Ended(_)))
+            .count();
+        let unclaimed = self.machines.get(machine).map_or(0, |m| {
+            m.tasks
+                .iter()
+                .filter(|(id, seen)| seen.phase != TaskPhase::Exited && !self.held.contains_key(id))
+                .count()
+        });
+        held + unclaimed
+    }
+
+    fn update_idle(&mut self, machine: &MachineId, now: u64) {
+        let busy = self.busy(machine);
+        if let Some(m) = self.machines.get_mut(machine)
+            && m.heard.is_some()
+        {
+            m.idle_since = if busy > 0 {
+                None
+            } else {
+                m.idle_since.or(Some(now))
+            };
+        }
+    }
+
+    /// True once every part has said what it wants of this owner.
+    fn all_heard(&self) -> bool {
+        self.askers.len() >= usize::from(self.parts)
+    }
+
+    /// The orders that a machine needs now.
+    fn orders(&mut self, machine: &MachineId, now: u64, starts: bool, forgets: bool) -> Vec<Order> {
+        let all_heard = self.all_heard();
+        let Some(m) = self.machines.get(machine) else {
+            return Vec::new();
+        };
+        let order = |verb, id: &AttemptId, grace_s| Order {
+            verb,
+            piece: id.piece(),
+            attempt: id.attempt,
+            grace_s,
+        };
+        let mut orders = Vec::new();
+        let mut started = Vec::new();
+        let mut killed = Vec::new();
+        for (id, seen) in &m.tasks {
+            match self.held.get(id) {
+                Some(h) => {
+                    let due = h.killed_at.is_none_or(|at| now >= at + KILL_REPEAT_MS);
+                    if let Some(grace) = h.kill
+                        && seen.phase != TaskPhase::Exited
+                        && due
+                    {
+                        // A task that is saving must not be told again with
+                        // less grace, which would end it.
+                        let grace = if seen.phase == TaskPhase::Saving {
+                            grace.max(1)
+                        } else {
+                            grace
+                        };
+                        orders.push(order(Verb::Kill, id, Some(grace)));
+                        killed.push(id.clone());
+                    }
+                }
+                // Nobody wants it, and everybody has spoken.
+                None if seen.phase != TaskPhase::Exited && all_heard => {
+                    orders.push(order(Verb::Kill, id, Some(0)))
+                }
+                // Guards against a start that is repeated after its attempt
+                // was forgotten, which would run it again.
+                None if seen.phase == TaskPhase::Exited && all_heard && forgets && m.settled() => {
+                    orders.push(order(Verb::Forget, id, None))
+                }
+                None => {}
+            }
+        }
+        if starts {
+            for (id, h) in self.held.iter().filter(|(_, h)| &h.machine == machine) {
+                if h.go
+                    && h.kill.is_none()
+                    && matches!(h.stage, Stage::Accepted { seen: false, .. })
+                    && !m.tasks.contains_key(id)
+                {
+                    orders.push(order(Verb::Launch, id, None));
+                    started.push(id.clone());
+                }
+            }
+        }
+        let session = m.session;
+        for id in started {
+            if let Some(h) = self.held.get_mut(&id) {
+                h.stage = Stage::Accepted {
+                    sent: Some(session),
+                    seen: false,
+                };
+            }
+        }
+        for id in killed {
+            if let Some(h) = self.held.get_mut(&id) {
+                h.killed_at = Some(now);
+            }
+        }
+        orders
+    }
+
+    /// Calls to workers that are due.
+    pub fn calls(&mut self, now: u64) -> Vec<CommandCall> {
+        let ids: Vec<MachineId> = self
+            .machines
+            .iter()
+            .filter(|(_, m)| m.heard.is_some() && !m.calling && now >= m.call_after && !m.releasing)
+            .map(|(id, _)| id.clone())
+            .collect();
+        let mut calls = Vec::new();
+        for id in ids {
+            let m = &self.machines[&id];
+            if m.session <= m.dead_session || m.answered_with_starts.is_some() {
+                continue;
+            }
+            let Some(addr) = m.addr else { continue };
+            let fresh = self.fresh(m);
+            let orders = if fresh {
+                self.orders(&id, now, true, false)
+            } else {
+                Vec::new()
+            };
+            if fresh && orders.is_empty() {
+                continue;
+            }
+            let base = self.base();
+            let Some(m) = self.machines.get_mut(&id) else {
+                continue;
+            };
+            m.calling = true;
+            calls.push(CommandCall {
+                machine: id.clone(),
+                addr,
+                commands: Commands {
+                    token: base + m.fence,
+                    session: m.session,
+                    orders,
+                },
+            });
+        }
+        calls
+    }
+
+    /// A call to a worker ended.
+    pub fn call_done(&mut self, call: &CommandCall, result: CommandResult, now: u64) {
+        let base = self.base();
+        let Some(m) = self.machines.get_mut(&call.machine) else {
+            return;
+        };
+        m.calling = false;
+        let failed = !matches!(result, CommandResult::Executed(_));
+        if failed {
+            m.call_after = now + COMMAND_RETRY_MS;
+        }
+        match result {
+            CommandResult::Executed(report) => {
+                self.take_report(&report, now, false);
+            }
+            CommandResult::Refused(report) => {
+                self.unsend(call);
+                self.take_report(&report, now, false);
+            }
+            CommandResult::NotSent => self.unsend(call),
+            CommandResult::Unknown => {
+                // Guards against an order that arrives minutes late: from now
+                // on the machine is given a higher token, and until it shows
+                // that, nothing is concluded from an absence.
+                let sent = call.commands.token;
+                m.ambiguous = Some(m.ambiguous.map_or(sent, |t| t.max(sent)));
+                m.fence = m.fence.max(sent - base) + 1;
+            }
+        }
+        self.judge(&call.machine, now);
+    }
+
+    /// Takes back the notes of starts that were surely not executed.
+    fn unsend(&mut self, call: &CommandCall) {
+        let ambiguous = self
+            .machines
+            .get(&call.machine)
+            .is_some_and(|m| m.ambiguous.is_some());
+        if ambiguous {
+            return;
+        }
+        for o in call
+            .commands
+            .orders
+            .iter()
+            .filter(|o| o.verb == Verb::Launch)
+        {
+            if let Some(id) = AttemptId::parse(&o.piece, o.attempt)
+                && let Some(h) = self.held.get_mut(&id)
+                && matches!(h.stage, Stage::Accepted { seen: false, .. })
+            {
+                h.stage = Stage::Accepted {
+                    sent: None,
+                    seen: false,
+                };
+            }
+        }
+    }
+
+    // ---- placers -----------------------------------------------------------
+
+    /// A placer says what it wants; the answer is this part's whole state.
+    pub fn sync(&mut self, sync: &Sync, now: u64) -> Result<View, SyncRefusal> {
+        if sync.to_token != self.token {
+            return Err(SyncRefusal::Token);
+        }
+        let asker = self.askers.entry(sync.from).or_default();
+        if sync.from_token < asker.token {
+            return Err(SyncRefusal::Token);
+        }
+        // Guards against a held-back message that asks again for an attempt
+        // whose end was already answered.
+        if sync.from_token == asker.token && sync.seq <= asker.seq {
+            return Err(SyncRefusal::Late);
+        }
+        *asker = Asker {
+            token: sync.from_token,
+            seq: sync.seq,
+        };
+        for r in &sync.rented {
+            self.expect(&r.machine, r, sync.from, now);
+        }
+        let mut touched = BTreeSet::new();
+        let listed: HashSet<&AttemptId> = sync.wants.iter().map(|w| &w.id).collect();
+        self.held.retain(|id, h| {
+            let keep = h.from != sync.from || listed.contains(id);
+            if !keep {
+                touched.insert(h.machine.clone());
+            }
+            keep
+        });
+        for w in &sync.wants {
+            let held = self.held.entry(w.id.clone()).or_insert_with(|| {
+                touched.insert(w.machine.clone());
+                Held {
+                    from: sync.from,
+                    machine: w.machine.clone(),
+                    need: w.need,
+                    image: w.image.clone(),
+                    go: w.go,
+                    kill: w.kill,
+                    killed_at: None,
+                    stage: Stage::Unjudged,
+                }
+            });
+            if held.go != w.go || held.kill != w.kill {
+                if held.kill != w.kill {
+                    held.killed_at = None;
+                }
+                held.go = w.go;
+                held.kill = w.kill;
+                touched.insert(w.machine.clone());
+            }
+            if !self.machines.contains_key(&w.machine) && !self.gone.contains(&w.machine) {
+                self.missing.entry(w.machine.clone()).or_insert(now);
+            }
+        }
+        for machine in touched {
+            self.judge(&machine, now);
+        }
+        self.dirty.remove(&sync.from);
+        Ok(self.view(sync.from, sync.seq, now))
+    }
+
+    fn expect(&mut self, id: &MachineId, rented: &Rented, renter: u16, now: u64) {
+        if self.gone.contains(id) {
+            return;
+        }
+        let room = self.rooms.get(&rented.kind).copied().unwrap_or_default();
+        let m = self.machines.entry(id.clone()).or_insert_with(|| {
+            let mut m = Machine::new(&rented.kind, &rented.zone, rented.spot, room, now);
+            m.booked = now.saturating_sub(rented.age_ms);
+            m
+        });
+        m.renter = Some(renter);
+    }
+
+    /// This part's whole state, with the attempts of one asker.
+    pub fn view(&self, asker: u16, seq: u64, now: u64) -> View {
+        let machines = self
+            .machines
+            .iter()
+            .map(|(id, m)| MachineView {
+                id: id.clone(),
+                kind: m.kind.clone(),
+                zone: m.zone.clone(),
+                spot: m.spot,
+                up: m.heard.is_some() && self.fresh(m) && m.session > m.dead_session,
+                open: m.open(),
+                leaving: m.notice || m.quarantined,
+                free: self.free(id),
+                busy: self.busy(id).min(usize::from(u16::MAX)) as u16,
+                images: m.images.iter().cloned().collect(),
+                renter: m.renter,
+                age_ms: now.saturating_sub(m.booked),
+            })
+            .collect();
+        let attempts = self
+            .held
+            .iter()
+            .filter(|(_, h)| h.from == asker)
+            .filter_map(|(id, h)| {
+                let standing = match h.stage {
+                    Stage::Unjudged => return None,
+                    Stage::Ended(standing) => standing,
+                    Stage::Accepted { .. } => match self
+                        .machines
+                        .get(&h.machine)
+                        .and_then(|m| m.tasks.get(id))
+                        .map(|s| s.phase)
+                    {
+                        Some(TaskPhase::Running | TaskPhase::Saving) => Standing::Running,
+                        Some(_) => Standing::Preparing,
+                        None => Standing::Accepted,
+                    },
+                };
+                Some(AttemptView {
+                    id: id.clone(),
+                    standing,
+                })
+            })
+            .collect();
+        View {
+            version: PEER_VERSION,
+            part: self.part,
+            token: self.token,
+            seq,
+            machines,
+            attempts,
+        }
+    }
+
+    // ---- cloud -------------------------------------------------------------
+
+    /// A page of the rental list, reduced to this part's machines.
+    pub fn listed(&mut self, entries: &[RentalEntry], now: u64) {
+        for e in entries {
+            if self.gone.contains(&e.id) {
+                continue;
+            }
+            let room = self.rooms.get(&e.kind).copied().unwrap_or_default();
+            let m = self.machines.entry(e.id.clone()).or_insert_with(|| {
+                let mut m = Machine::new(&e.kind, &e.zone, e.spot, room, now);
+                m.booked = now.saturating_sub((e.age_s * 1000.0) as u64);
+                m
+            });
+            self.missing.remove(&e.id);
+            if e.phase == "failed" {
+                m.release_wanted = true;
+            }
+        }
+    }
+
+    /// Looks for machines whose time has come; call about every tick.
+    pub fn tick(&mut self, now: u64) {
+        if now.saturating_sub(self.last_tick) > 1_000 {
+            // This process stood still: silence meanwhile proves nothing.
+            self.silent_floor = now;
+        }
+        self.last_tick = now;
+        let (dead_after, silent_ms) = (
+            self.timing.dead_after_ms(),
+            self.policy.silent_ms.max(2 * self.timing.report_ms + 500),
+        );
+        let silent = |m: &Machine| {
+            m.heard
+                .is_some_and(|at| now > at.max(self.silent_floor) + silent_ms)
+        };
+        let (silent_count, up_count) = self
+            .machines
+            .values()
+            .filter(|m| m.heard.is_some())
+            .fold((0, 0), |(s, u), m| (s + usize::from(silent(m)), u + 1));
+        // Many silent machines at once mean that this node is cut off, not
+        // that all of them died: giving them back would end all their work.
+        let mass = silent_count > 3 && silent_count * 2 > up_count;
+        let base = self.base();
+        let mut dead = Vec::new();
+        for (id, m) in &mut self.machines {
+            if m.releasing || m.release_wanted {
+                continue;
+            }
+            let quiet = m
+                .heard
+                .is_some_and(|at| now > at.max(self.silent_floor) + silent_ms);
+            if quiet && !mass {
+                info!(machine = %id, part = self.part, "machine is silent; giving it back");
+                m.release_wanted = true;
+            }
+            if m.dead(now, &self.timing) && m.token_seen >= base && m.dead_session < m.session {
+                dead.push(id.clone());
+            }
+            if m.heard.is_none() {
+                let patience = (self.boot_ms.get(&m.kind).copied().unwrap_or(30_000) as f64
+                    * self.policy.boot_patience) as u64;
+                let since = m
+                    .booked
+                    .max(self.started.saturating_sub(patience))
+                    .max(m.since.saturating_sub(patience));
+                if now > since + patience + self.timing.lease_ms {
+                    info!(machine = %id, part = self.part, "machine never came up; giving it back");
+                    m.release_wanted = true;
+                }
+            }
+            let keep = if m.spot {
+                self.policy.idle_spot_ms
+            } else {
+                self.policy.idle_ms
+            };
+            if m.idle_since.is_some_and(|at| now > at + keep)
+                || (m.quarantined || m.notice) && m.idle_since.is_some()
+            {
+                m.closing = true;
+            }
+        }
+        let _ = dead_after;
+        for id in dead {
+            if let Some(m) = self.machines.get_mut(&id) {
+                info!(machine = %id, part = self.part, "lease has run out");
+                m.dead_session = m.session;
+                m.tasks.clear();
+                m.answered_with_starts = None;
+            }
+            self.judge(&id, now);
+        }
+        // A machine that somebody counts on and nobody has seen: only the
+        // cloud's answer proves that it is gone.
+        for (id, since) in &self.missing {
+            if now > since + dead_after && !self.machines.contains_key(id) {
+                let mut m = Machine::new("", "", false, Room::default(), now);
+                m.release_wanted = true;
+                self.machines.insert(id.clone(), m);
+            }
+        }
+        let wanted: Vec<MachineId> = self
+            .machines
+            .iter()
+            .filter(|(_, m)| m.release_wanted)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in wanted {
+            self.missing.remove(&id);
+        }
+    }
+
+    /// Machines to give back now, if no release is under way.
+    pub fn releases(&mut self) -> Vec<MachineId> {
+        if self.releasing {
+            return Vec::new();
+        }
+        let mut names = Vec::new();
+        let closing: Vec<MachineId> = self
+            .machines
+            .iter()
+            .filter(|(_, m)| m.closing && !m.release_wanted)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in closing {
+            let empty = self.busy(&id) == 0;
+            if let Some(m) = self.machines.get_mut(&id) {
+                if empty {
+                    info!(machine = %id, part = self.part, "machine is idle; giving it back");
+                    m.release_wanted = true;
+                } else {
+                    m.closing = false;
+                }
+            }
+        }
+        for (id, m) in &mut self.machines {
+            if m.release_wanted && names.len() < MAX_RELEASE {
+                m.releasing = true;
+                names.push(id.clone());
+            }
+        }
+        self.releasing = !names.is_empty();
+        names
+    }
+
+    /// The cloud answered a release, or did not.
+    pub fn released(&mut self, names: &[MachineId], done: bool, now: u64) {
+        self.releasing = false;
+        for id in names {
+            if done {
+                self.machines.remove(id);
+                self.gone.insert(id.clone());
+                info!(machine = %id, part = self.part, "machine is gone");
+                self.judge(id, now);
+            } else if let Some(m) = self.machines.get_mut(id) {
+                m.releasing = false;
+            }
+        }
+    }
+
+    /// Machines known, for logs and tests.
+    pub fn machine_count(&self) -> usize {
+        self.machines.len()
+    }
+}
+
+impl Machine {
+    /// True if the lease has surely run out since we last answered.
+    fn dead(&self, now: u64, timing: &Timing) -> bool {
+        self.answered
+            .is_some_and(|at| now > at + timing.dead_after_ms())
+    }
+}
--- /dev/null
+++ b/src/coordination/placement.rs
@@ -0,0 +1,230 @@
+//! First-fit over constraint bit-vectors.
+//!
+//! Each part's machines are a row of bits per constraint: a type, a zone, being
+//! ordinary, taking new tasks, holding an image, and so on. A task's
+//! constraints are ANDed, and the first machine left whose free room covers
+//! every resource is taken (paper, section IV-B). The rows for images and for
+//! machines already in use only decide the order of the walk: a machine that
+//! has the image first, since the fetch decides when a task starts, then one
+//! that is in use already, so that whole machines stay free.
+
+use std::collections::HashMap;
+
+use crate::model::{MachineId, Room};
+use crate::protocol::peer::MachineView;
+
+/// A row of bits, one a machine.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Bits(Vec<u64>);
+
+impl Bits {
+    fn zeros(len: usize) -> Self {
+        Self(vec![0; len.div_ceil(64)])
+    }
+
+    fn set(&mut self, i: usize) {
+        self.0[i / 64] |= 1 << (i % 64);
+    }
+
+    fn clear(&mut self, i: usize) {
+        self.0[i / 64] &= !(1 << (i % 64));
+    }
+
+    fn and(&mut self, other: &Bits) {
+        for (a, b) in self.0.iter_mut().zip(&other.0) {
+            *a &= b;
+        }
+    }
+
+    fn or(&mut self, other: &Bits) {
+        for (a, b) in self.0.iter_mut().zip(&other.0) {
+            *a |= b;
+        }
+    }
+
+    /// Positions of the bits that are set, in order.
+    fn ones(&self) -> impl Iterator<Item = usize> + '_ {
+        self.0.iter().enumerate().flat_map(|(w, &word)| {
+            let mut rest = word;
+            std::iter::from_fn(move || {
+                (rest != 0).then(|| {
+                    let bit = rest.trailing_zeros() as usize;
+                    rest &= rest - 1;
+                    w * 64 + bit
+                })
+            })
+        })
+    }
+}
+
+/// A machine as the walk sees it.
+#[derive(Clone, Debug)]
+pub struct Slot {
+    /// The machine.
+    pub id: MachineId,
+    /// Its zone.
+    pub zone: String,
+    /// Its type.
+    pub kind: String,
+    /// Spot or ordinary.
+    pub spot: bool,
+    /// Free room.
+    pub free: Room,
+    /// Tasks on it.
+    pub busy: u32,
+}
+
+/// What a task asks of a machine.
+#[derive(Clone, Debug)]
+pub struct Ask<'a> {
+    /// Room.
+    pub need: Room,
+    /// Allowed types, or any.
+    pub types: Option<&'a [String]>,
+    /// Allowed zones, or any.
+    pub zones: Option<Vec<&'a str>>,
+    /// True if spot machines are allowed.
+    pub spot: bool,
+    /// Image.
+    pub image: &'a str,
+    /// Machines to leave out.
+    pub avoid: &'a [MachineId],
+}
+
+/// The machines of one part, ready for walks.
+#[derive(Clone, Debug, Default)]
+pub struct Field {
+    /// The machines in the order of the walk.
+    pub slots: Vec<Slot>,
+    ready: Bits,
+    spot: Bits,
+    busy: Bits,
+    types: HashMap<String, Bits>,
+    zones: HashMap<String, Bits>,
+    images: HashMap<String, Bits>,
+}
+
+impl Field {
+    /// Builds the rows from an owner's view.
+    pub fn new(machines: &[MachineView]) -> Self {
+        let n = machines.len();
+        let mut field = Self {
+            ready: Bits::zeros(n),
+            spot: Bits::zeros(n),
+            busy: Bits::zeros(n),
+            ..Self::default()
+        };
+        for (i, m) in machines.iter().enumerate() {
+            if m.up && m.open {
+                field.ready.set(i);
+            }
+            if m.spot {
+                field.spot.set(i);
+            }
+            if m.busy > 0 {
+                field.busy.set(i);
+            }
+            field
+                .types
+                .entry(m.kind.clone())
+                .or_insert_with(|| Bits::zeros(n))
+                .set(i);
+            field
+                .zones
+                .entry(m.zone.clone())
+                .or_insert_with(|| Bits::zeros(n))
+                .set(i);
+            for image in &m.images {
+                field
+                    .images
+                    .entry(image.clone())
+                    .or_insert_with(|| Bits::zeros(n))
+                    .set(i);
+            }
+            field.slots.push(Slot {
+                id: m.id.clone(),
+                zone: m.zone.clone(),
+                kind: m.kind.clone(),
+                spot: m.spot,
+                free: m.free,
+                busy: u32::from(m.busy),
+            });
+        }
+        field
+    }
+
+    fn allowed(&self, ask: &Ask<'_>) -> Bits {
+        let mut bits = self.ready.clone();
+        let mut any_of = |rows: &HashMap<String, Bits>, names: &mut dyn Iterator<Item = &str>| {
+            let mut row = Bits::zeros(self.slots.len());
+            for name in names {
+                if let Some(r) = rows.get(name) {
+                    row.or(r);
+                }
+            }
+            bits.and(&row);
+        };
+        if let Some(types) = ask.types {
+            any_of(&self.types, &mut types.iter().map(String::as_str));
+        }
+        if let Some(zones) = &ask.zones {
+            any_of(&self.zones, &mut zones.iter().copied());
+        }
+        if !ask.spot {
+            for (word, spot) in bits.0.iter_mut().zip(&self.spot.0) {
+                *word &= !spot;
+            }
+        }
+        if !ask.avoid.is_empty() {
+            for (i, slot) in self.slots.iter().enumerate() {
+                if ask.avoid.contains(&slot.id) {
+                    bits.clear(i);
+                }
+            }
+        }
+        bits
+    }
+
+    /// The first machine that fits, among those that have the image or among
+    /// all of them.
+    pub fn first_fit(&self, ask: &Ask<'_>, with_image: bool) -> Option<usize> {
+        let mut bits = self.allowed(ask);
+        if with_image {
+            bits.and(self.images.get(ask.image)?);
+        }
+        let mut best: Option<(u8, usize)> = None;
+        for i in bits.ones() {
+            let slot = &self.slots[i];
+            if !slot.free.covers(&ask.need) {
+                continue;
+            }
+            // Cheap room first for those who may use it, then rooms in use.
+            let class = u8::from(ask.spot && !slot.spot) * 2 + u8::from(slot.busy == 0);
+            if class == 0 {
+                return Some(i);
+            }
+            if best.is_none_or(|(c, _)| class < c) {
+                best = Some((class, i));
+            }
+        }
+        best.map(|(_, i)| i)
+    }
+
+    /// Takes room on a machine.
+    pub fn take(&mut self, i: usize, need: &Room, image: &str) {
+        let n = self.slots.len();
+        let slot = &mut self.slots[i];
+        slot.free = slot.free.minus(need);
+        slot.busy += 1;
+        self.busy.set(i);
+        self.images
+            .entry(image.to_owned())
+            .or_insert_with(|| Bits::zeros(n))
+            .set(i);
+    }
+
+    /// The position of a machine.
+    pub fn find(&self, id: &MachineId) -> Option<usize> {
+        self.slots.iter().position(|s| &s.id == id)
+    }
+}
--- /dev/null
+++ b/src/model.rs
@@ -0,0 +1,312 @@
+//! The field's terms: jobs, tasks, attempts, machines and what they take.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::sync::Arc;
+
+use borsh::{BorshDeserialize, BorshSerialize};
+use serde::{Deserialize, Serialize};
+
+macro_rules! name_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, BorshSerialize, BorshDeserialize)]
+        #[serde(transparent)]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// The name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl From<&str> for $name {
+            fn from(text: &str) -> Self {
+                Self(Arc::from(text))
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+    };
+}
+
+name_type!(
+    /// A job's id, chosen by its user.
+    JobId
+);
+name_type!(
+    /// A machine's name, chosen by the cloud.
+    MachineId
+);
+
+impl JobId {
+    /// Checks the one form that job ids have: `req-` and digits.
+    pub fn parse(text: &str) -> Option<Self> {
+        let digits = text.strip_prefix("req-")?;
+        let fits = (1..=20).contains(&digits.len()) && digits.bytes().all(|b| b.is_ascii_digit());
+        fits.then(|| Self::from(text))
+    }
+}
+
+/// One start of one task. The order is that of jobs, tasks, attempts.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, BorshSerialize, BorshDeserialize)]
+pub struct AttemptId {
+    /// The job.
+    pub job: JobId,
+    /// The task's number within its job.
+    pub task: u32,
+    /// The number of the start.
+    pub attempt: u32,
+}
+
+impl AttemptId {
+    /// The task's name on the wire.
+    pub fn piece(&self) -> String {
+        format!("{}/{}", self.job, self.task)
+    }
+
+    /// Reads a task's name from the wire.
+    pub fn parse(piece: &str, attempt: u32) -> Option<Self> {
+        let (job, task) = piece.split_once('/')?;
+        Some(Self {
+            job: JobId::parse(job)?,
+            task: task.parse().ok()?,
+            attempt,
+        })
+    }
+}
+
+impl fmt::Display for AttemptId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}#{}", self.job, self.task, self.attempt)
+    }
+}
+
+/// Room on a machine, in thousandths: processors, accelerators, gigabytes.
+/// Integers, so that sums and limits are exact.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    Serialize,
+    Deserialize,
+    BorshSerialize,
+    BorshDeserialize,
+)]
+pub struct Room {
+    /// Thousandths of a processor.
+    pub cpus: u64,
+    /// Thousandths of an accelerator.
+    pub gpus: u64,
+    /// Thousandths of a gigabyte.
+    pub memory: u64,
+}
+
+impl Room {
+    /// What a task needs: rounded up, so that it is never counted too small.
+    pub fn need(cpus: f64, gpus: f64, memory_gb: f64) -> Self {
+        let up = |x: f64| (x * 1000.0 - 1e-6).ceil().max(0.0) as u64;
+        Self {
+            cpus: up(cpus),
+            gpus: up(gpus),
+            memory: up(memory_gb),
+        }
+    }
+
+    /// What a machine or a limit offers: rounded down.
+    pub fn offer(cpus: f64, gpus: f64, memory_gb: f64) -> Self {
+        let down = |x: f64| (x * 1000.0 + 1e-6).floor().max(0.0) as u64;
+        Self {
+            cpus: down(cpus),
+            gpus: down(gpus),
+            memory: down(memory_gb),
+        }
+    }
+
+    /// True if `need` fits into this room in every resource.
+    pub fn covers(&self, need: &Room) -> bool {
+        self.cpus >= need.cpus && self.gpus >= need.gpus && self.memory >= need.memory
+    }
+
+    /// The sum.
+    pub fn plus(&self, other: &Room) -> Room {
+        Room {
+            cpus: self.cpus + other.cpus,
+            gpus: self.gpus + other.gpus,
+            memory: self.memory + other.memory,
+        }
+    }
+
+    /// What is left, never below zero.
+    pub fn minus(&self, other: &Room) -> Room {
+        Room {
+            cpus: self.cpus.saturating_sub(other.cpus),
+            gpus: self.gpus.saturating_sub(other.gpus),
+            memory: self.memory.saturating_sub(other.memory),
+        }
+    }
+
+    /// `n` times this room.
+    pub fn times(&self, n: u64) -> Room {
+        Room {
+            cpus: self.cpus.saturating_mul(n),
+            gpus: self.gpus.saturating_mul(n),
+            memory: self.memory.saturating_mul(n),
+        }
+    }
+}
+
+/// How a job's tasks belong together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Shape {
+    /// Independent tasks, each runs to completion.
+    #[serde(rename = "array")]
+    Array,
+    /// All tasks at the same time or none.
+    #[serde(rename = "ensemble")]
+    Gang,
+    /// Replicas that run until the job is cancelled.
+    #[serde(rename = "daemon")]
+    Service,
+}
+
+/// Priority, highest first.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Serialize,
+    Deserialize,
+    BorshSerialize,
+    BorshDeserialize,
+)]
+pub enum Rank {
+    /// Production.
+    #[serde(rename = "prod")]
+    Production,
+    /// High.
+    #[serde(rename = "high")]
+    High,
+    /// Normal.
+    #[serde(rename = "normal")]
+    Normal,
+    /// Low.
+    #[serde(rename = "idle")]
+    Low,
+}
+
+/// What a user asked for; wire names, since it is stored as it came.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct JobSpec {
+    /// The id.
+    #[serde(rename = "nameId")]
+    pub id: JobId,
+    /// The job class.
+    #[serde(rename = "jobklasse")]
+    pub class: String,
+    /// The team.
+    #[serde(rename = "owner")]
+    pub team: String,
+    /// Array, gang or service.
+    pub shape: Shape,
+    /// Priority.
+    pub rank: Rank,
+    /// Number of tasks.
+    #[serde(rename = "pieces")]
+    pub tasks: u64,
+    /// Processors a task takes.
+    pub cores: f64,
+    /// Accelerators a task takes.
+    pub gpus: f64,
+    /// Memory a task takes.
+    #[serde(rename = "ramGb")]
+    pub ram_gb: f64,
+    /// Allowed machine types.
+    #[serde(rename = "hardware", default)]
+    pub types: Option<Vec<String>>,
+    /// The only allowed zone.
+    #[serde(rename = "hall", default)]
+    pub zone: Option<String>,
+    /// All tasks in one zone.
+    #[serde(rename = "samePlace")]
+    pub one_zone: bool,
+    /// At most half of the tasks in a zone.
+    #[serde(rename = "scatter")]
+    pub spread: bool,
+    /// May use spot machines.
+    #[serde(rename = "standby")]
+    pub spot: bool,
+    /// Image.
+    #[serde(rename = "bundle")]
+    pub image: String,
+    /// Size of the image.
+    #[serde(rename = "sizeGb")]
+    pub image_gb: f64,
+    /// Estimated run time, s.
+    #[serde(rename = "expectS")]
+    pub estimate_s: f64,
+    /// Checkpoint interval, s; 0: none.
+    #[serde(rename = "savepointS")]
+    pub checkpoint_s: f64,
+    /// Time to save when stopped, s.
+    #[serde(rename = "flushS")]
+    pub save_s: f64,
+    /// Deadline from submission, s.
+    #[serde(rename = "dueS", default)]
+    pub deadline_s: Option<f64>,
+}
+
+impl JobSpec {
+    /// What one task takes.
+    pub fn need(&self) -> Room {
+        Room::need(self.cores, self.gpus, self.ram_gb)
+    }
+
+    /// Seconds of grace that let a task save, or 0 if it never saves.
+    pub fn grace_s(&self) -> u32 {
+        if self.checkpoint_s > 0.0 {
+            self.save_s.ceil() as u32 + 1
+        } else {
+            0
+        }
+    }
+}
+
+/// A machine type, from the cloud's catalog.
+#[derive(Clone, Debug, PartialEq)]
+pub struct MachineType {
+    /// Its name.
+    pub name: String,
+    /// What a machine offers.
+    pub room: Room,
+    /// Image cache, GB.
+    pub cache_gb: f64,
+    /// Image fetch, GB/s.
+    pub fetch_gb_per_s: f64,
+    /// Price of an ordinary machine an hour.
+    pub price: f64,
+    /// Price of a spot machine an hour.
+    pub spot_price: f64,
+    /// Usual boot time, s.
+    pub boot_s: f64,
+    /// Zones that have it.
+    pub zones: Vec<String>,
+}
+
+/// The machine types by name.
+pub type Catalog = BTreeMap<String, MachineType>;
--- /dev/null
+++ b/src/node/carry.rs
@@ -0,0 +1,244 @@
+//! Carries out what the core asks for, and takes other controllers' messages.
+
+use std::rc::Rc;
+
+use tracing::{debug, error, info};
+
+use crate::constants::*;
+use crate::coordination::Effect;
+use crate::coordination::owner::{CommandCall, CommandResult};
+use crate::coordination::placer::{TxnOutcome, TxnVerdict};
+use crate::node::{Node, peer_address};
+use crate::protocol::peer::{self, Sync, View};
+use crate::protocol::state::Txn;
+use crate::protocol::worker::Report;
+use crate::protocol::{decode, encode};
+use crate::storage::StateError;
+use crate::storage::client::TxnResult;
+use crate::storage::records::parse_run_key;
+use crate::transport::{CallError, Handler, Reply, Request};
+
+/// Starts an effect; its end is an event of the core.
+pub fn carry(node: &Rc<Node>, effect: Effect) {
+    let node2 = node.clone();
+    let work = async move {
+        let node = node2;
+        match effect {
+            Effect::Txn(lot, txn) => transaction(&node, lot, &txn).await,
+            Effect::Command(lot, call) => {
+                let result = command(&node, &call).await;
+                let now = node.now();
+                node.core().command_done(lot, &call, result, now);
+            }
+            Effect::Sync(lot, sync) => {
+                let view = send_sync(&node, &sync).await;
+                let now = node.now();
+                node.core().sync_done(lot, sync.to, view, now);
+            }
+            Effect::Nudge(part) => nudge(&node, part).await,
+            Effect::Rent(lot, rental) => {
+                let result = node.cloud.rent(&rental).await;
+                let now = node.now();
+                node.core().rented(lot, &rental, result, now);
+            }
+            Effect::Release(lot, machines) => {
+                let done = node.cloud.release(&machines).await;
+                if !done {
+                    smol::Timer::after(std::time::Duration::from_millis(CLOUD_TROUBLE_MS)).await;
+                }
+                let now = node.now();
+                node.core().released(lot, &machines, done, now);
+            }
+        }
+        node.poke();
+    };
+    node.executor.spawn(work).detach();
+}
+
+async fn transaction(node: &Node, lot: crate::coordination::Lot, txn: &Txn) {
+    let outcome = match node.state.txn(txn).await {
+        Ok(TxnResult::Done(revision)) => TxnOutcome::Done(revision),
+        Ok(TxnResult::Conflict(keys)) => TxnOutcome::Conflict(keys),
+        Err(error) => {
+            if error == StateError::Refused {
+                error!(
+                    part = lot.part,
+                    writes = txn.writes.len(),
+                    "the store refused a transaction as malformed"
+                );
+            }
+            // Whether it was made or not, the same change is tried again under
+            // the same conditions; a conflict then tells.
+            smol::Timer::after(std::time::Duration::from_millis(2 * TICK_MS)).await;
+            TxnOutcome::Again
+        }
+    };
+    let verdict = match outcome {
+        // Guards against placing on versions of keys that a lost answer has
+        // changed: they are read before the transaction counts as ended.
+        TxnOutcome::Conflict(ref keys) => {
+            let mut versions = Vec::new();
+            for key in keys.iter().filter(|k| k.starts_with("run/")) {
+                let version = loop {
+                    match node.state.get(key).await {
+                        Ok(entry) => break entry.map_or(0, |e| e.version),
+                        Err(_) => {
+                            smol::Timer::after(std::time::Duration::from_millis(2 * TICK_MS)).await
+                        }
+                    };
+                };
+                versions.push((key.clone(), version));
+            }
+            let mut core = node.core();
+            for (key, version) in &versions {
+                if let Some((job, chunk)) = parse_run_key(key) {
+                    core.reread(lot, &job, chunk, *version);
+                }
+            }
+            info!(part = lot.part, ?keys, "transaction met other versions");
+            core.txn_done(lot, outcome)
+        }
+        outcome => node.core().txn_done(lot, outcome),
+    };
+    if verdict == TxnVerdict::Lost {
+        node.fresh().await;
+    }
+}
+
+async fn command(node: &Node, call: &CommandCall) -> CommandResult {
+    debug!(machine = %call.machine, orders = ?call.commands.orders, "orders");
+    match node
+        .http
+        .call(
+            call.addr,
+            "POST",
+            "/commands",
+            &encode(&call.commands),
+            COMMAND_TIMEOUT_MS,
+        )
+        .await
+    {
+        Ok(response) => match (response.status, decode::<Report>(&response.body)) {
+            (200, Ok(report)) => CommandResult::Executed(report),
+            (409, Ok(report)) => CommandResult::Refused(report),
+            (400, _) => CommandResult::NotSent,
+            _ => CommandResult::Unknown,
+        },
+        Err(CallError::NotSent) => CommandResult::NotSent,
+        Err(CallError::Unknown) => CommandResult::Unknown,
+    }
+}
+
+async fn send_sync(node: &Node, sync: &Sync) -> Option<View> {
+    let host = node.core().mirror.parts.get(&sync.to)?.host.clone();
+    let addr = peer_address(node, &host)?;
+    let response = node
+        .http
+        .call(
+            addr,
+            "POST",
+            "/peer/sync",
+            &peer::write(sync),
+            SYNC_TIMEOUT_MS,
+        )
+        .await
+        .ok()?;
+    if response.status != 200 {
+        debug!(
+            part = sync.from,
+            to = sync.to,
+            status = response.status,
+            "sync refused"
+        );
+        return None;
+    }
+    match peer::read::<View>(&response.body) {
+        Ok(view) => Some(view),
+        Err(fault) => {
+            info!(%addr, fault, "answer of another controller not understood");
+            None
+        }
+    }
+}
+
+async fn nudge(node: &Node, part: u16) {
+    let Some((host, from)) = ({
+        let core = node.core();
+        core.mirror
+            .parts
+            .get(&part)
+            .map(|h| (h.host.clone(), core.held()))
+    }) else {
+        return;
+    };
+    let Some(addr) = peer_address(node, &host) else {
+        return;
+    };
+    for lot in from {
+        // Only a hint: the regular sync comes anyway.
+        let _ = node
+            .http
+            .call(
+                addr,
+                "POST",
+                &format!("/peer/nudge/{part}/{}", lot.part),
+                &[],
+                SYNC_TIMEOUT_MS,
+            )
+            .await;
+    }
+}
+
+/// What other controllers may ask.
+pub struct Internal(pub Rc<Node>);
+
+impl Handler for Internal {
+    async fn handle(&self, request: Request) -> Reply {
+        let node = &self.0;
+        match (request.method.as_str(), request.path.as_str()) {
+            ("POST", "/peer/sync") => match peer::read::<Sync>(&request.body) {
+                Ok(sync) => {
+                    let now = node.now();
+                    let answer = node.core().sync_in(&sync, now);
+                    node.poke();
+                    match answer {
+                        Ok(view) => Reply::new(200, peer::write(&view)),
+                        Err(refusal) => {
+                            debug!(from = sync.from, to = sync.to, %refusal, "sync not taken");
+                            Reply::empty(409)
+                        }
+                    }
+                }
+                Err(fault) => {
+                    info!(fault, "message of another controller not understood");
+                    Reply::empty(400)
+                }
+            },
+            ("POST", path) if path.starts_with("/peer/nudge/") => {
+                let mut numbers = path
+                    .trim_start_matches("/peer/nudge/")
+                    .split('/')
+                    .map(str::parse::<u16>);
+                match (numbers.next(), numbers.next()) {
+                    (Some(Ok(part)), Some(Ok(from))) => {
+                        node.core().nudged(part, from);
+                        node.poke();
+                        Reply::empty(200)
+                    }
+                    _ => Reply::empty(400),
+                }
+            }
+            ("POST", "/peer/jobs") => {
+                // A job was accepted elsewhere: read it now rather than at the
+                // next regular reading.
+                let node = node.clone();
+                node.clone()
+                    .executor
+                    .spawn(async move { node.fresh().await })
+                    .detach();
+                Reply::empty(200)
+            }
+            _ => Reply::empty(404),
+        }
+    }
+}
--- /dev/null
+++ b/src/node/cloud.rs
@@ -0,0 +1,147 @@
+//! The cloud's client, and the loops that read its catalog and its list.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tracing::{info, warn};
+
+use crate::constants::*;
+use crate::coordination::RentResult;
+use crate::model::{Catalog, MachineId};
+use crate::node::Node;
+use crate::protocol::cloud::{CatalogReply, CloudFault, Machines, Rental, RentalEntry, RentalList};
+use crate::protocol::{decode, encode};
+use crate::storage::client::Bucket;
+use crate::transport::Client;
+
+/// The client; keeps this node's share of the cloud's limit.
+pub struct CloudClient {
+    http: Rc<Client>,
+    addr: SocketAddr,
+    budget: RefCell<Bucket>,
+}
+
+impl CloudClient {
+    /// A client with this many requests a second.
+    pub fn new(http: Rc<Client>, addr: SocketAddr, per_s: f64) -> Self {
+        Self {
+            http,
+            addr,
+            budget: RefCell::new(Bucket::new(per_s)),
+        }
+    }
+
+    async fn call(&self, method: &str, path: &str, body: &[u8]) -> Option<(u16, Vec<u8>)> {
+        let wait = self.budget.borrow_mut().take(1.0);
+        if !wait.is_zero() {
+            smol::Timer::after(wait).await;
+        }
+        let response = self
+            .http
+            .call(self.addr, method, path, body, CLOUD_TIMEOUT_MS)
+            .await
+            .ok()?;
+        Some((response.status, response.body))
+    }
+
+    /// Rents machines.
+    pub async fn rent(&self, rental: &Rental) -> RentResult {
+        match self.call("POST", "/rentals", &encode(rental)).await {
+            Some((200, body)) => match decode::<Machines>(&body) {
+                Ok(reply) => RentResult::Rented(reply.machines),
+                Err(error) => {
+                    warn!(%error, "rental answer");
+                    RentResult::Again
+                }
+            },
+            Some((503, body))
+                if decode::<CloudFault>(&body).is_ok_and(|f| f.error == "no capacity") =>
+            {
+                RentResult::NoCapacity
+            }
+            Some((400, _)) => {
+                tracing::error!(?rental, "the cloud refused a rental as malformed");
+                RentResult::NoCapacity
+            }
+            _ => RentResult::Again,
+        }
+    }
+
+    /// Gives machines back; true once they are surely gone.
+    pub async fn release(&self, machines: &[MachineId]) -> bool {
+        matches!(
+            self.call(
+                "POST",
+                "/rentals/release",
+                &encode(&Machines {
+                    machines: machines.to_vec()
+                })
+            )
+            .await,
+            Some((200, _))
+        )
+    }
+
+    async fn catalog(&self) -> Option<Catalog> {
+        match self.call("GET", "/catalog", &[]).await {
+            Some((200, body)) => decode::<CatalogReply>(&body)
+                .ok()
+                .map(CatalogReply::into_catalog),
+            _ => None,
+        }
+    }
+
+    async fn list(&self) -> Option<Vec<RentalEntry>> {
+        let mut all: Vec<RentalEntry> = Vec::new();
+        loop {
+            let after = all
+                .last()
+                .map(|m| format!("after={}&", m.id))
+                .unwrap_or_default();
+            let (200, body) = self
+                .call("GET", &format!("/rentals?{after}limit={LIST_PAGE}"), &[])
+                .await?
+            else {
+                return None;
+            };
+            let page: RentalList = decode(&body).ok()?;
+            let empty = page.machines.is_empty();
+            all.extend(page.machines);
+            if !page.more || empty {
+                return Some(all);
+            }
+        }
+    }
+}
+
+/// Reads the catalog until it is known, then now and then.
+pub async fn catalog(node: Rc<Node>) {
+    loop {
+        let wait = match node.cloud.catalog().await {
+            Some(catalog) if !catalog.is_empty() => {
+                let mut core = node.core();
+                if core.catalog.is_none() {
+                    info!(types = catalog.len(), "catalog read");
+                }
+                core.set_catalog(catalog);
+                CATALOG_EVERY_MS
+            }
+            _ if node.core().catalog.is_some() => CATALOG_EVERY_MS / 4,
+            _ => 1_000,
+        };
+        smol::Timer::after(Duration::from_millis(wait)).await;
+    }
+}
+
+/// Reads the rental list.
+pub async fn list(node: Rc<Node>) {
+    loop {
+        if let Some(entries) = node.cloud.list().await {
+            let now = node.now();
+            node.core().listed(&entries, now);
+        }
+        smol::Timer::after(Duration::from_millis(LIST_EVERY_MS)).await;
+    }
+}
--- /dev/null
+++ b/src/node/mod.rs
@@ -0,0 +1,180 @@
+//! One controller process: ties transport, protocol, coordination and storage
+//! together. Everything runs on one thread; the shared state is behind short
+//! locks that are never held across an await.
+
+mod carry;
+mod cloud;
+mod holds;
+mod web;
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::{Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use smol::LocalExecutor;
+use smol::channel::{Receiver, Sender, bounded, unbounded};
+use tracing::{info, warn};
+
+use crate::constants::*;
+use crate::coordination::{Config, Core};
+use crate::policy::Policy;
+use crate::settings::Settings;
+use crate::storage::records::FOLLOWED;
+use crate::storage::{StateClient, StateError};
+use crate::transport::server::{listen, serve};
+use crate::transport::{Client, within};
+
+/// What all tasks of the process share.
+pub struct Node {
+    settings: Settings,
+    core: Mutex<Core>,
+    state: StateClient,
+    cloud: cloud::CloudClient,
+    http: Rc<Client>,
+    executor: &'static LocalExecutor<'static>,
+    started: Instant,
+    fresh_wanted: Sender<Sender<bool>>,
+    pump_wanted: Sender<()>,
+}
+
+impl Node {
+    fn core(&self) -> MutexGuard<'_, Core> {
+        self.core.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// ms since the process started, by the steady clock.
+    fn now(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    /// Asks for a pump soon.
+    fn poke(&self) {
+        // A full channel means that one is coming anyway.
+        let _ = self.pump_wanted.try_send(());
+    }
+
+    /// Waits for a reading of the store that begins after this call. False:
+    /// the store can't be had.
+    async fn fresh(&self) -> bool {
+        let (done, wait) = bounded(1);
+        if self.fresh_wanted.try_send(done).is_err() {
+            return false;
+        }
+        within(USER_TIMEOUT_MS, wait.recv())
+            .await
+            .and_then(Result::ok)
+            .unwrap_or(false)
+    }
+}
+
+/// Runs a controller until the process is killed.
+pub fn run(settings: Settings, policy: Policy) -> std::io::Result<()> {
+    // The executor lives as long as the process; tasks need it for ever.
+    let executor: &'static LocalExecutor<'static> = Box::leak(Box::new(LocalExecutor::new()));
+    smol::block_on(executor.run(async move {
+        let public = listen(settings.listen).await?;
+        let internal = listen(settings.internal_addr).await?;
+        let http = Rc::new(Client::default());
+        let config = Config::new(&settings);
+        let nodes = config.members.len();
+        let state = StateClient::new(http.clone(), settings.services.state, &settings.cluster.state, nodes);
+        let cloud = cloud::CloudClient::new(http.clone(), settings.services.cloud, settings.cluster.cloud.rps / nodes as f64);
+        let (fresh_wanted, fresh_requests) = unbounded();
+        let (pump_wanted, pump_requests) = bounded(1);
+        info!(host = settings.host_name, zone = settings.zone, listen = %settings.listen, "starting");
+        let limit = settings.cluster.limits.fd_limit;
+        let node = Rc::new(Node {
+            core: Mutex::new(Core::new(config, policy)),
+            settings,
+            state,
+            cloud,
+            http,
+            executor,
+            started: Instant::now(),
+            fresh_wanted,
+            pump_wanted,
+        });
+        let reserve = SOCKET_RESERVE.min(limit / 2);
+        executor.spawn(serve(executor, public, limit - reserve, MAX_BODY_BYTES, Rc::new(web::Public(node.clone())))).detach();
+        executor.spawn(serve(executor, internal, reserve / 2, MAX_RESPONSE_BYTES, Rc::new(carry::Internal(node.clone())))).detach();
+        executor.spawn(follow(node.clone(), fresh_requests)).detach();
+        executor.spawn(holds::keep(node.clone())).detach();
+        executor.spawn(cloud::catalog(node.clone())).detach();
+        executor.spawn(cloud::list(node.clone())).detach();
+        pump(node, pump_requests).await;
+        Ok(())
+    }))
+}
+
+/// Pumps the core at every tick and whenever asked.
+async fn pump(node: Rc<Node>, requests: Receiver<()>) {
+    loop {
+        let now = node.now();
+        let effects = node.core().pump(now);
+        for effect in effects {
+            carry::carry(&node, effect);
+        }
+        within(TICK_MS, requests.recv()).await;
+    }
+}
+
+/// Keeps the mirror up to date. Polls that wait share one reading that began
+/// after all of them had arrived.
+async fn follow(node: Rc<Node>, requests: Receiver<Sender<bool>>) {
+    let mut waiting: Vec<Sender<bool>> = Vec::new();
+    loop {
+        while let Ok(w) = requests.try_recv() {
+            waiting.push(w);
+        }
+        let began = node.now();
+        let outcome = read_changes(&node).await;
+        let good = outcome.is_ok();
+        if let Ok(changed) = outcome {
+            node.core().refreshed(began, changed);
+            if changed {
+                node.poke();
+            }
+        }
+        for w in waiting.drain(..) {
+            // The waiter may have given up.
+            let _ = w.try_send(good);
+        }
+        smol::Timer::after(Duration::from_millis(REFRESH_BUSY_MS)).await;
+        if requests.is_empty()
+            && let Some(Ok(w)) = within(REFRESH_IDLE_MS - REFRESH_BUSY_MS, requests.recv()).await
+        {
+            waiting.push(w);
+        }
+    }
+}
+
+/// Reads what changed; true if something did.
+async fn read_changes(node: &Node) -> Result<bool, StateError> {
+    let revision = node.core().mirror.revision;
+    if let Some(after) = revision {
+        match node.state.changes(FOLLOWED, after).await {
+            Ok(changes) => {
+                node.core().mirror.apply(&changes.events, changes.revision);
+                return Ok(!changes.events.is_empty());
+            }
+            Err(StateError::TooOld) => warn!("changes too old; reading all keys again"),
+            Err(error) => return Err(error),
+        }
+    }
+    let (entries, revision) = node.state.list(FOLLOWED).await?;
+    info!(keys = entries.len(), revision, "read all followed keys");
+    // The pages may be of different moments: the changes since the first
+    // bring the copy to one state.
+    node.core().mirror.replace(&entries, revision);
+    Ok(true)
+}
+
+/// Address on which a controller takes messages of others.
+fn peer_address(node: &Node, host: &str) -> Option<SocketAddr> {
+    node.settings
+        .seeds
+        .iter()
+        .find(|s| s.host_name == host)
+        .map(|s| s.address)
+}
--- /dev/null
+++ b/src/node/web.rs
@@ -0,0 +1,252 @@
+//! Users, the load balancer and workers.
+
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use tracing::{debug, info};
+
+use crate::constants::*;
+use crate::coordination::ReportAnswer;
+use crate::model::JobId;
+use crate::node::{Node, peer_address};
+use crate::protocol::state::{Condition, Txn, Write, from_value};
+use crate::protocol::users::{JobState, Phase, never_runs, read_submission};
+use crate::protocol::worker::{Elsewhere, Report};
+use crate::protocol::{decode, encode};
+use crate::storage::StateError;
+use crate::storage::client::TxnResult;
+use crate::storage::records::{EndRecord, JobRecord, end_key, job_key};
+use crate::transport::{Handler, Reply, Request};
+
+/// What users and workers may ask.
+pub struct Public(pub Rc<Node>);
+
+impl Handler for Public {
+    async fn handle(&self, request: Request) -> Reply {
+        let node = &self.0;
+        let path = request.path.split('?').next().unwrap_or_default();
+        match (request.method.as_str(), path) {
+            ("POST", "/hello") => hello(node, &request.body),
+            ("GET", "/up") => {
+                if node.core().ready() {
+                    Reply::empty(200)
+                } else {
+                    Reply::busy(RETRY_AFTER_S)
+                }
+            }
+            ("POST", "/v1/jobs") => submit(node, &request.body).await,
+            (method, path) => match (method, path.strip_prefix("/v1/jobs/")) {
+                ("GET", Some(id)) => poll(node, id).await,
+                ("POST", Some(rest)) => match rest.strip_suffix("/withdraw") {
+                    Some(id) => withdraw(node, id).await,
+                    None => Reply::empty(404),
+                },
+                _ => Reply::empty(404),
+            },
+        }
+    }
+}
+
+fn hello(node: &Node, body: &[u8]) -> Reply {
+    let report: Report = match decode(body) {
+        Ok(report) => report,
+        Err(error) => {
+            info!(%error, "report not understood");
+            return Reply::empty(400);
+        }
+    };
+    let now = node.now();
+    let answer = node.core().report(&report, now);
+    node.poke();
+    match answer {
+        ReportAnswer::Orders(reply) => Reply::new(200, encode(&reply)),
+        ReportAnswer::Elsewhere(host) => Reply::new(421, encode(&Elsewhere { host: Some(host) })),
+        ReportAnswer::Unable => Reply::empty(503),
+    }
+}
+
+fn state_reply(status: u16, state: &JobState) -> Reply {
+    Reply::new(status, encode(state))
+}
+
+/// The state of an unfinished job.
+fn unfinished(node: &Node, id: &JobId) -> Option<JobState> {
+    let core = node.core();
+    core.mirror.jobs.get(id)?;
+    let (phase, done, running, reason) = core.progress(id);
+    Some(JobState {
+        id: id.clone(),
+        phase,
+        done: Some(done),
+        running: Some(running),
+        reason: (!reason.is_empty()).then_some(reason),
+    })
+}
+
+/// What the store says of a job, by readings that begin after the request
+/// came. `Err`: the store can't be had. `Ok(None)`: no such job.
+async fn look_up(node: &Node, id: &JobId) -> Result<Option<JobState>, StateError> {
+    if let Some(phase) = node.core().mirror.end(id) {
+        return Ok(Some(JobState::plain(id.clone(), phase)));
+    }
+    if !node.fresh().await {
+        return Err(StateError::Unavailable);
+    }
+    if let Some(state) = unfinished(node, id) {
+        return Ok(Some(state));
+    }
+    // A job leaves the followed keys in the transaction that writes its end,
+    // so reading the end after the jobs misses nothing.
+    let Some(entry) = node.state.get(&end_key(id)).await? else {
+        return Ok(None);
+    };
+    let record: EndRecord = from_value(&entry.value).ok_or(StateError::Refused)?;
+    node.core().mirror.settle(id, record.phase);
+    Ok(Some(JobState::plain(id.clone(), record.phase)))
+}
+
+async fn poll(node: &Node, id: &str) -> Reply {
+    let Some(id) = JobId::parse(id) else {
+        return Reply::empty(404);
+    };
+    match look_up(node, &id).await {
+        Ok(Some(state)) => state_reply(200, &state),
+        Ok(None) => Reply::empty(404),
+        Err(_) => Reply::busy(RETRY_AFTER_S),
+    }
+}
+
+async fn submit(node: &Rc<Node>, body: &[u8]) -> Reply {
+    let spec = match read_submission(body) {
+        Ok(spec) => spec,
+        Err(fault) => {
+            debug!(%fault, "submission refused");
+            return Reply::new(400, encode(&fault.to_string()));
+        }
+    };
+    let id = spec.id.clone();
+    let known = {
+        let core = node.core();
+        core.mirror.jobs.contains_key(&id) || core.mirror.end(&id).is_some()
+    };
+    if known {
+        return known_job(node, &id).await;
+    }
+    {
+        let core = node.core();
+        let Some(catalog) = core.catalog.as_ref() else {
+            return Reply::busy(RETRY_AFTER_S);
+        };
+        let cluster = &node.settings.cluster;
+        if let Some(why) = never_runs(&spec, &cluster.teams, &cluster.zones, catalog) {
+            info!(job = %id, why, "job can never run");
+            return Reply::new(422, encode(&why));
+        }
+    }
+    let at = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or(Duration::ZERO)
+        .as_millis() as u64;
+    let record = JobRecord { spec, at };
+    let txn = Txn {
+        conditions: [job_key(&id), end_key(&id)]
+            .map(|key| Condition { key, version: 0 })
+            .to_vec(),
+        writes: vec![Write::put(job_key(&id), &record)],
+    };
+    let deadline = node.now() + USER_TIMEOUT_MS;
+    loop {
+        match node.state.txn(&txn).await {
+            Ok(TxnResult::Done(_)) => {
+                info!(job = %id, team = record.spec.team, class = record.spec.class, tasks = record.spec.tasks, "job accepted");
+                announce(node, &record.spec.team);
+                return state_reply(201, &JobState::plain(id, Phase::Queued));
+            }
+            Ok(TxnResult::Conflict(_)) => return known_job(node, &id).await,
+            // May have been made: the same transaction tells, since its
+            // conditions then fail.
+            Err(StateError::Unknown) if node.now() < deadline => {}
+            Err(_) => return Reply::busy(RETRY_AFTER_S),
+        }
+    }
+}
+
+async fn known_job(node: &Node, id: &JobId) -> Reply {
+    match look_up(node, id).await {
+        Ok(Some(state)) => state_reply(200, &state),
+        _ => Reply::busy(RETRY_AFTER_S),
+    }
+}
+
+/// Tells the controller that serves a team that a job came.
+fn announce(node: &Rc<Node>, team: &str) {
+    let holder = {
+        let core = node.core();
+        let part = core
+            .mirror
+            .teams
+            .get(team)
+            .copied()
+            .unwrap_or_else(|| core.config.default_part(team));
+        core.mirror.parts.get(&part).map(|h| h.host.clone())
+    };
+    let node2 = node.clone();
+    node.executor
+        .spawn(async move {
+            match holder.as_deref().and_then(|h| peer_address(&node2, h)) {
+                Some(addr) => drop(
+                    node2
+                        .http
+                        .call(addr, "POST", "/peer/jobs", &[], SYNC_TIMEOUT_MS)
+                        .await,
+                ),
+                None => drop(node2.fresh().await),
+            }
+        })
+        .detach();
+}
+
+async fn withdraw(node: &Rc<Node>, id: &str) -> Reply {
+    let Some(id) = JobId::parse(id) else {
+        return Reply::empty(404);
+    };
+    let deadline = node.now() + USER_TIMEOUT_MS;
+    loop {
+        match look_up(node, &id).await {
+            Ok(None) => return Reply::empty(404),
+            Ok(Some(state)) if matches!(state.phase, Phase::Done | Phase::Withdrawn) => {
+                return state_reply(200, &state);
+            }
+            Ok(Some(_)) => {}
+            Err(_) => return Reply::busy(RETRY_AFTER_S),
+        }
+        let Some(job) = node.core().mirror.jobs.get(&id).cloned() else {
+            continue;
+        };
+        let txn = Txn {
+            conditions: vec![Condition {
+                key: job_key(&id),
+                version: job.version,
+            }],
+            writes: vec![
+                Write::Delete { key: job_key(&id) },
+                Write::put(
+                    end_key(&id),
+                    &EndRecord {
+                        phase: Phase::Withdrawn,
+                    },
+                ),
+            ],
+        };
+        match node.state.txn(&txn).await {
+            Ok(TxnResult::Done(_)) => {
+                info!(job = %id, "job withdrawn");
+                node.core().mirror.settle(&id, Phase::Withdrawn);
+                announce(node, &job.record.spec.team);
+                return state_reply(200, &JobState::plain(id, Phase::Withdrawn));
+            }
+            Ok(TxnResult::Conflict(_)) | Err(StateError::Unknown) if node.now() < deadline => {}
+            _ => return Reply::busy(RETRY_AFTER_S),
+        }
+    }
+}
--- /dev/null
+++ b/src/protocol/mod.rs
@@ -0,0 +1,34 @@
+//! What the counterparts say and hear, one module each. Wire names appear here
+//! and in [`crate::model::JobSpec`] only.
+
+pub mod cloud;
+pub mod peer;
+pub mod state;
+pub mod users;
+pub mod worker;
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Why a message was not understood.
+#[derive(Debug, thiserror::Error)]
+#[error("not understood: {0}")]
+pub struct Malformed(pub String);
+
+/// Writes a message as MessagePack with text keys.
+pub fn encode<T: Serialize>(message: &T) -> Vec<u8> {
+    // Writing our own types into memory can't fail; an empty body would be
+    // refused by any receiver.
+    rmp_serde::to_vec_named(message).unwrap_or_default()
+}
+
+/// Reads a MessagePack message that must fill the whole body.
+pub fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, Malformed> {
+    let mut rest = body;
+    let message = T::deserialize(&mut rmp_serde::Deserializer::new(&mut rest))
+        .map_err(|e| Malformed(e.to_string()))?;
+    if !rest.is_empty() {
+        return Err(Malformed("trailing bytes".into()));
+    }
+    Ok(message)
+}
--- /dev/null
+++ b/src/protocol/peer.rs
@@ -0,0 +1,215 @@
+//! Controllers among themselves.
+//!
+//! There is one exchange. A part's placer says all that it wants of another
+//! part ([`Sync`]); that part's owner answers with all that it has ([`View`]).
+//! Both are whole states, so a repeated message changes nothing and a late one
+//! is recognised by its number. The same bytes travel over HTTP or, when two
+//! controllers can't reach each other, through the store.
+
+use borsh::{BorshDeserialize, BorshSerialize};
+
+use crate::constants::PEER_VERSION;
+use crate::model::{AttemptId, JobId, MachineId, Room};
+
+/// What a placer wants of an owner.
+#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct Sync {
+    /// Format.
+    pub version: u8,
+    /// Part of the placer.
+    pub from: u16,
+    /// Token of that part.
+    pub from_token: u64,
+    /// Part of the owner.
+    pub to: u16,
+    /// Token of that part, as the placer knows it.
+    pub to_token: u64,
+    /// Grows with every message of this pair of tokens.
+    pub seq: u64,
+    /// Every recorded attempt on the owner's machines.
+    pub wants: Vec<Want>,
+    /// Machines rented by the placer that belong to the owner.
+    pub rented: Vec<Rented>,
+    /// Counts of the placer's jobs, for answers at any node.
+    pub notes: Vec<JobNote>,
+}
+
+/// One attempt that shall run, or shall end.
+#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct Want {
+    /// The attempt.
+    pub id: AttemptId,
+    /// Where.
+    pub machine: MachineId,
+    /// What it takes.
+    pub need: Room,
+    /// Its image.
+    pub image: String,
+    /// False while a gang's other tasks have no room yet: hold the room, but
+    /// don't start.
+    pub go: bool,
+    /// Set when it shall end: seconds of grace.
+    pub kill: Option<u32>,
+}
+
+/// A machine that was rented and has not shown up yet.
+#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct Rented {
+    /// Its name.
+    pub machine: MachineId,
+    /// Its type.
+    pub kind: String,
+    /// Its zone.
+    pub zone: String,
+    /// Spot or ordinary.
+    pub spot: bool,
+    /// ms since the request.
+    pub age_ms: u64,
+}
+
+/// Counts of a job, for display.
+#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct JobNote {
+    /// The job.
+    pub job: JobId,
+    /// Tasks done.
+    pub done: u32,
+    /// Tasks that run.
+    pub running: u32,
+    /// Why it waits, if it does.
+    pub reason: String,
+}
+
+/// All that an owner has.
+#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct View {
+    /// Format.
+    pub version: u8,
+    /// Part of the owner.
+    pub part: u16,
+    /// Token of that part.
+    pub token: u64,
+    /// Number of the message that this answers.
+    pub seq: u64,
+    /// Its machines.
+    pub machines: Vec<MachineView>,
+    /// The asker's attempts.
+    pub attempts: Vec<AttemptView>,
+}
+
+/// A machine as its owner sees it.
+#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct MachineView {
+    /// Its name.
+    pub id: MachineId,
+    /// Its type.
+    pub kind: String,
+    /// Its zone.
+    pub zone: String,
+    /// Spot or ordinary.
+    pub spot: bool,
+    /// False while it boots.
+    pub up: bool,
+    /// True if it takes new tasks once up.
+    pub open: bool,
+    /// True if the tasks on it should move: the cloud takes it, or it fails.
+    pub leaving: bool,
+    /// Free room.
+    pub free: Room,
+    /// Tasks on it.
+    pub busy: u16,
+    /// Images that it has or fetches.
+    pub images: Vec<String>,
+    /// Part that rented it, if known.
+    pub renter: Option<u16>,
+    /// ms since it was rented or first seen.
+    pub age_ms: u64,
+}
+
+/// An attempt as its owner sees it.
+#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct AttemptView {
+    /// The attempt.
+    pub id: AttemptId,
+    /// How it stands.
+    pub standing: Standing,
+}
+
+/// How an attempt stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub enum Standing {
+    /// Accepted; not seen on the machine yet.
+    Accepted,
+    /// On the machine, fetching its image or waiting for its gang.
+    Preparing,
+    /// Runs (or saves).
+    Running,
+    /// Exited with this cause.
+    Exited(Cause),
+    /// Proven to be on no machine and never to start.
+    Gone,
+    /// Never started, and never will be: no room, or the machine is closed.
+    Refused,
+}
+
+impl Standing {
+    /// True if the attempt is proven to be over.
+    pub fn ended(self) -> bool {
+        matches!(
+            self,
+            Standing::Exited(_) | Standing::Gone | Standing::Refused
+        )
+    }
+}
+
+/// Why an attempt exited.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub enum Cause {
+    /// Completed.
+    Done,
+    /// Stopped by command.
+    Stopped,
+    /// Another task of the gang is gone.
+    Peers,
+    /// The gang was not complete in time.
+    Alone,
+    /// Failed.
+    Error,
+    /// Start refused: no room.
+    NoRoom,
+    /// Start refused: another attempt is on the machine.
+    InUse,
+    /// Start refused: no such job.
+    Unknown,
+}
+
+impl Cause {
+    /// Reads a cause from a report; what we don't know counts as a failure.
+    pub fn read(text: Option<&str>) -> Self {
+        match text {
+            Some("done") => Cause::Done,
+            Some("stopped") => Cause::Stopped,
+            Some("peers") => Cause::Peers,
+            Some("alone") => Cause::Alone,
+            Some("no_room") => Cause::NoRoom,
+            Some("in_use") => Cause::InUse,
+            Some("unknown") => Cause::Unknown,
+            _ => Cause::Error,
+        }
+    }
+}
+
+/// Reads a message of this format.
+pub fn read<T: BorshDeserialize>(bytes: &[u8]) -> Result<T, String> {
+    match bytes.first() {
+        Some(&PEER_VERSION) => borsh::from_slice(bytes).map_err(|e| e.to_string()),
+        Some(other) => Err(format!("format {other}")),
+        None => Err("empty".into()),
+    }
+}
+
+/// Writes a message.
+pub fn write<T: BorshSerialize>(message: &T) -> Vec<u8> {
+    // Writing into memory can't fail; an empty message is refused by `read`.
+    borsh::to_vec(message).unwrap_or_default()
+}
--- /dev/null
+++ b/src/protocol/users.rs
@@ -0,0 +1,142 @@
+//! Users and the load balancer.
+
+use serde::Serialize;
+
+use crate::constants::MAX_TASKS;
+use crate::model::{Catalog, JobId, JobSpec, Room, Shape};
+use crate::protocol::{Malformed, decode};
+use crate::settings::Team;
+
+/// What a user is told of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, serde::Deserialize)]
+pub enum Phase {
+    /// No task runs.
+    #[serde(rename = "queued")]
+    Queued,
+    /// Some task runs.
+    #[serde(rename = "running")]
+    Running,
+    /// All tasks are done.
+    #[serde(rename = "done")]
+    Done,
+    /// Cancelled by its user.
+    #[serde(rename = "withdrawn")]
+    Withdrawn,
+}
+
+/// The answer to a submission, a poll or a cancellation.
+#[derive(Clone, Debug, Serialize)]
+pub struct JobState {
+    /// The job.
+    #[serde(rename = "nameId")]
+    pub id: JobId,
+    /// Its phase.
+    pub phase: Phase,
+    /// Tasks done, for display.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub done: Option<u64>,
+    /// Tasks that run, for display.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub running: Option<u64>,
+    /// Why it waits, in plain words; our addition.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub reason: Option<String>,
+}
+
+impl JobState {
+    /// A state without counts.
+    pub fn plain(id: JobId, phase: Phase) -> Self {
+        Self {
+            id,
+            phase,
+            done: None,
+            running: None,
+            reason: None,
+        }
+    }
+}
+
+/// Reads a submission; anything missing or out of range is a fault (400).
+pub fn read_submission(body: &[u8]) -> Result<JobSpec, Malformed> {
+    let spec: JobSpec = decode(body)?;
+    let fault = |text: &str| Err(Malformed(text.to_owned()));
+    if JobId::parse(spec.id.as_str()).is_none() {
+        return fault("nameId is not a job id");
+    }
+    if spec.tasks == 0 || spec.tasks > MAX_TASKS {
+        return fault("pieces out of range");
+    }
+    let amounts = [
+        ("cores", spec.cores),
+        ("gpus", spec.gpus),
+        ("ramGb", spec.ram_gb),
+        ("sizeGb", spec.image_gb),
+        ("expectS", spec.estimate_s),
+        ("savepointS", spec.checkpoint_s),
+        ("flushS", spec.save_s),
+        ("dueS", spec.deadline_s.unwrap_or(0.0)),
+    ];
+    for (name, value) in amounts {
+        if !value.is_finite() || !(0.0..=1e12).contains(&value) {
+            return fault(&format!("{name} out of range"));
+        }
+    }
+    if spec.class.is_empty() || spec.team.is_empty() || spec.image.is_empty() {
+        return fault("empty name");
+    }
+    let long = [&spec.class, &spec.team, &spec.image]
+        .into_iter()
+        .chain(spec.types.iter().flatten())
+        .chain(spec.zone.iter())
+        .any(|s| s.len() > 200);
+    if long || spec.types.as_ref().is_some_and(|t| t.len() > 100) {
+        return fault("name or list too long");
+    }
+    Ok(spec)
+}
+
+/// Says why a well-formed job can never run (422), if it can't.
+pub fn never_runs(
+    spec: &JobSpec,
+    teams: &[Team],
+    zones: &[String],
+    catalog: &Catalog,
+) -> Option<String> {
+    let Some(team) = teams.iter().find(|t| t.name == spec.team) else {
+        return Some(format!("unknown team {}", spec.team));
+    };
+    let need = spec.need();
+    let fits = catalog.values().any(|t| {
+        spec.types
+            .as_ref()
+            .is_none_or(|allowed| allowed.contains(&t.name))
+            && spec
+                .zone
+                .as_ref()
+                .is_none_or(|z| t.zones.contains(z) && zones.contains(z))
+            && t.room.covers(&need)
+    });
+    if !fits {
+        return Some("a task fits no allowed machine type".into());
+    }
+    let all = match spec.shape {
+        Shape::Array => need,
+        Shape::Gang | Shape::Service => need.times(spec.tasks),
+    };
+    let limit = team_limit(team);
+    if !limit.covers(&Room { memory: 0, ..all }) {
+        return Some("needs more than the team's limit".into());
+    }
+    None
+}
+
+/// A team's limit; no limit is as large as can be.
+pub fn team_limit(team: &Team) -> Room {
+    let offer = Room::offer(team.cpus_max, team.gpus_max, 0.0);
+    let or_none = |x: u64| if x == 0 { u64::MAX } else { x };
+    Room {
+        cpus: or_none(offer.cpus),
+        gpus: or_none(offer.gpus),
+        memory: u64::MAX,
+    }
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,265 @@
+//! The settings file that the platform hands over (JSON).
+//!
+//! Unknown fields are ignored; every fault is named on a line of its own.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use serde::Deserialize;
+
+/// Another controller.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Seed {
+    /// Its host name.
+    pub host_name: String,
+    /// Its zone.
+    pub zone: String,
+    /// Its internal address.
+    pub address: SocketAddr,
+}
+
+/// Where the outside systems are.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Services {
+    /// The cloud.
+    pub cloud: SocketAddr,
+    /// The state service.
+    pub state: SocketAddr,
+}
+
+/// A team's guarantee and limit; 0 means none.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Team {
+    /// Its name.
+    pub name: String,
+    /// Guaranteed processors.
+    #[serde(default)]
+    pub cpus: f64,
+    /// Most processors.
+    #[serde(default)]
+    pub cpus_max: f64,
+    /// Guaranteed accelerators.
+    #[serde(default)]
+    pub gpus: f64,
+    /// Most accelerators.
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+/// What is expected of a class of jobs.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Objective {
+    /// `wait`, `finished`, `deadline`, `guarantee`, …
+    pub kind: String,
+    /// The class, where one is meant.
+    #[serde(default)]
+    pub class: Option<String>,
+    /// Seconds.
+    #[serde(default)]
+    pub within_s: Option<f64>,
+}
+
+/// The workers' times, in seconds.
+#[derive(Clone, Debug, Deserialize)]
+#[allow(missing_docs)]
+pub struct Workers {
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub gang_wait_s: f64,
+    pub gang_peer_s: f64,
+    pub cancel_s: f64,
+}
+
+/// The state service's limits.
+#[derive(Clone, Debug, Deserialize)]
+#[allow(missing_docs)]
+pub struct StateLimits {
+    pub rps: f64,
+    pub write_rps: f64,
+    pub value_kb: f64,
+    pub txn_ops: usize,
+}
+
+/// The cloud's limits.
+#[derive(Clone, Debug, Deserialize)]
+#[allow(missing_docs)]
+pub struct CloudLimits {
+    pub rps: f64,
+    pub list_lag_s: f64,
+}
+
+/// This process's limits.
+#[derive(Clone, Debug, Deserialize)]
+#[allow(missing_docs)]
+pub struct Limits {
+    pub cpu_share: f64,
+    pub mem_mb: f64,
+    pub fd_limit: usize,
+}
+
+/// What all controllers share.
+#[derive(Clone, Debug, Deserialize)]
+#[allow(missing_docs)]
+pub struct Cluster {
+    pub zones: Vec<String>,
+    pub teams: Vec<Team>,
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
+    pub workers: Workers,
+    pub state: StateLimits,
+    pub cloud: CloudLimits,
+    pub limits: Limits,
+    #[serde(default)]
+    pub clock_off_ms: f64,
+}
+
+/// The whole file.
+#[derive(Clone, Debug, Deserialize)]
+#[allow(missing_docs)]
+pub struct Settings {
+    pub host_name: String,
+    pub zone: String,
+    pub listen: SocketAddr,
+    pub internal_addr: SocketAddr,
+    pub seeds: Vec<Seed>,
+    pub services: Services,
+    pub cluster: Cluster,
+}
+
+/// A controller as every node sees it. Its index is its part's.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// Host name.
+    pub host: String,
+    /// Zone.
+    pub zone: String,
+    /// Internal address.
+    pub address: SocketAddr,
+}
+
+impl Settings {
+    /// Reads and checks a file; every fault found is one entry of the error.
+    pub fn load(path: &Path) -> Result<Self, Vec<String>> {
+        let text =
+            std::fs::read_to_string(path).map_err(|e| vec![format!("{}: {e}", path.display())])?;
+        Self::parse(&text)
+    }
+
+    /// Reads and checks the text of a file.
+    pub fn parse(text: &str) -> Result<Self, Vec<String>> {
+        let settings: Self =
+            serde_json::from_str(text).map_err(|e| vec![format!("settings: {e}")])?;
+        let faults = settings.faults();
+        if faults.is_empty() {
+            Ok(settings)
+        } else {
+            Err(faults)
+        }
+    }
+
+    fn faults(&self) -> Vec<String> {
+        let mut faults = Vec::new();
+        let mut check = |good: bool, text: String| {
+            if !good {
+                faults.push(text);
+            }
+        };
+        let c = &self.cluster;
+        check(!self.host_name.is_empty(), "host_name is empty".into());
+        check(!c.zones.is_empty(), "cluster.zones is empty".into());
+        check(!c.teams.is_empty(), "cluster.teams is empty".into());
+        let mut hosts: Vec<&str> = self.seeds.iter().map(|s| s.host_name.as_str()).collect();
+        hosts.push(&self.host_name);
+        hosts.sort_unstable();
+        check(
+            hosts.windows(2).all(|w| w[0] != w[1]),
+            "two controllers have the same host_name".into(),
+        );
+        check(hosts.len() <= 200, "more than 200 controllers".into());
+        for zone in self.seeds.iter().map(|s| &s.zone).chain([&self.zone]) {
+            check(
+                c.zones.contains(zone),
+                format!("zone {zone} is not in cluster.zones"),
+            );
+        }
+        let mut names: Vec<&str> = c.teams.iter().map(|t| t.name.as_str()).collect();
+        names.sort_unstable();
+        check(
+            names.windows(2).all(|w| w[0] != w[1]),
+            "two teams have the same name".into(),
+        );
+        for t in &c.teams {
+            for (what, min, max) in [("cpus", t.cpus, t.cpus_max), ("gpus", t.gpus, t.gpus_max)] {
+                check(
+                    min.is_finite() && max.is_finite() && min >= 0.0 && max >= 0.0,
+                    format!("team {}: {what} must be 0 or more", t.name),
+                );
+                check(
+                    max == 0.0 || min <= max,
+                    format!("team {}: {what} is over {what}_max", t.name),
+                );
+            }
+        }
+        let w = &c.workers;
+        for (what, value) in [
+            ("workers.report_s", w.report_s),
+            ("workers.lease_s", w.lease_s),
+            ("workers.gang_wait_s", w.gang_wait_s),
+            ("workers.gang_peer_s", w.gang_peer_s),
+            ("workers.cancel_s", w.cancel_s),
+            ("state.rps", c.state.rps),
+            ("state.write_rps", c.state.write_rps),
+            ("state.value_kb", c.state.value_kb),
+            ("cloud.rps", c.cloud.rps),
+            ("limits.cpu_share", c.limits.cpu_share),
+            ("limits.mem_mb", c.limits.mem_mb),
+        ] {
+            check(
+                value.is_finite() && value > 0.0,
+                format!("cluster.{what} must be over 0"),
+            );
+        }
+        check(
+            c.cloud.list_lag_s >= 0.0,
+            "cluster.cloud.list_lag_s must be 0 or more".into(),
+        );
+        check(
+            w.lease_s > w.report_s,
+            "cluster.workers.lease_s must be over report_s".into(),
+        );
+        check(
+            w.cancel_s > w.lease_s,
+            "cluster.workers.cancel_s must be over lease_s".into(),
+        );
+        check(
+            c.state.txn_ops >= 4,
+            "cluster.state.txn_ops must be 4 or more".into(),
+        );
+        check(
+            c.limits.fd_limit >= 64,
+            "cluster.limits.fd_limit must be 64 or more".into(),
+        );
+        faults
+    }
+
+    /// All controllers in the order of their host names; every node computes
+    /// the same list, so an index into it names a part.
+    pub fn members(&self) -> Vec<Member> {
+        let mut members: Vec<Member> = self
+            .seeds
+            .iter()
+            .map(|s| Member {
+                host: s.host_name.clone(),
+                zone: s.zone.clone(),
+                address: s.address,
+            })
+            .chain([Member {
+                host: self.host_name.clone(),
+                zone: self.zone.clone(),
+                address: self.internal_addr,
+            }])
+            .collect();
+        members.sort_by(|a, b| a.host.cmp(&b.host));
+        members
+    }
+}
--- /dev/null
+++ b/src/storage/client.rs
@@ -0,0 +1,232 @@
+//! The state service's client. It keeps this node's share of the service's
+//! limits, so that no node starves another.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use crate::constants::{BUDGET_PERCENT, STATE_TIMEOUT_MS, STORE_PAGE};
+use crate::protocol::state::{Changes, Entry, HoldReply, HoldRequest, Page, Txn, TxnReply};
+use crate::protocol::{decode, encode};
+use crate::settings::StateLimits;
+use crate::transport::{CallError, Client, Response};
+
+/// Why the store gave no result.
+#[derive(Debug, thiserror::Error, PartialEq, Eq, Clone, Copy)]
+pub enum StateError {
+    /// Not executed: no connection, 429 or 503.
+    #[error("state service unavailable")]
+    Unavailable,
+    /// May have been executed, or may be later.
+    #[error("no response from the state service")]
+    Unknown,
+    /// The hold has ended.
+    #[error("no such hold")]
+    NoHold,
+    /// The revision asked for is too old.
+    #[error("revision too old")]
+    TooOld,
+    /// Refused as malformed.
+    #[error("refused by the state service")]
+    Refused,
+}
+
+/// What became of a transaction.
+#[derive(Debug, PartialEq, Eq, Clone)]
+pub enum TxnResult {
+    /// Made, at this revision.
+    Done(u64),
+    /// Not made: these keys had another version.
+    Conflict(Vec<String>),
+}
+
+/// Tokens that refill with time; callers wait for theirs.
+pub(crate) struct Bucket {
+    per_s: f64,
+    burst: f64,
+    tokens: f64,
+    at: Instant,
+}
+
+impl Bucket {
+    pub(crate) fn new(per_s: f64) -> Self {
+        Self {
+            per_s,
+            burst: per_s.max(1.0),
+            tokens: per_s.max(1.0),
+            at: Instant::now(),
+        }
+    }
+
+    /// Takes `n` tokens, going into debt; returns how long to wait for them.
+    pub(crate) fn take(&mut self, n: f64) -> Duration {
+        let now = Instant::now();
+        self.tokens =
+            (self.tokens + now.duration_since(self.at).as_secs_f64() * self.per_s).min(self.burst);
+        self.at = now;
+        self.tokens -= n;
+        if self.tokens >= 0.0 {
+            Duration::ZERO
+        } else {
+            Duration::from_secs_f64(-self.tokens / self.per_s)
+        }
+    }
+}
+
+/// The client; cheap to clone.
+#[derive(Clone)]
+pub struct StateClient {
+    http: Rc<Client>,
+    addr: SocketAddr,
+    requests: Rc<RefCell<Bucket>>,
+    writes: Rc<RefCell<Bucket>>,
+}
+
+impl StateClient {
+    /// A client that uses `1/nodes` of the limits.
+    pub fn new(http: Rc<Client>, addr: SocketAddr, limits: &StateLimits, nodes: usize) -> Self {
+        let share = |x: f64| x * BUDGET_PERCENT as f64 / 100.0 / nodes as f64;
+        Self {
+            http,
+            addr,
+            requests: Rc::new(RefCell::new(Bucket::new(share(limits.rps)))),
+            writes: Rc::new(RefCell::new(Bucket::new(share(limits.write_rps)))),
+        }
+    }
+
+    /// Waits for the budget. Holds are renewed without waiting: losing a part
+    /// costs far more than a request over the share.
+    async fn budget(&self, writes: usize) {
+        let mut wait = self.requests.borrow_mut().take(1.0);
+        if writes > 0 {
+            wait = wait.max(self.writes.borrow_mut().take(writes as f64));
+        }
+        if !wait.is_zero() {
+            smol::Timer::after(wait).await;
+        }
+    }
+
+    async fn call(&self, method: &str, path: &str, body: &[u8]) -> Result<Response, StateError> {
+        let response = self
+            .http
+            .call(self.addr, method, path, body, STATE_TIMEOUT_MS)
+            .await
+            .map_err(|e| match e {
+                CallError::NotSent => StateError::Unavailable,
+                CallError::Unknown => StateError::Unknown,
+            })?;
+        match response.status {
+            429 | 503 => Err(StateError::Unavailable),
+            _ => Ok(response),
+        }
+    }
+
+    /// Reads a key.
+    pub async fn get(&self, key: &str) -> Result<Option<Entry>, StateError> {
+        self.budget(0).await;
+        let response = self.call("GET", &format!("/store/{key}"), &[]).await?;
+        match response.status {
+            200 => decode(&response.body)
+                .map(Some)
+                .map_err(|_| StateError::Unknown),
+            404 => Ok(None),
+            _ => Err(StateError::Refused),
+        }
+    }
+
+    /// Reads all keys with a prefix. The revision is that of the first page:
+    /// following the changes from there misses nothing.
+    pub async fn list(&self, prefix: &str) -> Result<(Vec<Entry>, u64), StateError> {
+        let mut all: Vec<Entry> = Vec::new();
+        let mut first = None;
+        loop {
+            self.budget(0).await;
+            let after = all
+                .last()
+                .map(|e| format!("&after={}", e.key))
+                .unwrap_or_default();
+            let response = self
+                .call(
+                    "GET",
+                    &format!("/store?under={prefix}{after}&limit={STORE_PAGE}"),
+                    &[],
+                )
+                .await?;
+            if response.status != 200 {
+                return Err(StateError::Refused);
+            }
+            let page: Page = decode(&response.body).map_err(|_| StateError::Unknown)?;
+            first.get_or_insert(page.revision);
+            let empty = page.entries.is_empty();
+            all.extend(page.entries);
+            if !page.more || empty {
+                return Ok((all, first.unwrap_or_default()));
+            }
+        }
+    }
+
+    /// Makes a transaction.
+    pub async fn txn(&self, txn: &Txn) -> Result<TxnResult, StateError> {
+        self.budget(txn.writes.len()).await;
+        let response = self.call("POST", "/txn", &encode(txn)).await?;
+        match response.status {
+            200 => Ok(TxnResult::Done(
+                decode::<TxnReply>(&response.body)
+                    .map_err(|_| StateError::Unknown)?
+                    .revision,
+            )),
+            409 => Ok(TxnResult::Conflict(
+                decode::<TxnReply>(&response.body)
+                    .map_err(|_| StateError::Unknown)?
+                    .failed,
+            )),
+            400 if String::from_utf8_lossy(&response.body).contains("no such lease") => {
+                Err(StateError::NoHold)
+            }
+            _ => Err(StateError::Refused),
+        }
+    }
+
+    /// Gets a hold.
+    pub async fn hold(&self, ttl_ms: u64) -> Result<u64, StateError> {
+        let response = self
+            .call("POST", "/holds", &encode(&HoldRequest { ttl_ms }))
+            .await?;
+        match response.status {
+            200 => decode::<HoldReply>(&response.body)
+                .map(|r| r.hold)
+                .map_err(|_| StateError::Unknown),
+            _ => Err(StateError::Refused),
+        }
+    }
+
+    /// Renews a hold.
+    pub async fn renew(&self, hold: u64) -> Result<(), StateError> {
+        let response = self
+            .call("POST", &format!("/holds/{hold}/renew"), &[])
+            .await?;
+        match response.status {
+            200 => Ok(()),
+            404 => Err(StateError::NoHold),
+            _ => Err(StateError::Refused),
+        }
+    }
+
+    /// Reads the changes under a prefix since a revision, without waiting.
+    pub async fn changes(&self, prefix: &str, after: u64) -> Result<Changes, StateError> {
+        self.budget(0).await;
+        let response = self
+            .call(
+                "GET",
+                &format!("/watch?under={prefix}&after={after}&waitMs=0"),
+                &[],
+            )
+            .await?;
+        match response.status {
+            200 => decode(&response.body).map_err(|_| StateError::Unknown),
+            410 => Err(StateError::TooOld),
+            _ => Err(StateError::Refused),
+        }
+    }
+}
--- /dev/null
+++ b/src/storage/mirror.rs
@@ -0,0 +1,156 @@
+//! This node's copy of the keys that every node follows, with the settled ends
+//! it has read. Brought up to date by reading changes; a copy brought up to
+//! date by a read that began after a poll arrived may answer that poll.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::sync::Arc;
+
+use crate::constants::ENDS_REMEMBERED;
+use crate::model::JobId;
+use crate::protocol::state::{Change, Entry, from_value};
+use crate::protocol::users::Phase;
+use crate::storage::records::{JobRecord, PartRecord, TeamRecord};
+
+/// An unfinished job with the version of its key.
+#[derive(Clone, Debug)]
+pub struct MirroredJob {
+    /// The record.
+    pub record: Arc<JobRecord>,
+    /// Version of the key.
+    pub version: u64,
+}
+
+/// A part's owner with the part's token.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Holder {
+    /// Host name.
+    pub host: String,
+    /// The part's token: the version of its key.
+    pub token: u64,
+}
+
+/// The copy.
+#[derive(Default)]
+pub struct Mirror {
+    /// Revision that the copy is at; `None` before the first full reading.
+    pub revision: Option<u64>,
+    /// Unfinished jobs.
+    pub jobs: BTreeMap<JobId, MirroredJob>,
+    /// Owners of parts.
+    pub parts: BTreeMap<u16, Holder>,
+    /// Living nodes.
+    pub nodes: BTreeMap<String, u64>,
+    /// Parts of teams.
+    pub teams: BTreeMap<String, u16>,
+    ends: HashMap<JobId, Phase>,
+    ends_order: VecDeque<JobId>,
+}
+
+impl Mirror {
+    /// Takes a full reading.
+    pub fn replace(&mut self, entries: &[Entry], revision: u64) {
+        self.jobs.clear();
+        self.parts.clear();
+        self.nodes.clear();
+        self.teams.clear();
+        for entry in entries {
+            self.set(&entry.key, &entry.value, entry.version);
+        }
+        self.revision = Some(revision);
+    }
+
+    /// Takes changes in their order.
+    pub fn apply(&mut self, changes: &[Change], revision: u64) {
+        for change in changes {
+            match (&change.set, &change.drop, &change.value) {
+                (Some(key), _, Some(value)) => self.set(key, value, change.version),
+                (_, Some(key), _) => self.remove(key),
+                _ => tracing::error!("change without key"),
+            }
+        }
+        self.revision = self.revision.max(Some(revision));
+    }
+
+    fn set(&mut self, key: &str, value: &rmpv::Value, version: u64) {
+        let known = match key.strip_prefix("w/").and_then(|k| k.split_once('/')) {
+            Some(("job", id)) => match (JobId::parse(id), from_value::<JobRecord>(value)) {
+                (Some(id), Some(record)) => {
+                    self.jobs.insert(
+                        id,
+                        MirroredJob {
+                            record: Arc::new(record),
+                            version,
+                        },
+                    );
+                    true
+                }
+                _ => false,
+            },
+            Some(("part", index)) => match (index.parse(), from_value::<PartRecord>(value)) {
+                (Ok(index), Some(record)) => {
+                    self.parts.insert(
+                        index,
+                        Holder {
+                            host: record.host,
+                            token: version,
+                        },
+                    );
+                    true
+                }
+                _ => false,
+            },
+            Some(("node", host)) => {
+                self.nodes.insert(host.to_owned(), version);
+                true
+            }
+            Some(("team", team)) => match from_value::<TeamRecord>(value) {
+                Some(record) => {
+                    self.teams.insert(team.to_owned(), record.part);
+                    true
+                }
+                None => false,
+            },
+            _ => false,
+        };
+        if !known {
+            tracing::error!(key, "record not understood");
+        }
+    }
+
+    fn remove(&mut self, key: &str) {
+        match key.strip_prefix("w/").and_then(|k| k.split_once('/')) {
+            Some(("job", id)) => {
+                self.jobs.remove(&JobId::from(id));
+            }
+            Some(("part", index)) => {
+                if let Ok(index) = index.parse::<u16>() {
+                    self.parts.remove(&index);
+                }
+            }
+            Some(("node", host)) => {
+                self.nodes.remove(host);
+            }
+            Some(("team", team)) => {
+                self.teams.remove(team);
+            }
+            _ => {}
+        }
+    }
+
+    /// Remembers a settled end; it never changes.
+    pub fn settle(&mut self, job: &JobId, phase: Phase) {
+        if self.ends.insert(job.clone(), phase).is_none() {
+            self.ends_order.push_back(job.clone());
+            if self.ends_order.len() > ENDS_REMEMBERED
+                && let Some(oldest) = self.ends_order.pop_front()
+            {
+                self.ends.remove(&oldest);
+            }
+        }
+    }
+
+    /// A settled end, if remembered.
+    pub fn end(&self, job: &JobId) -> Option<Phase> {
+        self.ends.get(job).copied()
+    }
+}
--- /dev/null
+++ b/src/storage/records.rs
@@ -0,0 +1,132 @@
+//! Keys and values in the state service.
+//!
+//! | key | value | life |
+//! | --- | --- | --- |
+//! | `w/job/<id>` | [`JobRecord`] | while the job is neither done nor withdrawn |
+//! | `w/part/<i>` | [`PartRecord`] | with its owner's hold |
+//! | `w/node/<host>` | [`NodeRecord`] | with the node's hold |
+//! | `w/team/<name>` | [`TeamRecord`] | for ever |
+//! | `end/<id>` | [`EndRecord`] | for ever |
+//! | `run/<part>/<id>/<chunk>` | [`ChunkRecord`] | while the job runs or an attempt may |
+//! | `mail/…` | bytes of a peer message in text | with the sender's hold |
+//!
+//! Every node follows `w/`. A job leaves it in the same transaction that
+//! writes its end, so start-up reads stay small as finished jobs pile up.
+
+use serde::{Deserialize, Serialize};
+
+use crate::model::{JobId, JobSpec, MachineId, Room};
+use crate::protocol::users::Phase;
+
+/// Prefix of the keys that every node follows.
+pub const FOLLOWED: &str = "w/";
+
+/// Key of a job that is not over.
+pub fn job_key(id: &JobId) -> String {
+    format!("w/job/{id}")
+}
+
+/// Key of a job's end.
+pub fn end_key(id: &JobId) -> String {
+    format!("end/{id}")
+}
+
+/// Key of a part's ownership.
+pub fn part_key(part: u16) -> String {
+    format!("w/part/{part}")
+}
+
+/// Key of a node's presence.
+pub fn node_key(host: &str) -> String {
+    format!("w/node/{host}")
+}
+
+/// Key of a team's part.
+pub fn team_key(team: &str) -> String {
+    format!("w/team/{team}")
+}
+
+/// Prefix of a part's task records.
+pub fn run_prefix(part: u16) -> String {
+    format!("run/{part}/")
+}
+
+/// Key of one chunk of a job's task record.
+pub fn run_key(part: u16, job: &JobId, chunk: u32) -> String {
+    format!("run/{part}/{job}/{chunk}")
+}
+
+/// Reads the job and the chunk from a key of a task record.
+pub fn parse_run_key(key: &str) -> Option<(JobId, u32)> {
+    let mut parts = key.strip_prefix("run/")?.split('/');
+    let _part = parts.next()?;
+    let job = JobId::parse(parts.next()?)?;
+    Some((job, parts.next()?.parse().ok()?))
+}
+
+/// A job that is not over.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct JobRecord {
+    /// What the user asked for.
+    pub spec: JobSpec,
+    /// Time of day of the submission, ms.
+    pub at: u64,
+}
+
+/// A part's owner.
+#[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq)]
+pub struct PartRecord {
+    /// Host name.
+    pub host: String,
+}
+
+/// A node that lives.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct NodeRecord {
+    /// Zone.
+    pub zone: String,
+}
+
+/// Which part serves a team.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct TeamRecord {
+    /// The part.
+    pub part: u16,
+}
+
+/// How a job ended.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct EndRecord {
+    /// Done or withdrawn.
+    pub phase: Phase,
+}
+
+/// Some tasks of a job: which are done, which have a live attempt.
+#[derive(Clone, Debug, Default, Serialize, Deserialize, PartialEq)]
+pub struct ChunkRecord {
+    /// The team, so that its use is counted when the job itself is over.
+    pub team: String,
+    /// What a task takes.
+    pub need: Room,
+    /// The next attempt number of the job.
+    pub next: u32,
+    /// Ranges of done tasks, first and last.
+    pub done: Vec<(u32, u32)>,
+    /// Attempts not proven to be over.
+    pub live: Vec<LiveRecord>,
+}
+
+/// An attempt not proven to be over.
+#[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
+pub struct LiveRecord {
+    /// Task.
+    pub t: u32,
+    /// Attempt.
+    pub a: u32,
+    /// Machine.
+    pub m: MachineId,
+    /// Part of the machine.
+    pub p: u16,
+    /// Zone of the machine.
+    pub z: String,
+}
--- /dev/null
+++ b/src/transport/mod.rs
@@ -0,0 +1,21 @@
+//! HTTP/1.1 over TCP: a server and a pooled client. Only bytes.
+
+pub mod client;
+pub mod server;
+
+pub use client::{CallError, Client, Response};
+pub use server::{Handler, Reply, Request, serve};
+
+use std::time::Duration;
+
+use smol::future::FutureExt;
+
+/// Runs a future for at most `ms`; `None` when the time ran out.
+pub async fn within<T>(ms: u64, work: impl Future<Output = T>) -> Option<T> {
+    async { Some(work.await) }
+        .or(async {
+            smol::Timer::after(Duration::from_millis(ms)).await;
+            None
+        })
+        .await
+}
