--- a/src/constants.rs
+++ b/src/constants.rs
@@ -70,6 +70,10 @@
 pub const MAIL_GAP_MS: u64 = 1_500;
 /// Direct syncs that must fail in a row before the mailbox is used.
 pub const MAIL_AFTER_FAILURES: u32 = 2;
+/// ms between two direct tries while the mailbox is in use.
+pub const DIRECT_RETRY_MS: u64 = 4_000;
+/// Bytes of a mailbox value left for its other fields and its encoding.
+pub const MAIL_OVERHEAD_BYTES: usize = 512;
 /// Version of the format between controllers.
 pub const PEER_VERSION: u8 = 1;
 
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -45,16 +45,11 @@
 impl Shortage {
     /// Notes a refusal.
     pub fn note(&mut self, rental: &Rental, now: u64) {
-        self.0.insert(
-            (rental.kind.clone(), rental.zone.clone(), rental.spot),
-            now + NO_CAPACITY_MS,
-        );
+        self.0.insert((rental.kind.clone(), rental.zone.clone(), rental.spot), now + NO_CAPACITY_MS);
     }
 
     fn open(&self, kind: &str, zone: &str, spot: bool, now: u64) -> bool {
-        self.0
-            .get(&(kind.to_owned(), zone.to_owned(), spot))
-            .is_none_or(|&until| now >= until)
+        self.0.get(&(kind.to_owned(), zone.to_owned(), spot)).is_none_or(|&until| now >= until)
     }
 }
 
@@ -79,21 +74,14 @@
                     && b.free.covers(&d.need)
             };
             // Cheap room first for those who may use it.
-            let place = bins
-                .iter()
-                .position(|b| b.spot && allowed(b))
-                .or_else(|| bins.iter().position(allowed));
+            let place = bins.iter().position(|b| b.spot && allowed(b)).or_else(|| bins.iter().position(allowed));
             if let Some(i) = place {
                 bins[i].free = bins[i].free.minus(&d.need);
                 continue;
             }
             let mut offers: Vec<(f64, usize, &str, &str, bool, Room)> = Vec::new();
             for t in catalog.values() {
-                if d.types
-                    .as_ref()
-                    .is_some_and(|types| !types.contains(&t.name))
-                    || !t.room.covers(&d.need)
-                {
+                if d.types.as_ref().is_some_and(|types| !types.contains(&t.name)) || !t.room.covers(&d.need) {
                     continue;
                 }
                 for zone in &t.zones {
@@ -101,52 +89,31 @@
                         continue;
                     }
                     for spot in [true, false] {
-                        if spot && (!d.spot || t.spot_price <= 0.0)
-                            || !shortage.open(&t.name, zone, spot, now)
-                        {
+                        if spot && (!d.spot || t.spot_price <= 0.0) || !shortage.open(&t.name, zone, spot, now) {
                             continue;
                         }
                         let price = if spot { t.spot_price } else { t.price };
                         let fit = tasks_in(&t.room, &d.need).min(u64::from(d.count)).max(1);
-                        offers.push((
-                            price / fit as f64,
-                            zones_used.get(zone).copied().unwrap_or(0),
-                            &t.name,
-                            zone,
-                            spot,
-                            t.room,
-                        ));
+                        offers.push((price / fit as f64, zones_used.get(zone).copied().unwrap_or(0), &t.name, zone, spot, t.room));
                     }
                 }
             }
-            let best = offers
-                .into_iter()
-                .min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+            let best = offers.into_iter().min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
             let Some((_, _, kind, zone, spot, room)) = best else {
                 break;
             };
             *zones_used.entry(zone.to_owned()).or_default() += 1;
-            bins.push(Bin {
-                kind: kind.to_owned(),
-                zone: zone.to_owned(),
-                spot,
-                free: room.minus(&d.need),
-            });
+            bins.push(Bin { kind: kind.to_owned(), zone: zone.to_owned(), spot, free: room.minus(&d.need) });
         }
     }
     let mut counts: BTreeMap<(String, String, bool), u32> = BTreeMap::new();
     for b in bins.into_iter().skip(known) {
         *counts.entry((b.kind, b.zone, b.spot)).or_default() += 1;
     }
-    counts
-        .into_iter()
-        .map(|((k, z, s), n)| (k, z, s, n.min(MAX_RENT)))
-        .collect()
+    counts.into_iter().map(|((k, z, s), n)| (k, z, s, n.min(MAX_RENT))).collect()
 }
 
 fn tasks_in(room: &Room, need: &Room) -> u64 {
     let ratio = |have: u64, need: u64| have.checked_div(need).unwrap_or(u64::MAX);
-    ratio(room.cpus, need.cpus)
-        .min(ratio(room.gpus, need.gpus))
-        .min(ratio(room.memory, need.memory))
+    ratio(room.cpus, need.cpus).min(ratio(room.gpus, need.gpus)).min(ratio(room.memory, need.memory))
 }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -20,13 +20,13 @@
 use crate::model::{Catalog, JobId, MachineId, Room};
 use crate::policy::Policy;
 use crate::protocol::cloud::{Rental, RentalEntry};
-use crate::protocol::peer::{JobNote, Rented, Sync, View};
+use crate::protocol::peer::{self, JobNote, Rented, Sync, View};
 use crate::protocol::state::Txn;
 use crate::protocol::users::{Phase, team_limit};
 use crate::protocol::worker::{Report, ReportReply};
 use crate::settings::{Member, Settings};
 use crate::storage::Mirror;
-use crate::storage::records::ChunkRecord;
+use crate::storage::records::{ChunkRecord, MailKind};
 
 /// What the process has to do. Each names the part and its token, so that an
 /// answer to a part that is no longer held is dropped.
@@ -38,6 +38,10 @@
     Command(Lot, CommandCall),
     /// Sync with an owner on another node.
     Sync(Lot, Sync),
+    /// Send a sync through the store.
+    MailSync(Sync),
+    /// Answer a sync through the store, to this part.
+    MailView(u16, View),
     /// Ask another part's placer to sync with us.
     Nudge(u16),
     /// Rent machines.
@@ -82,6 +86,9 @@
     last: u64,
     busy: bool,
     dirty: bool,
+    /// Direct syncs that failed in a row.
+    failures: u32,
+    last_direct: u64,
 }
 
 struct Part {
@@ -121,31 +128,15 @@
     /// Derives the facts from the settings.
     pub fn new(settings: &Settings) -> Self {
         let members = settings.members();
-        let me = members
-            .iter()
-            .position(|m| m.host == settings.host_name)
-            .unwrap_or(0) as u16;
+        let me = members.iter().position(|m| m.host == settings.host_name).unwrap_or(0) as u16;
         let w = &settings.cluster.workers;
         let ms = |s: f64| (s * 1000.0) as u64;
-        let mut teams: Vec<String> = settings
-            .cluster
-            .teams
-            .iter()
-            .map(|t| t.name.clone())
-            .collect();
+        let mut teams: Vec<String> = settings.cluster.teams.iter().map(|t| t.name.clone()).collect();
         teams.sort_unstable();
         Self {
-            limits: settings
-                .cluster
-                .teams
-                .iter()
-                .map(|t| (t.name.clone(), team_limit(t)))
-                .collect(),
+            limits: settings.cluster.teams.iter().map(|t| (t.name.clone(), team_limit(t))).collect(),
             teams,
-            timing: Timing {
-                lease_ms: ms(w.lease_s),
-                report_ms: ms(w.report_s),
-            },
+            timing: Timing { lease_ms: ms(w.lease_s), report_ms: ms(w.report_s) },
             // A cancellation told by another node right after our last word
             // from the store must still be carried out in time: whatever we
             // keep alive until then ends with its lease.
@@ -158,15 +149,8 @@
 
     /// The part that a machine belongs to: one of its zone's, by its name.
     pub fn part_of(&self, zone: &str, machine: &MachineId) -> u16 {
-        let local: Vec<u16> = (0..self.members.len() as u16)
-            .filter(|&i| self.members[usize::from(i)].zone == zone)
-            .collect();
-        let hash = machine
-            .as_str()
-            .bytes()
-            .fold(0xcbf2_9ce4_8422_2325u64, |h, b| {
-                (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3)
-            });
+        let local: Vec<u16> = (0..self.members.len() as u16).filter(|&i| self.members[usize::from(i)].zone == zone).collect();
+        let hash = machine.as_str().bytes().fold(0xcbf2_9ce4_8422_2325u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3));
         match local.len() {
             0 => (hash % self.members.len() as u64) as u16,
             n => local[(hash % n as u64) as usize],
@@ -198,15 +182,7 @@
 impl Core {
     /// A node without parts.
     pub fn new(config: Config, policy: Policy) -> Self {
-        Self {
-            config,
-            mirror: Mirror::default(),
-            catalog: None,
-            policy,
-            parts: BTreeMap::new(),
-            notes: HashMap::new(),
-            store_heard: None,
-        }
+        Self { config, mirror: Mirror::default(), catalog: None, policy, parts: BTreeMap::new(), notes: HashMap::new(), store_heard: None }
     }
 
     // ---- parts -------------------------------------------------------------
@@ -219,33 +195,15 @@
     /// Takes a part, with its task records.
     pub fn adopt(&mut self, lot: Lot, chunks: &[(JobId, u32, ChunkRecord, u64)], now: u64) {
         let parts = self.config.members.len() as u16;
-        let mut owner = Owner::new(
-            lot.part,
-            lot.token,
-            parts,
-            self.config.timing,
-            self.policy.clone(),
-            now,
-        );
+        let mut owner = Owner::new(lot.part, lot.token, parts, self.config.timing, self.policy.clone(), now);
         if let Some(catalog) = &self.catalog {
             owner.set_types(catalog.values());
         }
-        let mut placer = Placer::new(
-            lot.part,
-            lot.token,
-            parts,
-            self.config.limits.clone(),
-            self.config.txn_ops,
-        );
+        let mut placer = Placer::new(lot.part, lot.token, parts, self.config.limits.clone(), self.config.txn_ops);
         for (id, chunk, record, version) in chunks {
             placer.load_chunk(id, *chunk, record, *version);
         }
-        info!(
-            part = lot.part,
-            token = lot.token,
-            chunks = chunks.len(),
-            "part taken"
-        );
+        info!(part = lot.part, token = lot.token, chunks = chunks.len(), "part taken");
         self.parts.insert(
             lot.part,
             Part {
@@ -294,14 +252,7 @@
         let lost: Vec<u16> = self
             .parts
             .values()
-            .filter(|p| {
-                revision >= p.lot.token
-                    && self
-                        .mirror
-                        .parts
-                        .get(&p.lot.part)
-                        .is_none_or(|h| h.token != p.lot.token)
-            })
+            .filter(|p| revision >= p.lot.token && self.mirror.parts.get(&p.lot.part).is_none_or(|h| h.token != p.lot.token))
             .map(|p| p.lot.part)
             .collect();
         for part in lost {
@@ -311,24 +262,14 @@
     }
 
     fn team_part(mirror: &Mirror, config: &Config, team: &str) -> u16 {
-        mirror
-            .teams
-            .get(team)
-            .copied()
-            .filter(|&p| usize::from(p) < config.members.len())
-            .unwrap_or_else(|| config.default_part(team))
+        mirror.teams.get(team).copied().filter(|&p| usize::from(p) < config.members.len()).unwrap_or_else(|| config.default_part(team))
     }
 
     fn jobs_changed(&mut self) {
         let (mirror, config) = (&self.mirror, &self.config);
         for part in self.parts.values_mut() {
             let index = part.lot.part;
-            part.placer.set_jobs(
-                mirror
-                    .jobs
-                    .iter()
-                    .filter(|(_, j)| Self::team_part(mirror, config, &j.record.spec.team) == index),
-            );
+            part.placer.set_jobs(mirror.jobs.iter().filter(|(_, j)| Self::team_part(mirror, config, &j.record.spec.team) == index));
             for line in &mut part.lines {
                 line.dirty = true;
             }
@@ -340,22 +281,9 @@
     pub fn progress(&self, id: &JobId) -> (Phase, u64, u64, String) {
         let own = self.parts.values().find_map(|p| p.placer.job_note(id));
         let (done, running, reason) = own
-            .or_else(|| {
-                self.notes
-                    .get(id)
-                    .map(|n| (u64::from(n.done), u64::from(n.running), n.reason.clone()))
-            })
+            .or_else(|| self.notes.get(id).map(|n| (u64::from(n.done), u64::from(n.running), n.reason.clone())))
             .unwrap_or_else(|| (0, 0, "its team's controller has not taken it up yet".into()));
-        (
-            if running > 0 {
-                Phase::Running
-            } else {
-                Phase::Queued
-            },
-            done,
-            running,
-            reason,
-        )
+        (if running > 0 { Phase::Running } else { Phase::Queued }, done, running, reason)
     }
 
     // ---- events ------------------------------------------------------------
@@ -363,19 +291,12 @@
     /// A worker reported.
     pub fn report(&mut self, report: &Report, now: u64) -> ReportAnswer {
         let index = self.config.part_of(&report.zone, &report.machine);
-        let blind = self
-            .store_heard
-            .is_none_or(|at| now > at + self.config.blind_ms);
+        let blind = self.store_heard.is_none_or(|at| now > at + self.config.blind_ms);
         match self.parts.get_mut(&index) {
             Some(_) if blind => ReportAnswer::Unable,
-            Some(part) => part
-                .owner
-                .report(report, now)
-                .map_or(ReportAnswer::Unable, ReportAnswer::Orders),
+            Some(part) => part.owner.report(report, now).map_or(ReportAnswer::Unable, ReportAnswer::Orders),
             None => match self.mirror.parts.get(&index) {
-                Some(holder)
-                    if holder.host != self.config.members[usize::from(self.config.me)].host =>
-                {
+                Some(holder) if holder.host != self.config.members[usize::from(self.config.me)].host => {
                     ReportAnswer::Elsewhere(holder.host.clone())
                 }
                 _ => ReportAnswer::Unable,
@@ -408,20 +329,50 @@
             line.busy = false;
             match view {
                 Some(view) => {
+                    line.failures = 0;
                     part.placer.take_view(view, now);
                 }
-                None => debug!(part = lot.part, to, "sync failed"),
+                None => {
+                    line.failures += 1;
+                    if line.failures == MAIL_AFTER_FAILURES {
+                        info!(part = lot.part, to, "no direct way to the owner; syncing through the store");
+                    }
+                }
+            }
+        }
+    }
+
+    /// Takes peer messages that came through the store. Guards against two
+    /// controllers that can't reach each other: without this way a stop order
+    /// for a withdrawn job would wait for the end of the cut.
+    pub fn take_mail(&mut self, now: u64) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        for (line, bytes) in self.mirror.take_mail() {
+            if !self.parts.contains_key(&line.to) {
+                continue;
+            }
+            match line.kind {
+                MailKind::Sync => match peer::read::<Sync>(&bytes) {
+                    Ok(sync) if sync.to == line.to => match self.sync_in(&sync, now) {
+                        Ok(view) => effects.push(Effect::MailView(sync.from, view)),
+                        Err(refusal) => debug!(from = sync.from, to = sync.to, %refusal, "mailed sync not taken"),
+                    },
+                    _ => info!(from = line.from, to = line.to, "mailed sync not understood"),
+                },
+                MailKind::View => match (peer::read::<View>(&bytes), self.parts.get_mut(&line.to)) {
+                    (Ok(view), Some(part)) => {
+                        part.placer.take_view(view, now);
+                    }
+                    _ => info!(from = line.from, to = line.to, "mailed view not understood"),
+                },
             }
         }
+        effects
     }
 
     /// An owner on another node has news for one of our parts.
     pub fn nudged(&mut self, part: u16, from: u16) {
-        if let Some(line) = self
-            .parts
-            .get_mut(&part)
-            .and_then(|p| p.lines.get_mut(usize::from(from)))
-        {
+        if let Some(line) = self.parts.get_mut(&part).and_then(|p| p.lines.get_mut(usize::from(from))) {
             line.dirty = true;
         }
     }
@@ -495,13 +446,7 @@
                 }
             }
             RentResult::NoCapacity => {
-                info!(
-                    part = lot.part,
-                    kind = rental.kind,
-                    zone = rental.zone,
-                    spot = rental.spot,
-                    "no capacity"
-                );
+                info!(part = lot.part, kind = rental.kind, zone = rental.zone, spot = rental.spot, "no capacity");
                 part.shortage.note(rental, now);
                 part.renting = None;
             }
@@ -520,10 +465,7 @@
     pub fn listed(&mut self, entries: &[RentalEntry], now: u64) {
         let mut by_part: BTreeMap<u16, Vec<RentalEntry>> = BTreeMap::new();
         for e in entries {
-            by_part
-                .entry(self.config.part_of(&e.zone, &e.id))
-                .or_default()
-                .push(e.clone());
+            by_part.entry(self.config.part_of(&e.zone, &e.id)).or_default().push(e.clone());
         }
         for (index, part) in &mut self.parts {
             if let Some(entries) = by_part.get(index) {
@@ -561,12 +503,7 @@
             };
             let lot = part.lot;
             part.owner.tick(now);
-            effects.extend(
-                part.owner
-                    .calls(now)
-                    .into_iter()
-                    .map(|c| Effect::Command(lot, c)),
-            );
+            effects.extend(part.owner.calls(now).into_iter().map(|c| Effect::Command(lot, c)));
             let names = part.owner.releases();
             if !names.is_empty() {
                 effects.push(Effect::Release(lot, names));
@@ -614,9 +551,11 @@
                 return again;
             };
             let line = &mut part.lines[usize::from(to)];
-            let due =
-                now >= line.last + COPY_REFRESH_MS || line.dirty && now >= line.last + SYNC_GAP_MS;
-            if line.busy || !due {
+            let mail = local.is_none() && line.failures >= MAIL_AFTER_FAILURES;
+            let gap = if mail { MAIL_GAP_MS } else { SYNC_GAP_MS };
+            let due = now >= line.last + COPY_REFRESH_MS || line.dirty && now >= line.last + gap;
+            let direct = !mail || !line.busy && now >= line.last_direct + DIRECT_RETRY_MS;
+            if !due || line.busy && !mail {
                 continue;
             }
             line.last = now;
@@ -624,14 +563,16 @@
             let token = local.unwrap_or(holder.token);
             let sync = part.placer.sync_for(to, token, now);
             if local.is_none() {
-                line.busy = true;
-                effects.push(Effect::Sync(part.lot, sync));
+                if direct {
+                    line.busy = true;
+                    line.last_direct = now;
+                    effects.push(Effect::Sync(part.lot, sync));
+                } else {
+                    effects.push(Effect::MailSync(sync));
+                }
                 continue;
             }
-            let view = self
-                .parts
-                .get_mut(&to)
-                .and_then(|p| p.owner.sync(&sync, now).ok());
+            let view = self.parts.get_mut(&to).and_then(|p| p.owner.sync(&sync, now).ok());
             if let (Some(view), Some(part)) = (view, self.parts.get_mut(&index)) {
                 again |= part.placer.take_view(view, now);
             }
@@ -656,12 +597,7 @@
                 .placer
                 .machines()
                 .filter(|m| !m.up && m.open && m.renter.is_none_or(|r| r == index))
-                .map(|m| Bin {
-                    kind: m.kind.clone(),
-                    zone: m.zone.clone(),
-                    spot: m.spot,
-                    free: room(&m.kind),
-                })
+                .map(|m| Bin { kind: m.kind.clone(), zone: m.zone.clone(), spot: m.spot, free: room(&m.kind) })
                 .collect();
             bins.extend(part.placer.promises.iter().map(|p| Bin {
                 kind: p.rented.kind.clone(),
@@ -673,27 +609,14 @@
             for m in part.placer.machines() {
                 *zones.entry(m.zone.clone()).or_default() += 1;
             }
-            let Some((kind, zone, spot, count)) = plan(
-                &part.placer.lacking,
-                &bins,
-                &zones,
-                catalog,
-                &part.shortage,
-                now,
-            )
-            .into_iter()
-            .next() else {
+            let Some((kind, zone, spot, count)) =
+                plan(&part.placer.lacking, &bins, &zones, catalog, &part.shortage, now).into_iter().next()
+            else {
                 return;
             };
             part.bookings += 1;
             // The part's token never comes again, so the name is never reused.
-            part.renting = Some(Rental {
-                booking: format!("r-{}-{}-{}", index, part.lot.token, part.bookings),
-                kind,
-                zone,
-                spot,
-                count,
-            });
+            part.renting = Some(Rental { booking: format!("r-{}-{}-{}", index, part.lot.token, part.bookings), kind, zone, spot, count });
         }
         if let Some(rental) = part.renting.clone() {
             part.rent_busy = true;
--- a/src/coordination/owner.rs
+++ b/src/coordination/owner.rs
@@ -227,14 +227,7 @@
 
 impl Owner {
     /// An owner that has just got its part with this token.
-    pub fn new(
-        part: u16,
-        token: u64,
-        parts: u16,
-        timing: Timing,
-        policy: Policy,
-        now: u64,
-    ) -> Self {
+    pub fn new(part: u16, token: u64, parts: u16, timing: Timing, policy: Policy, now: u64) -> Self {
         Self {
             part,
             token,
@@ -260,8 +253,7 @@
     pub fn set_types<'a>(&mut self, types: impl Iterator<Item = &'a crate::model::MachineType>) {
         for t in types {
             self.rooms.insert(t.name.clone(), t.room);
-            self.boot_ms
-                .insert(t.name.clone(), (t.boot_s * 1000.0) as u64);
+            self.boot_ms.insert(t.name.clone(), (t.boot_s * 1000.0) as u64);
         }
         for m in self.machines.values_mut() {
             m.room = self.rooms.get(&m.kind).copied().unwrap_or_default();
@@ -301,37 +293,25 @@
         m.answered = Some(now);
         if !newer {
             // A late report: the worker does not wait for this answer any more.
-            return Some(ReportReply {
-                token: (self.token << FENCE_BITS) + m.fence,
-                orders: Vec::new(),
-            });
+            return Some(ReportReply { token: (self.token << FENCE_BITS) + m.fence, orders: Vec::new() });
         }
         let with_starts = m.ambiguous.is_some() && !m.calling;
-        let orders = if self.fresh(&self.machines[&report.machine]) {
-            self.orders(&report.machine, now, with_starts, true)
-        } else {
-            Vec::new()
-        };
+        let orders =
+            if self.fresh(&self.machines[&report.machine]) { self.orders(&report.machine, now, with_starts, true) } else { Vec::new() };
         let m = self.machines.get_mut(&report.machine)?;
         if orders.iter().any(|o| o.verb == Verb::Launch) {
             m.answered_with_starts = Some(report.seq);
         }
-        Some(ReportReply {
-            token: (self.token << FENCE_BITS) + m.fence,
-            orders,
-        })
+        Some(ReportReply { token: (self.token << FENCE_BITS) + m.fence, orders })
     }
 
     /// Takes a report of any origin; true if it is the newest known.
     fn take_report(&mut self, report: &Report, now: u64, hello: bool) -> bool {
         let room = self.rooms.get(&report.kind).copied().unwrap_or_default();
-        let m = self
-            .machines
-            .entry(report.machine.clone())
-            .or_insert_with(|| {
-                info!(machine = %report.machine, part = self.part, "machine came up unannounced");
-                Machine::new(&report.kind, &report.zone, report.spot, room, now)
-            });
+        let m = self.machines.entry(report.machine.clone()).or_insert_with(|| {
+            info!(machine = %report.machine, part = self.part, "machine came up unannounced");
+            Machine::new(&report.kind, &report.zone, report.spot, room, now)
+        });
         self.missing.remove(&report.machine);
         if (report.session, report.seq) <= (m.session, m.seq) || report.session <= m.dead_session {
             return false;
@@ -366,15 +346,8 @@
         for t in &report.tasks {
             match AttemptId::parse(&t.piece, t.attempt) {
                 Some(id) => {
-                    let cause =
-                        (t.phase == TaskPhase::Exited).then(|| Cause::read(t.cause.as_deref()));
-                    m.tasks.insert(
-                        id,
-                        Seen {
-                            phase: t.phase,
-                            cause,
-                        },
-                    );
+                    let cause = (t.phase == TaskPhase::Exited).then(|| Cause::read(t.cause.as_deref()));
+                    m.tasks.insert(id, Seen { phase: t.phase, cause });
                 }
                 None => {
                     warn!(machine = %report.machine, piece = t.piece, "task name not understood")
@@ -387,12 +360,7 @@
 
     /// Re-judges all attempts of a machine.
     fn judge(&mut self, machine: &MachineId, now: u64) {
-        let ids: Vec<AttemptId> = self
-            .held
-            .iter()
-            .filter(|(_, h)| &h.machine == machine)
-            .map(|(id, _)| id.clone())
-            .collect();
+        let ids: Vec<AttemptId> = self.held.iter().filter(|(_, h)| &h.machine == machine).map(|(id, _)| id.clone()).collect();
         for id in ids {
             self.judge_one(&id, now);
         }
@@ -437,10 +405,7 @@
         if let Some(seen) = m.tasks.get(id) {
             return match seen.cause {
                 Some(cause) => Stage::Ended(Standing::Exited(cause)),
-                None => Stage::Accepted {
-                    sent: Some(m.session),
-                    seen: true,
-                },
+                None => Stage::Accepted { sent: Some(m.session), seen: true },
             };
         }
         // Absence proves something only once the worker has shown our token:
@@ -451,42 +416,16 @@
         match held.stage {
             Stage::Unjudged if held.kill.is_some() => Stage::Ended(Standing::Gone),
             Stage::Unjudged => {
-                let fits = m.open()
-                    && m.session > m.dead_session
-                    && self.free(&held.machine).covers(&held.need);
-                if fits {
-                    Stage::Accepted {
-                        sent: None,
-                        seen: false,
-                    }
-                } else {
-                    Stage::Ended(Standing::Refused)
-                }
+                let fits = m.open() && m.session > m.dead_session && self.free(&held.machine).covers(&held.need);
+                if fits { Stage::Accepted { sent: None, seen: false } } else { Stage::Ended(Standing::Refused) }
             }
-            Stage::Accepted { sent: None, .. } if held.kill.is_some() => {
-                Stage::Ended(Standing::Gone)
-            }
-            Stage::Accepted { sent: None, .. } if m.dead(now, &self.timing) => {
-                Stage::Ended(Standing::Gone)
-            }
-            Stage::Accepted {
-                sent: Some(session),
-                ..
-            } if session < m.session || session <= m.dead_session => Stage::Ended(Standing::Gone),
-            Stage::Accepted {
-                sent: Some(_),
-                seen,
-            } if m.settled() => {
+            Stage::Accepted { sent: None, .. } if held.kill.is_some() => Stage::Ended(Standing::Gone),
+            Stage::Accepted { sent: None, .. } if m.dead(now, &self.timing) => Stage::Ended(Standing::Gone),
+            Stage::Accepted { sent: Some(session), .. } if session < m.session || session <= m.dead_session => Stage::Ended(Standing::Gone),
+            Stage::Accepted { sent: Some(_), seen } if m.settled() => {
                 // Guards against a start order that arrives late: only a
                 // machine with no order of unknown fate proves absence.
-                if seen || held.kill.is_some() {
-                    Stage::Ended(Standing::Gone)
-                } else {
-                    Stage::Accepted {
-                        sent: None,
-                        seen: false,
-                    }
-                }
+                if seen || held.kill.is_some() { Stage::Ended(Standing::Gone) } else { Stage::Accepted { sent: None, seen: false } }
             }
             stage => stage,
         }
@@ -517,10 +456,7 @@
         let Some(m) = self.machines.get(machine) else {
             return Room::default();
         };
-        let unclaimed = m
-            .tasks
-            .iter()
-            .any(|(id, seen)| seen.phase != TaskPhase::Exited && !self.held.contains_key(id));
+        let unclaimed = m.tasks.iter().any(|(id, seen)| seen.phase != TaskPhase::Exited && !self.held.contains_key(id));
         if unclaimed {
             return Room::default();
         }
@@ -531,17 +467,11 @@
     }
 
     fn busy(&self, machine: &MachineId) -> usize {
-        let held = self
-            .held
-            .values()
-            .filter(|h| &h.machine == machine && !matches!(h.stage, Stage::Ended(_)))
-            .count();
-        let unclaimed = self.machines.get(machine).map_or(0, |m| {
-            m.tasks
-                .iter()
-                .filter(|(id, seen)| seen.phase != TaskPhase::Exited && !self.held.contains_key(id))
-                .count()
-        });
+        let held = self.held.values().filter(|h| &h.machine == machine && !matches!(h.stage, Stage::Ended(_))).count();
+        let unclaimed = self
+            .machines
+            .get(machine)
+            .map_or(0, |m| m.tasks.iter().filter(|(id, seen)| seen.phase != TaskPhase::Exited && !self.held.contains_key(id)).count());
         held + unclaimed
     }
 
@@ -550,11 +480,7 @@
         if let Some(m) = self.machines.get_mut(machine)
             && m.heard.is_some()
         {
-            m.idle_since = if busy > 0 {
-                None
-            } else {
-                m.idle_since.or(Some(now))
-            };
+            m.idle_since = if busy > 0 { None } else { m.idle_since.or(Some(now)) };
         }
     }
 
@@ -569,12 +495,7 @@
         let Some(m) = self.machines.get(machine) else {
             return Vec::new();
         };
-        let order = |verb, id: &AttemptId, grace_s| Order {
-            verb,
-            piece: id.piece(),
-            attempt: id.attempt,
-            grace_s,
-        };
+        let order = |verb, id: &AttemptId, grace_s| Order { verb, piece: id.piece(), attempt: id.attempt, grace_s };
         let mut orders = Vec::new();
         let mut started = Vec::new();
         let mut killed = Vec::new();
@@ -588,19 +509,13 @@
                     {
                         // A task that is saving must not be told again with
                         // less grace, which would end it.
-                        let grace = if seen.phase == TaskPhase::Saving {
-                            grace.max(1)
-                        } else {
-                            grace
-                        };
+                        let grace = if seen.phase == TaskPhase::Saving { grace.max(1) } else { grace };
                         orders.push(order(Verb::Kill, id, Some(grace)));
                         killed.push(id.clone());
                     }
                 }
                 // Nobody wants it, and everybody has spoken.
-                None if seen.phase != TaskPhase::Exited && all_heard => {
-                    orders.push(order(Verb::Kill, id, Some(0)))
-                }
+                None if seen.phase != TaskPhase::Exited && all_heard => orders.push(order(Verb::Kill, id, Some(0))),
                 // Guards against a start that is repeated after its attempt
                 // was forgotten, which would run it again.
                 None if seen.phase == TaskPhase::Exited && all_heard && forgets && m.settled() => {
@@ -611,11 +526,7 @@
         }
         if starts {
             for (id, h) in self.held.iter().filter(|(_, h)| &h.machine == machine) {
-                if h.go
-                    && h.kill.is_none()
-                    && matches!(h.stage, Stage::Accepted { seen: false, .. })
-                    && !m.tasks.contains_key(id)
-                {
+                if h.go && h.kill.is_none() && matches!(h.stage, Stage::Accepted { seen: false, .. }) && !m.tasks.contains_key(id) {
                     orders.push(order(Verb::Launch, id, None));
                     started.push(id.clone());
                 }
@@ -624,10 +535,7 @@
         let session = m.session;
         for id in started {
             if let Some(h) = self.held.get_mut(&id) {
-                h.stage = Stage::Accepted {
-                    sent: Some(session),
-                    seen: false,
-                };
+                h.stage = Stage::Accepted { sent: Some(session), seen: false };
             }
         }
         for id in killed {
@@ -654,11 +562,7 @@
             }
             let Some(addr) = m.addr else { continue };
             let fresh = self.fresh(m);
-            let orders = if fresh {
-                self.orders(&id, now, true, false)
-            } else {
-                Vec::new()
-            };
+            let orders = if fresh { self.orders(&id, now, true, false) } else { Vec::new() };
             if fresh && orders.is_empty() {
                 continue;
             }
@@ -667,15 +571,7 @@
                 continue;
             };
             m.calling = true;
-            calls.push(CommandCall {
-                machine: id.clone(),
-                addr,
-                commands: Commands {
-                    token: base + m.fence,
-                    session: m.session,
-                    orders,
-                },
-            });
+            calls.push(CommandCall { machine: id.clone(), addr, commands: Commands { token: base + m.fence, session: m.session, orders } });
         }
         calls
     }
@@ -714,27 +610,16 @@
 
     /// Takes back the notes of starts that were surely not executed.
     fn unsend(&mut self, call: &CommandCall) {
-        let ambiguous = self
-            .machines
-            .get(&call.machine)
-            .is_some_and(|m| m.ambiguous.is_some());
+        let ambiguous = self.machines.get(&call.machine).is_some_and(|m| m.ambiguous.is_some());
         if ambiguous {
             return;
         }
-        for o in call
-            .commands
-            .orders
-            .iter()
-            .filter(|o| o.verb == Verb::Launch)
-        {
+        for o in call.commands.orders.iter().filter(|o| o.verb == Verb::Launch) {
             if let Some(id) = AttemptId::parse(&o.piece, o.attempt)
                 && let Some(h) = self.held.get_mut(&id)
                 && matches!(h.stage, Stage::Accepted { seen: false, .. })
             {
-                h.stage = Stage::Accepted {
-                    sent: None,
-                    seen: false,
-                };
+                h.stage = Stage::Accepted { sent: None, seen: false };
             }
         }
     }
@@ -755,10 +640,7 @@
         if sync.from_token == asker.token && sync.seq <= asker.seq {
             return Err(SyncRefusal::Late);
         }
-        *asker = Asker {
-            token: sync.from_token,
-            seq: sync.seq,
-        };
+        *asker = Asker { token: sync.from_token, seq: sync.seq };
         for r in &sync.rented {
             self.expect(&r.machine, r, sync.from, now);
         }
@@ -845,31 +727,16 @@
                 let standing = match h.stage {
                     Stage::Unjudged => return None,
                     Stage::Ended(standing) => standing,
-                    Stage::Accepted { .. } => match self
-                        .machines
-                        .get(&h.machine)
-                        .and_then(|m| m.tasks.get(id))
-                        .map(|s| s.phase)
-                    {
+                    Stage::Accepted { .. } => match self.machines.get(&h.machine).and_then(|m| m.tasks.get(id)).map(|s| s.phase) {
                         Some(TaskPhase::Running | TaskPhase::Saving) => Standing::Running,
                         Some(_) => Standing::Preparing,
                         None => Standing::Accepted,
                     },
                 };
-                Some(AttemptView {
-                    id: id.clone(),
-                    standing,
-                })
+                Some(AttemptView { id: id.clone(), standing })
             })
             .collect();
-        View {
-            version: PEER_VERSION,
-            part: self.part,
-            token: self.token,
-            seq,
-            machines,
-            attempts,
-        }
+        View { version: PEER_VERSION, part: self.part, token: self.token, seq, machines, attempts }
     }
 
     // ---- cloud -------------------------------------------------------------
@@ -900,19 +767,10 @@
             self.silent_floor = now;
         }
         self.last_tick = now;
-        let (dead_after, silent_ms) = (
-            self.timing.dead_after_ms(),
-            self.policy.silent_ms.max(2 * self.timing.report_ms + 500),
-        );
-        let silent = |m: &Machine| {
-            m.heard
-                .is_some_and(|at| now > at.max(self.silent_floor) + silent_ms)
-        };
-        let (silent_count, up_count) = self
-            .machines
-            .values()
-            .filter(|m| m.heard.is_some())
-            .fold((0, 0), |(s, u), m| (s + usize::from(silent(m)), u + 1));
+        let (dead_after, silent_ms) = (self.timing.dead_after_ms(), self.policy.silent_ms.max(2 * self.timing.report_ms + 500));
+        let silent = |m: &Machine| m.heard.is_some_and(|at| now > at.max(self.silent_floor) + silent_ms);
+        let (silent_count, up_count) =
+            self.machines.values().filter(|m| m.heard.is_some()).fold((0, 0), |(s, u), m| (s + usize::from(silent(m)), u + 1));
         // Many silent machines at once mean that this node is cut off, not
         // that all of them died: giving them back would end all their work.
         let mass = silent_count > 3 && silent_count * 2 > up_count;
@@ -922,9 +780,7 @@
             if m.releasing || m.release_wanted {
                 continue;
             }
-            let quiet = m
-                .heard
-                .is_some_and(|at| now > at.max(self.silent_floor) + silent_ms);
+            let quiet = m.heard.is_some_and(|at| now > at.max(self.silent_floor) + silent_ms);
             if quiet && !mass {
                 info!(machine = %id, part = self.part, "machine is silent; giving it back");
                 m.release_wanted = true;
@@ -933,25 +789,15 @@
                 dead.push(id.clone());
             }
             if m.heard.is_none() {
-                let patience = (self.boot_ms.get(&m.kind).copied().unwrap_or(30_000) as f64
-                    * self.policy.boot_patience) as u64;
-                let since = m
-                    .booked
-                    .max(self.started.saturating_sub(patience))
-                    .max(m.since.saturating_sub(patience));
+                let patience = (self.boot_ms.get(&m.kind).copied().unwrap_or(30_000) as f64 * self.policy.boot_patience) as u64;
+                let since = m.booked.max(self.started.saturating_sub(patience)).max(m.since.saturating_sub(patience));
                 if now > since + patience + self.timing.lease_ms {
                     info!(machine = %id, part = self.part, "machine never came up; giving it back");
                     m.release_wanted = true;
                 }
             }
-            let keep = if m.spot {
-                self.policy.idle_spot_ms
-            } else {
-                self.policy.idle_ms
-            };
-            if m.idle_since.is_some_and(|at| now > at + keep)
-                || (m.quarantined || m.notice) && m.idle_since.is_some()
-            {
+            let keep = if m.spot { self.policy.idle_spot_ms } else { self.policy.idle_ms };
+            if m.idle_since.is_some_and(|at| now > at + keep) || (m.quarantined || m.notice) && m.idle_since.is_some() {
                 m.closing = true;
             }
         }
@@ -974,12 +820,7 @@
                 self.machines.insert(id.clone(), m);
             }
         }
-        let wanted: Vec<MachineId> = self
-            .machines
-            .iter()
-            .filter(|(_, m)| m.release_wanted)
-            .map(|(id, _)| id.clone())
-            .collect();
+        let wanted: Vec<MachineId> = self.machines.iter().filter(|(_, m)| m.release_wanted).map(|(id, _)| id.clone()).collect();
         for id in wanted {
             self.missing.remove(&id);
         }
@@ -991,12 +832,8 @@
             return Vec::new();
         }
         let mut names = Vec::new();
-        let closing: Vec<MachineId> = self
-            .machines
-            .iter()
-            .filter(|(_, m)| m.closing && !m.release_wanted)
-            .map(|(id, _)| id.clone())
-            .collect();
+        let closing: Vec<MachineId> =
+            self.machines.iter().filter(|(_, m)| m.closing && !m.release_wanted).map(|(id, _)| id.clone()).collect();
         for id in closing {
             let empty = self.busy(&id) == 0;
             if let Some(m) = self.machines.get_mut(&id) {
@@ -1042,7 +879,6 @@
 impl Machine {
     /// True if the lease has surely run out since we last answered.
     fn dead(&self, now: u64, timing: &Timing) -> bool {
-        self.answered
-            .is_some_and(|at| now > at + timing.dead_after_ms())
+        self.answered.is_some_and(|at| now > at + timing.dead_after_ms())
     }
 }
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -108,12 +108,7 @@
     /// Builds the rows from an owner's view.
     pub fn new(machines: &[MachineView]) -> Self {
         let n = machines.len();
-        let mut field = Self {
-            ready: Bits::zeros(n),
-            spot: Bits::zeros(n),
-            busy: Bits::zeros(n),
-            ..Self::default()
-        };
+        let mut field = Self { ready: Bits::zeros(n), spot: Bits::zeros(n), busy: Bits::zeros(n), ..Self::default() };
         for (i, m) in machines.iter().enumerate() {
             if m.up && m.open {
                 field.ready.set(i);
@@ -124,22 +119,10 @@
             if m.busy > 0 {
                 field.busy.set(i);
             }
-            field
-                .types
-                .entry(m.kind.clone())
-                .or_insert_with(|| Bits::zeros(n))
-                .set(i);
-            field
-                .zones
-                .entry(m.zone.clone())
-                .or_insert_with(|| Bits::zeros(n))
-                .set(i);
+            field.types.entry(m.kind.clone()).or_insert_with(|| Bits::zeros(n)).set(i);
+            field.zones.entry(m.zone.clone()).or_insert_with(|| Bits::zeros(n)).set(i);
             for image in &m.images {
-                field
-                    .images
-                    .entry(image.clone())
-                    .or_insert_with(|| Bits::zeros(n))
-                    .set(i);
+                field.images.entry(image.clone()).or_insert_with(|| Bits::zeros(n)).set(i);
             }
             field.slots.push(Slot {
                 id: m.id.clone(),
@@ -217,10 +200,7 @@
         slot.free = slot.free.minus(need);
         slot.busy += 1;
         self.busy.set(i);
-        self.images
-            .entry(image.to_owned())
-            .or_insert_with(|| Bits::zeros(n))
-            .set(i);
+        self.images.entry(image.to_owned()).or_insert_with(|| Bits::zeros(n)).set(i);
     }
 
     /// The position of a machine.
--- a/src/coordination/placer.rs
+++ b/src/coordination/placer.rs
@@ -17,9 +17,7 @@
 use crate::protocol::state::{Condition, Txn, Write};
 use crate::protocol::users::Phase;
 use crate::storage::mirror::MirroredJob;
-use crate::storage::records::{
-    ChunkRecord, EndRecord, JobRecord, LiveRecord, end_key, job_key, part_key, run_key,
-};
+use crate::storage::records::{ChunkRecord, EndRecord, JobRecord, LiveRecord, end_key, job_key, part_key, run_key};
 
 /// An attempt not proven to be over.
 #[derive(Clone, Debug)]
@@ -129,9 +127,7 @@
     }
 
     fn recorded(&self, task: u32, live: &Live) -> bool {
-        self.chunks
-            .get(&(task / CHUNK_TASKS))
-            .is_some_and(|c| c.saved >= live.change)
+        self.chunks.get(&(task / CHUNK_TASKS)).is_some_and(|c| c.saved >= live.change)
     }
 
     fn chunk_record(&self, chunk: u32) -> ChunkRecord {
@@ -146,21 +142,9 @@
         let live = self
             .live
             .range(first..end)
-            .map(|(&t, l)| LiveRecord {
-                t,
-                a: l.attempt,
-                m: l.machine.clone(),
-                p: l.part,
-                z: l.zone.clone(),
-            })
+            .map(|(&t, l)| LiveRecord { t, a: l.attempt, m: l.machine.clone(), p: l.part, z: l.zone.clone() })
             .collect();
-        ChunkRecord {
-            team: self.team.clone(),
-            need: self.need,
-            next: self.next,
-            done,
-            live,
-        }
+        ChunkRecord { team: self.team.clone(), need: self.need, next: self.next, done, live }
     }
 
     /// Tasks that neither run nor are done, from the cursor on.
@@ -169,9 +153,7 @@
     }
 
     fn complete(&self) -> bool {
-        self.record.is_some()
-            && self.done_count >= self.tasks
-            && self.spec().is_some_and(|s| s.shape != Shape::Service)
+        self.record.is_some() && self.done_count >= self.tasks && self.spec().is_some_and(|s| s.shape != Shape::Service)
     }
 }
 
@@ -241,13 +223,7 @@
 
 impl Placer {
     /// A placer that has just got its part.
-    pub fn new(
-        part: u16,
-        token: u64,
-        parts: u16,
-        limits: HashMap<String, Room>,
-        txn_ops: usize,
-    ) -> Self {
+    pub fn new(part: u16, token: u64, parts: u16, limits: HashMap<String, Room>, txn_ops: usize) -> Self {
         Self {
             part,
             token,
@@ -273,14 +249,7 @@
         job.need = record.need;
         job.next = job.next.max(record.next);
         let (first, end) = (chunk * CHUNK_TASKS, (chunk + 1) * CHUNK_TASKS);
-        job.chunks.insert(
-            chunk,
-            Chunk {
-                version,
-                change: 0,
-                saved: 0,
-            },
-        );
+        job.chunks.insert(chunk, Chunk { version, change: 0, saved: 0 });
         for &(a, b) in &record.done {
             for task in a.max(first)..=b.min(end - 1) {
                 if job.done.len() <= task as usize {
@@ -295,16 +264,7 @@
         for l in record.live.iter().filter(|l| (first..end).contains(&l.t)) {
             job.live.insert(
                 l.t,
-                Live {
-                    attempt: l.a,
-                    machine: l.m.clone(),
-                    part: l.p,
-                    zone: l.z.clone(),
-                    change: 0,
-                    standing: None,
-                    kill: None,
-                    since: 0,
-                },
+                Live { attempt: l.a, machine: l.m.clone(), part: l.p, zone: l.z.clone(), change: 0, standing: None, kill: None, since: 0 },
             );
         }
     }
@@ -345,12 +305,7 @@
                 job.over = true;
             }
             // Chunks of a job that is over are removed once nothing is live.
-            let stale: Vec<u32> = job
-                .chunks
-                .iter()
-                .filter(|(_, c)| c.version > 0 && c.saved == c.change)
-                .map(|(&i, _)| i)
-                .collect();
+            let stale: Vec<u32> = job.chunks.iter().filter(|(_, c)| c.version > 0 && c.saved == c.change).map(|(&i, _)| i).collect();
             for chunk in stale {
                 let (first, end) = (chunk * CHUNK_TASKS, (chunk + 1) * CHUNK_TASKS);
                 if job.live.range(first..end).next().is_none()
@@ -359,10 +314,7 @@
                     c.change += 1;
                 }
             }
-            if job.live.is_empty()
-                && job.ending.is_empty()
-                && job.chunks.values().all(|c| c.version == 0)
-            {
+            if job.live.is_empty() && job.ending.is_empty() && job.chunks.values().all(|c| c.version == 0) {
                 emptied.push(id.clone());
             }
         }
@@ -376,30 +328,17 @@
         if self.pending.is_some() {
             return None;
         }
-        let mut txn = Txn {
-            conditions: vec![Condition {
-                key: part_key(self.part),
-                version: self.token,
-            }],
-            writes: Vec::new(),
-        };
-        let mut pending = Pending {
-            chunks: Vec::new(),
-            ends: Vec::new(),
-        };
+        let mut txn = Txn { conditions: vec![Condition { key: part_key(self.part), version: self.token }], writes: Vec::new() };
+        let mut pending = Pending { chunks: Vec::new(), ends: Vec::new() };
         let mut bytes = 0;
         'jobs: for (id, job) in &self.jobs {
             if job.complete() && !job.over && job.refused_end != Some(job.version) {
                 if txn.writes.len() + 2 > self.txn_ops {
                     break;
                 }
-                txn.conditions.push(Condition {
-                    key: job_key(id),
-                    version: job.version,
-                });
+                txn.conditions.push(Condition { key: job_key(id), version: job.version });
                 txn.writes.push(Write::Delete { key: job_key(id) });
-                txn.writes
-                    .push(Write::put(end_key(id), &EndRecord { phase: Phase::Done }));
+                txn.writes.push(Write::put(end_key(id), &EndRecord { phase: Phase::Done }));
                 pending.ends.push((id.clone(), job.version));
                 // Its chunks go once the job is over; no need to write them.
                 continue;
@@ -415,19 +354,14 @@
                     continue;
                 }
                 let key = run_key(self.part, id, index);
-                txn.conditions.push(Condition {
-                    key: key.clone(),
-                    version: chunk.version,
-                });
+                txn.conditions.push(Condition { key: key.clone(), version: chunk.version });
                 if empty {
                     txn.writes.push(Write::Delete { key });
                 } else {
                     bytes += 200 + record.live.len() * 48 + record.done.len() * 12;
                     txn.writes.push(Write::put(key, &record));
                 }
-                pending
-                    .chunks
-                    .push((id.clone(), index, chunk.change, empty));
+                pending.chunks.push((id.clone(), index, chunk.change, empty));
             }
         }
         if txn.writes.is_empty() {
@@ -449,11 +383,7 @@
                 chunk.version = if *removed { 0 } else { revision };
             }
             let chunks = &job.chunks;
-            job.ending.retain(|e| {
-                chunks
-                    .get(&(e.id.task / CHUNK_TASKS))
-                    .is_some_and(|c| c.saved < e.change)
-            });
+            job.ending.retain(|e| chunks.get(&(e.id.task / CHUNK_TASKS)).is_some_and(|c| c.saved < e.change));
         }
     }
 
@@ -479,9 +409,7 @@
                 }
                 (TxnVerdict::Fine, ends)
             }
-            TxnOutcome::Conflict(keys) if keys.contains(&part_key(self.part)) => {
-                (TxnVerdict::Lost, Vec::new())
-            }
+            TxnOutcome::Conflict(keys) if keys.contains(&part_key(self.part)) => (TxnVerdict::Lost, Vec::new()),
             TxnOutcome::Conflict(keys) => {
                 for (id, version) in pending.ends {
                     if keys.contains(&job_key(&id))
@@ -490,12 +418,7 @@
                         job.refused_end = Some(version);
                     }
                 }
-                (
-                    TxnVerdict::Reread(
-                        keys.into_iter().filter(|k| k.starts_with("run/")).collect(),
-                    ),
-                    Vec::new(),
-                )
+                (TxnVerdict::Reread(keys.into_iter().filter(|k| k.starts_with("run/")).collect()), Vec::new())
             }
             TxnOutcome::Again => (TxnVerdict::Fine, Vec::new()),
         }
@@ -512,8 +435,7 @@
             let image = job.spec().map(|s| s.image.clone()).unwrap_or_default();
             let gang = job.spec().is_some_and(|s| s.shape == Shape::Gang);
             let granted = !gang
-                || (job.live.len() as u32 == job.tasks - job.done_count.min(job.tasks)
-                    && job.live.values().all(|l| l.standing.is_some()));
+                || (job.live.len() as u32 == job.tasks - job.done_count.min(job.tasks) && job.live.values().all(|l| l.standing.is_some()));
             for (&task, l) in job.live.iter().filter(|(_, l)| l.part == to) {
                 if !job.recorded(task, l) {
                     continue;
@@ -521,11 +443,7 @@
                 let go = !gang || granted || job.tasks == 1;
                 let kill = if job.over { Some(0) } else { l.kill };
                 wants.push(Want {
-                    id: AttemptId {
-                        job: id.clone(),
-                        task,
-                        attempt: l.attempt,
-                    },
+                    id: AttemptId { job: id.clone(), task, attempt: l.attempt },
                     machine: l.machine.clone(),
                     need: job.need,
                     image: image.clone(),
@@ -548,10 +466,7 @@
             .promises
             .iter()
             .filter(|p| p.part == to)
-            .map(|p| Rented {
-                age_ms: now.saturating_sub(p.at),
-                ..p.rented.clone()
-            })
+            .map(|p| Rented { age_ms: now.saturating_sub(p.at), ..p.rented.clone() })
             .collect();
         Sync {
             version: PEER_VERSION,
@@ -572,22 +487,9 @@
             .iter()
             .filter(|(_, j)| !j.over)
             .map(|(id, j)| {
-                let running = j
-                    .live
-                    .values()
-                    .filter(|l| l.standing == Some(Standing::Running))
-                    .count() as u32;
+                let running = j.live.values().filter(|l| l.standing == Some(Standing::Running)).count() as u32;
                 let waiting = j.next_waiting().is_some();
-                JobNote {
-                    job: id.clone(),
-                    done: j.done_count,
-                    running,
-                    reason: if waiting {
-                        j.reason.to_owned()
-                    } else {
-                        String::new()
-                    },
-                }
+                JobNote { job: id.clone(), done: j.done_count, running, reason: if waiting { j.reason.to_owned() } else { String::new() } }
             })
             .collect()
     }
@@ -597,31 +499,16 @@
         let Some(copy) = self.copies.get_mut(usize::from(view.part)) else {
             return false;
         };
-        if copy
-            .view
-            .as_ref()
-            .is_some_and(|v| v.token > view.token || (v.token == view.token && v.seq >= view.seq))
-        {
+        if copy.view.as_ref().is_some_and(|v| v.token > view.token || (v.token == view.token && v.seq >= view.seq)) {
             return false;
         }
-        self.promises.retain(|p| {
-            p.part != view.part || !view.machines.iter().any(|m| m.id == p.rented.machine)
-        });
-        let leaving: HashSet<&MachineId> = view
-            .machines
-            .iter()
-            .filter(|m| m.leaving)
-            .map(|m| &m.id)
-            .collect();
+        self.promises.retain(|p| p.part != view.part || !view.machines.iter().any(|m| m.id == p.rented.machine));
+        let leaving: HashSet<&MachineId> = view.machines.iter().filter(|m| m.leaving).map(|m| &m.id).collect();
         for a in &view.attempts {
             let Some(job) = self.jobs.get_mut(&a.id.job) else {
                 continue;
             };
-            let Some(live) = job
-                .live
-                .get_mut(&a.id.task)
-                .filter(|l| l.attempt == a.id.attempt)
-            else {
+            let Some(live) = job.live.get_mut(&a.id.task).filter(|l| l.attempt == a.id.attempt) else {
                 continue;
             };
             if live.standing != Some(a.standing) {
@@ -637,16 +524,11 @@
                 continue;
             };
             // The tasks of a machine that leaves are moved, with a save.
-            let hit = job
-                .live
-                .values()
-                .any(|l| l.part == view.part && leaving.contains(&l.machine));
+            let hit = job.live.values().any(|l| l.part == view.part && leaving.contains(&l.machine));
             let gang = job.spec().is_some_and(|s| s.shape == Shape::Gang);
             if hit {
                 for l in job.live.values_mut() {
-                    if l.kill.is_none()
-                        && (gang || (l.part == view.part && leaving.contains(&l.machine)))
-                    {
+                    if l.kill.is_none() && (gang || (l.part == view.part && leaving.contains(&l.machine))) {
                         l.kill = Some(grace);
                     }
                 }
@@ -662,12 +544,7 @@
             return;
         };
         let change = job.touch(id.task);
-        job.ending.push(Ending {
-            id: id.clone(),
-            machine: live.machine.clone(),
-            part: live.part,
-            change,
-        });
+        job.ending.push(Ending { id: id.clone(), machine: live.machine.clone(), part: live.part, change });
         job.cursor = job.cursor.min(id.task);
         let gang = job.spec().is_some_and(|s| s.shape == Shape::Gang);
         let service = job.spec().is_some_and(|s| s.shape == Shape::Service);
@@ -700,9 +577,7 @@
                     job.reason = "its tasks failed; it is tried again after a pause";
                 }
             }
-            Standing::Exited(Cause::NoRoom | Cause::InUse | Cause::Unknown | Cause::Alone) => {
-                job.not_before = now + 500
-            }
+            Standing::Exited(Cause::NoRoom | Cause::InUse | Cause::Unknown | Cause::Alone) => job.not_before = now + 500,
             _ => {}
         }
         if gang && !job.over {
@@ -719,10 +594,7 @@
 
     /// True if a placing pass may find something to do.
     pub fn wants_pass(&self, now: u64) -> bool {
-        self.place_again
-            || self.jobs.values().any(|j| {
-                !j.over && j.not_before > 0 && now >= j.not_before && j.next_waiting().is_some()
-            })
+        self.place_again || self.jobs.values().any(|j| !j.over && j.not_before > 0 && now >= j.not_before && j.next_waiting().is_some())
     }
 
     fn usage(&self) -> HashMap<String, Room> {
@@ -737,16 +609,8 @@
     /// The fields of all parts, less what was placed and is not in their
     /// views yet.
     fn fields(&self) -> Vec<Field> {
-        let mut fields: Vec<Field> = self
-            .copies
-            .iter()
-            .map(|c| {
-                c.view
-                    .as_ref()
-                    .map(|v| Field::new(&v.machines))
-                    .unwrap_or_default()
-            })
-            .collect();
+        let mut fields: Vec<Field> =
+            self.copies.iter().map(|c| c.view.as_ref().map(|v| Field::new(&v.machines)).unwrap_or_default()).collect();
         for job in self.jobs.values() {
             let image = job.spec().map(|s| s.image.as_str()).unwrap_or_default();
             for l in job.live.values().filter(|l| l.standing.is_none()) {
@@ -770,8 +634,7 @@
             if job.over || now < job.not_before || job.next_waiting().is_none() {
                 continue;
             }
-            let gang_busy =
-                job.spec().is_some_and(|s| s.shape == Shape::Gang) && !job.live.is_empty();
+            let gang_busy = job.spec().is_some_and(|s| s.shape == Shape::Gang) && !job.live.is_empty();
             if !gang_busy {
                 queues.entry(&job.team).or_default().push(id);
             }
@@ -779,10 +642,8 @@
         for queue in queues.values_mut() {
             queue.sort_by_key(|id| self.jobs[*id].record.as_ref().map(|r| (r.spec.rank, r.at)));
         }
-        let mut queues: Vec<std::vec::IntoIter<JobId>> = queues
-            .into_values()
-            .map(|q| q.into_iter().cloned().collect::<Vec<_>>().into_iter())
-            .collect();
+        let mut queues: Vec<std::vec::IntoIter<JobId>> =
+            queues.into_values().map(|q| q.into_iter().cloned().collect::<Vec<_>>().into_iter()).collect();
         let mut lacking = Vec::new();
         let mut failed: BTreeSet<String> = BTreeSet::new();
         let mut current: Vec<Option<JobId>> = queues.iter_mut().map(Iterator::next).collect();
@@ -805,22 +666,12 @@
     fn note_lack(&self, id: &JobId, usage: &HashMap<String, Room>, lacking: &mut Vec<Demand>) {
         let Some(job) = self.jobs.get(id) else { return };
         let Some(spec) = job.spec() else { return };
-        let limit = self.limits.get(&job.team).copied().unwrap_or(Room {
-            cpus: u64::MAX,
-            gpus: u64::MAX,
-            memory: u64::MAX,
-        });
+        let limit = self.limits.get(&job.team).copied().unwrap_or(Room { cpus: u64::MAX, gpus: u64::MAX, memory: u64::MAX });
         let used = lacking
             .iter()
             .filter(|d: &&Demand| d.team == job.team)
-            .fold(
-                usage.get(&job.team).copied().unwrap_or_default(),
-                |sum, d| sum.plus(&d.need.times(u64::from(d.count))),
-            );
-        let waiting = (job.cursor..job.tasks)
-            .filter(|t| !job.is_done(*t) && !job.live.contains_key(t))
-            .take(512)
-            .count() as u64;
+            .fold(usage.get(&job.team).copied().unwrap_or_default(), |sum, d| sum.plus(&d.need.times(u64::from(d.count))));
+        let waiting = (job.cursor..job.tasks).filter(|t| !job.is_done(*t) && !job.live.contains_key(t)).take(512).count() as u64;
         let left = limit.minus(&used);
         let ratio = |have: u64, need: u64| have.checked_div(need).unwrap_or(u64::MAX);
         let most = ratio(left.cpus, job.need.cpus).min(ratio(left.gpus, job.need.gpus));
@@ -864,16 +715,9 @@
             return false;
         };
         job.cursor = first;
-        let tasks: Vec<u32> = if spec.shape == Shape::Gang {
-            (first..job.tasks).filter(|t| !job.is_done(*t)).collect()
-        } else {
-            vec![first]
-        };
-        let limit = self.limits.get(&job.team).copied().unwrap_or(Room {
-            cpus: u64::MAX,
-            gpus: u64::MAX,
-            memory: u64::MAX,
-        });
+        let tasks: Vec<u32> =
+            if spec.shape == Shape::Gang { (first..job.tasks).filter(|t| !job.is_done(*t)).collect() } else { vec![first] };
+        let limit = self.limits.get(&job.team).copied().unwrap_or(Room { cpus: u64::MAX, gpus: u64::MAX, memory: u64::MAX });
         let used = usage.entry(job.team.clone()).or_default();
         let after = used.plus(&job.need.times(tasks.len() as u64));
         if !limit.covers(&Room { memory: 0, ..after }) {
@@ -898,25 +742,14 @@
         let order: Vec<usize> = {
             let n = fields.len() as u16;
             let mut order = vec![usize::from(self.part)];
-            order.extend(
-                (1..=n)
-                    .map(|k| usize::from((self.others_turn + k) % n))
-                    .filter(|&p| p != usize::from(self.part)),
-            );
+            order.extend((1..=n).map(|k| usize::from((self.others_turn + k) % n)).filter(|&p| p != usize::from(self.part)));
             order
         };
         let mut zone_sets: Vec<Option<String>> = vec![None];
         if spec.one_zone && tasks.len() + job.live.len() > 1 {
             let present: BTreeSet<String> = job.live.values().map(|l| l.zone.clone()).collect();
-            let all: BTreeSet<String> = fields
-                .iter()
-                .flat_map(|f| f.slots.iter().map(|s| s.zone.clone()))
-                .collect();
-            zone_sets = if present.is_empty() {
-                all.into_iter().map(Some).collect()
-            } else {
-                present.into_iter().map(Some).collect()
-            };
+            let all: BTreeSet<String> = fields.iter().flat_map(|f| f.slots.iter().map(|s| s.zone.clone())).collect();
+            zone_sets = if present.is_empty() { all.into_iter().map(Some).collect() } else { present.into_iter().map(Some).collect() };
         }
         for zone in zone_sets {
             let mut trial = fields.to_vec();
@@ -927,19 +760,11 @@
             }
             for &task in &tasks {
                 let zones = allowed_zones(spec, zone.as_deref(), &per_zone, job.tasks, &trial);
-                let ask = Ask {
-                    need: job.need,
-                    types: spec.types.as_deref(),
-                    zones,
-                    spot: spec.spot,
-                    image: &spec.image,
-                    avoid: &job.avoid,
-                };
-                let found = [true, false].into_iter().find_map(|with_image| {
-                    order
-                        .iter()
-                        .find_map(|&p| trial[p].first_fit(&ask, with_image).map(|i| (p, i)))
-                });
+                let ask =
+                    Ask { need: job.need, types: spec.types.as_deref(), zones, spot: spec.spot, image: &spec.image, avoid: &job.avoid };
+                let found = [true, false]
+                    .into_iter()
+                    .find_map(|with_image| order.iter().find_map(|&p| trial[p].first_fit(&ask, with_image).map(|i| (p, i))));
                 let Some((p, i)) = found else { break };
                 trial[p].take(i, &job.need, &spec.image);
                 *per_zone.entry(trial[p].slots[i].zone.clone()).or_default() += 1;
@@ -982,25 +807,14 @@
 
     /// Machines of all copies, with their part.
     pub fn machines(&self) -> impl Iterator<Item = &crate::protocol::peer::MachineView> {
-        self.copies
-            .iter()
-            .filter_map(|c| c.view.as_ref())
-            .flat_map(|v| v.machines.iter())
+        self.copies.iter().filter_map(|c| c.view.as_ref()).flat_map(|v| v.machines.iter())
     }
 
     /// The counts of one job, if it is this part's.
     pub fn job_note(&self, id: &JobId) -> Option<(u64, u64, String)> {
         let job = self.jobs.get(id).filter(|j| !j.over)?;
-        let running = job
-            .live
-            .values()
-            .filter(|l| l.standing == Some(Standing::Running))
-            .count() as u64;
-        let reason = if job.next_waiting().is_some() {
-            job.reason.to_owned()
-        } else {
-            String::new()
-        };
+        let running = job.live.values().filter(|l| l.standing == Some(Standing::Running)).count() as u64;
+        let reason = if job.next_waiting().is_some() { job.reason.to_owned() } else { String::new() };
         Some((u64::from(job.done_count), running, reason))
     }
 
@@ -1033,14 +847,8 @@
     };
     if spec.spread && tasks > 1 {
         let most = tasks.div_ceil(2);
-        let all: BTreeSet<&str> = fields
-            .iter()
-            .flat_map(|f| f.slots.iter().map(|s| s.zone.as_str()))
-            .collect();
-        let open: Vec<&str> = all
-            .into_iter()
-            .filter(|z| per_zone.get(*z).copied().unwrap_or(0) < most)
-            .collect();
+        let all: BTreeSet<&str> = fields.iter().flat_map(|f| f.slots.iter().map(|s| s.zone.as_str())).collect();
+        let open: Vec<&str> = all.into_iter().filter(|z| per_zone.get(*z).copied().unwrap_or(0) < most).collect();
         zones = Some(match zones {
             Some(z) => z.into_iter().filter(|z| open.contains(z)).collect(),
             None => open,
--- a/src/main.rs
+++ b/src/main.rs
@@ -64,13 +64,7 @@
         Ok("warn") => tracing::Level::WARN,
         _ => tracing::Level::ERROR,
     };
-    tracing_subscriber::fmt()
-        .with_max_level(level)
-        .with_writer(std::io::stderr)
-        .without_time()
-        .with_ansi(false)
-        .with_target(false)
-        .init();
+    tracing_subscriber::fmt().with_max_level(level).with_writer(std::io::stderr).without_time().with_ansi(false).with_target(false).init();
     match run(args) {
         Ok(code) => code,
         Err(faults) => {
@@ -97,31 +91,21 @@
         (None, Some(Command::Submit { node, file })) => operator::submit(node, &file),
         (None, Some(Command::Status { node, job })) => operator::status(node, &job),
         (None, Some(Command::Withdraw { node, job })) => operator::withdraw(node, &job),
-        _ => Err(vec![
-            "give either --config FILE or one command; see --help".into(),
-        ]),
+        _ => Err(vec!["give either --config FILE or one command; see --help".into()]),
     }
 }
 
 /// Loads settings and policy; the faults of both are reported together.
-fn load(
-    file: &std::path::Path,
-    policy: Option<PathBuf>,
-) -> Result<(Settings, Policy), Vec<String>> {
+fn load(file: &std::path::Path, policy: Option<PathBuf>) -> Result<(Settings, Policy), Vec<String>> {
     let settings = Settings::load(file);
     let policy = match policy {
         None => Policy::embedded(),
-        Some(path) => std::fs::read_to_string(&path)
-            .map_err(|e| vec![format!("{}: {e}", path.display())])
-            .and_then(|s| Policy::evaluate(&s)),
+        Some(path) => {
+            std::fs::read_to_string(&path).map_err(|e| vec![format!("{}: {e}", path.display())]).and_then(|s| Policy::evaluate(&s))
+        }
     };
     match (settings, policy) {
         (Ok(settings), Ok(policy)) => Ok((settings, policy)),
-        (settings, policy) => Err(settings
-            .err()
-            .into_iter()
-            .chain(policy.err())
-            .flatten()
-            .collect()),
+        (settings, policy) => Err(settings.err().into_iter().chain(policy.err()).flatten().collect()),
     }
 }
--- a/src/node/carry.rs
+++ b/src/node/carry.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use base64::prelude::{BASE64_STANDARD, Engine};
 use tracing::{debug, error, info};
 
 use crate::constants::*;
@@ -10,12 +11,12 @@
 use crate::coordination::placer::{TxnOutcome, TxnVerdict};
 use crate::node::{Node, peer_address};
 use crate::protocol::peer::{self, Sync, View};
-use crate::protocol::state::Txn;
+use crate::protocol::state::{Txn, Write, to_value};
 use crate::protocol::worker::Report;
 use crate::protocol::{decode, encode};
 use crate::storage::StateError;
 use crate::storage::client::TxnResult;
-use crate::storage::records::parse_run_key;
+use crate::storage::records::{MailKind, MailLine, MailRecord, mail_key, parse_run_key};
 use crate::transport::{CallError, Handler, Reply, Request};
 
 /// Starts an effect; its end is an event of the core.
@@ -35,6 +36,14 @@
                 let now = node.now();
                 node.core().sync_done(lot, sync.to, view, now);
             }
+            Effect::MailSync(sync) => {
+                let line = MailLine { kind: MailKind::Sync, from: sync.from, to: sync.to };
+                mail(&node, line, (sync.from_token, sync.seq), &peer::write(&sync)).await;
+            }
+            Effect::MailView(to, view) => {
+                let line = MailLine { kind: MailKind::View, from: view.part, to };
+                mail(&node, line, (view.token, view.seq), &peer::write(&view)).await;
+            }
             Effect::Nudge(part) => nudge(&node, part).await,
             Effect::Rent(lot, rental) => {
                 let result = node.cloud.rent(&rental).await;
@@ -61,11 +70,7 @@
         Ok(TxnResult::Conflict(keys)) => TxnOutcome::Conflict(keys),
         Err(error) => {
             if error == StateError::Refused {
-                error!(
-                    part = lot.part,
-                    writes = txn.writes.len(),
-                    "the store refused a transaction as malformed"
-                );
+                error!(part = lot.part, writes = txn.writes.len(), "the store refused a transaction as malformed");
             }
             // Whether it was made or not, the same change is tried again under
             // the same conditions; a conflict then tells.
@@ -82,9 +87,7 @@
                 let version = loop {
                     match node.state.get(key).await {
                         Ok(entry) => break entry.map_or(0, |e| e.version),
-                        Err(_) => {
-                            smol::Timer::after(std::time::Duration::from_millis(2 * TICK_MS)).await
-                        }
+                        Err(_) => smol::Timer::after(std::time::Duration::from_millis(2 * TICK_MS)).await,
                     };
                 };
                 versions.push((key.clone(), version));
@@ -107,17 +110,7 @@
 
 async fn command(node: &Node, call: &CommandCall) -> CommandResult {
     debug!(machine = %call.machine, orders = ?call.commands.orders, "orders");
-    match node
-        .http
-        .call(
-            call.addr,
-            "POST",
-            "/commands",
-            &encode(&call.commands),
-            COMMAND_TIMEOUT_MS,
-        )
-        .await
-    {
+    match node.http.call(call.addr, "POST", "/commands", &encode(&call.commands), COMMAND_TIMEOUT_MS).await {
         Ok(response) => match (response.status, decode::<Report>(&response.body)) {
             (200, Ok(report)) => CommandResult::Executed(report),
             (409, Ok(report)) => CommandResult::Refused(report),
@@ -132,24 +125,9 @@
 async fn send_sync(node: &Node, sync: &Sync) -> Option<View> {
     let host = node.core().mirror.parts.get(&sync.to)?.host.clone();
     let addr = peer_address(node, &host)?;
-    let response = node
-        .http
-        .call(
-            addr,
-            "POST",
-            "/peer/sync",
-            &peer::write(sync),
-            SYNC_TIMEOUT_MS,
-        )
-        .await
-        .ok()?;
+    let response = node.http.call(addr, "POST", "/peer/sync", &peer::write(sync), SYNC_TIMEOUT_MS).await.ok()?;
     if response.status != 200 {
-        debug!(
-            part = sync.from,
-            to = sync.to,
-            status = response.status,
-            "sync refused"
-        );
+        debug!(part = sync.from, to = sync.to, status = response.status, "sync refused");
         return None;
     }
     match peer::read::<View>(&response.body) {
@@ -161,13 +139,39 @@
     }
 }
 
+/// Writes a peer message to the store, in as many values as it takes. It is
+/// not repeated: the next message of the line says all again.
+async fn mail(node: &Node, line: MailLine, id: (u64, u64), bytes: &[u8]) {
+    let hold = match node.hold.get() {
+        0 => return,
+        hold => hold,
+    };
+    let value_bytes = (node.settings.cluster.state.value_kb * 1024.0) as usize;
+    // Base64 makes four bytes of three.
+    let piece_bytes = value_bytes.saturating_sub(MAIL_OVERHEAD_BYTES).max(MAIL_OVERHEAD_BYTES) / 4 * 3;
+    let pieces: Vec<&[u8]> = bytes.chunks(piece_bytes).collect();
+    if pieces.len() > node.settings.cluster.state.txn_ops {
+        error!(bytes = bytes.len(), "message too large for the store");
+        return;
+    }
+    let writes = pieces
+        .iter()
+        .enumerate()
+        .map(|(k, piece)| Write::Put {
+            key: mail_key(line.kind, line.from, line.to, k),
+            value: to_value(&MailRecord { n: pieces.len(), id, b: BASE64_STANDARD.encode(piece) }),
+            hold: Some(hold),
+        })
+        .collect();
+    if let Err(fault) = node.state.txn(&Txn { conditions: Vec::new(), writes }).await {
+        debug!(from = line.from, to = line.to, %fault, "message not stored");
+    }
+}
+
 async fn nudge(node: &Node, part: u16) {
     let Some((host, from)) = ({
         let core = node.core();
-        core.mirror
-            .parts
-            .get(&part)
-            .map(|h| (h.host.clone(), core.held()))
+        core.mirror.parts.get(&part).map(|h| (h.host.clone(), core.held()))
     }) else {
         return;
     };
@@ -176,16 +180,7 @@
     };
     for lot in from {
         // Only a hint: the regular sync comes anyway.
-        let _ = node
-            .http
-            .call(
-                addr,
-                "POST",
-                &format!("/peer/nudge/{part}/{}", lot.part),
-                &[],
-                SYNC_TIMEOUT_MS,
-            )
-            .await;
+        let _ = node.http.call(addr, "POST", &format!("/peer/nudge/{part}/{}", lot.part), &[], SYNC_TIMEOUT_MS).await;
     }
 }
 
@@ -215,10 +210,7 @@
                 }
             },
             ("POST", path) if path.starts_with("/peer/nudge/") => {
-                let mut numbers = path
-                    .trim_start_matches("/peer/nudge/")
-                    .split('/')
-                    .map(str::parse::<u16>);
+                let mut numbers = path.trim_start_matches("/peer/nudge/").split('/').map(str::parse::<u16>);
                 match (numbers.next(), numbers.next()) {
                     (Some(Ok(part)), Some(Ok(from))) => {
                         node.core().nudged(part, from);
@@ -232,10 +224,7 @@
                 // A job was accepted elsewhere: read it now rather than at the
                 // next regular reading.
                 let node = node.clone();
-                node.clone()
-                    .executor
-                    .spawn(async move { node.fresh().await })
-                    .detach();
+                node.clone().executor.spawn(async move { node.fresh().await }).detach();
                 Reply::empty(200)
             }
             _ => Reply::empty(404),
--- a/src/node/cloud.rs
+++ b/src/node/cloud.rs
@@ -26,11 +26,7 @@
 impl CloudClient {
     /// A client with this many requests a second.
     pub fn new(http: Rc<Client>, addr: SocketAddr, per_s: f64) -> Self {
-        Self {
-            http,
-            addr,
-            budget: RefCell::new(Bucket::new(per_s)),
-        }
+        Self { http, addr, budget: RefCell::new(Bucket::new(per_s)) }
     }
 
     async fn call(&self, method: &str, path: &str, body: &[u8]) -> Option<(u16, Vec<u8>)> {
@@ -38,11 +34,7 @@
         if !wait.is_zero() {
             smol::Timer::after(wait).await;
         }
-        let response = self
-            .http
-            .call(self.addr, method, path, body, CLOUD_TIMEOUT_MS)
-            .await
-            .ok()?;
+        let response = self.http.call(self.addr, method, path, body, CLOUD_TIMEOUT_MS).await.ok()?;
         Some((response.status, response.body))
     }
 
@@ -56,11 +48,7 @@
                     RentResult::Again
                 }
             },
-            Some((503, body))
-                if decode::<CloudFault>(&body).is_ok_and(|f| f.error == "no capacity") =>
-            {
-                RentResult::NoCapacity
-            }
+            Some((503, body)) if decode::<CloudFault>(&body).is_ok_and(|f| f.error == "no capacity") => RentResult::NoCapacity,
             Some((400, _)) => {
                 tracing::error!(?rental, "the cloud refused a rental as malformed");
                 RentResult::NoCapacity
@@ -71,24 +59,12 @@
 
     /// Gives machines back; true once they are surely gone.
     pub async fn release(&self, machines: &[MachineId]) -> bool {
-        matches!(
-            self.call(
-                "POST",
-                "/rentals/release",
-                &encode(&Machines {
-                    machines: machines.to_vec()
-                })
-            )
-            .await,
-            Some((200, _))
-        )
+        matches!(self.call("POST", "/rentals/release", &encode(&Machines { machines: machines.to_vec() })).await, Some((200, _)))
     }
 
     async fn catalog(&self) -> Option<Catalog> {
         match self.call("GET", "/catalog", &[]).await {
-            Some((200, body)) => decode::<CatalogReply>(&body)
-                .ok()
-                .map(CatalogReply::into_catalog),
+            Some((200, body)) => decode::<CatalogReply>(&body).ok().map(CatalogReply::into_catalog),
             _ => None,
         }
     }
@@ -96,14 +72,8 @@
     async fn list(&self) -> Option<Vec<RentalEntry>> {
         let mut all: Vec<RentalEntry> = Vec::new();
         loop {
-            let after = all
-                .last()
-                .map(|m| format!("after={}&", m.id))
-                .unwrap_or_default();
-            let (200, body) = self
-                .call("GET", &format!("/rentals?{after}limit={LIST_PAGE}"), &[])
-                .await?
-            else {
+            let after = all.last().map(|m| format!("after={}&", m.id)).unwrap_or_default();
+            let (200, body) = self.call("GET", &format!("/rentals?{after}limit={LIST_PAGE}"), &[]).await? else {
                 return None;
             };
             let page: RentalList = decode(&body).ok()?;
--- a/src/node/holds.rs
+++ b/src/node/holds.rs
@@ -12,10 +12,7 @@
 use crate::protocol::state::{Condition, Txn, Write, from_value, to_value};
 use crate::storage::StateError;
 use crate::storage::client::TxnResult;
-use crate::storage::records::{
-    ChunkRecord, NodeRecord, PartRecord, TeamRecord, node_key, parse_run_key, part_key, run_prefix,
-    team_key,
-};
+use crate::storage::records::{ChunkRecord, NodeRecord, PartRecord, TeamRecord, node_key, parse_run_key, part_key, run_prefix, team_key};
 
 /// Keeps the hold alive and takes and gives up parts, for ever.
 pub async fn keep(node: Rc<Node>) {
@@ -42,6 +39,7 @@
                     renewed = now;
                 }
                 hold = Some(id);
+                node.hold.set(id);
                 teams(&node).await;
                 if let Err(StateError::NoHold) = parts(&node, id, &mut empty_since).await {
                     hold = None;
@@ -54,32 +52,16 @@
             }
             Err(_) => {}
         }
-        smol::Timer::after(Duration::from_millis(if hold.is_some() {
-            2 * TICK_MS
-        } else {
-            5 * TICK_MS
-        }))
-        .await;
+        smol::Timer::after(Duration::from_millis(if hold.is_some() { 2 * TICK_MS } else { 5 * TICK_MS })).await;
     }
 }
 
 /// Gets a hold and shows this node's presence with it.
 async fn begin(node: &Node) -> Result<u64, StateError> {
     let hold = node.state.hold(HOLD_TTL_MS).await?;
-    let record = NodeRecord {
-        zone: node.settings.zone.clone(),
-    };
-    let write = Write::Put {
-        key: node_key(&node.settings.host_name),
-        value: to_value(&record),
-        hold: Some(hold),
-    };
-    node.state
-        .txn(&Txn {
-            conditions: Vec::new(),
-            writes: vec![write],
-        })
-        .await?;
+    let record = NodeRecord { zone: node.settings.zone.clone() };
+    let write = Write::Put { key: node_key(&node.settings.host_name), value: to_value(&record), hold: Some(hold) };
+    node.state.txn(&Txn { conditions: Vec::new(), writes: vec![write] }).await?;
     info!(hold, "got a hold");
     Ok(hold)
 }
@@ -100,17 +82,8 @@
         return;
     }
     let txn = Txn {
-        conditions: missing
-            .iter()
-            .map(|(t, _)| Condition {
-                key: team_key(t),
-                version: 0,
-            })
-            .collect(),
-        writes: missing
-            .iter()
-            .map(|(t, part)| Write::put(team_key(t), &TeamRecord { part: *part }))
-            .collect(),
+        conditions: missing.iter().map(|(t, _)| Condition { key: team_key(t), version: 0 }).collect(),
+        writes: missing.iter().map(|(t, part)| Write::put(team_key(t), &TeamRecord { part: *part })).collect(),
     };
     // Another node may have been first; the mirror will show.
     let _ = node.state.txn(&txn).await;
@@ -119,30 +92,17 @@
 
 /// Takes parts that are ours or ownerless, and hands back those whose home is
 /// alive again.
-async fn parts(
-    node: &Rc<Node>,
-    hold: u64,
-    empty_since: &mut [Option<u64>],
-) -> Result<(), StateError> {
+async fn parts(node: &Rc<Node>, hold: u64, empty_since: &mut [Option<u64>]) -> Result<(), StateError> {
     let now = node.now();
     for index in 0..empty_since.len() as u16 {
         let (me, home, holder, held, home_alive, wait) = {
             let core = node.core();
             let member = &core.config.members[usize::from(index)];
-            let me = core.config.members[usize::from(core.config.me)]
-                .host
-                .clone();
+            let me = core.config.members[usize::from(core.config.me)].host.clone();
             // Nodes with more parts wait longer, so that parts spread.
             let wait = TAKEOVER_WAIT_MS * (core.held().len() as u64).max(1);
             let held = core.held().into_iter().find(|l| l.part == index);
-            (
-                me,
-                member.host.clone(),
-                core.mirror.parts.get(&index).cloned(),
-                held,
-                core.mirror.nodes.contains_key(&member.host),
-                wait,
-            )
+            (me, member.host.clone(), core.mirror.parts.get(&index).cloned(), held, core.mirror.nodes.contains_key(&member.host), wait)
         };
         let slot = &mut empty_since[usize::from(index)];
         match (&holder, held) {
@@ -159,13 +119,8 @@
                 *slot = None;
                 info!(part = index, home, "handing the part back");
                 let txn = Txn {
-                    conditions: vec![Condition {
-                        key: part_key(index),
-                        version: lot.token,
-                    }],
-                    writes: vec![Write::Delete {
-                        key: part_key(index),
-                    }],
+                    conditions: vec![Condition { key: part_key(index), version: lot.token }],
+                    writes: vec![Write::Delete { key: part_key(index) }],
                 };
                 node.state.txn(&txn).await?;
                 node.core().abandon(index);
@@ -180,16 +135,10 @@
 /// Takes a part and loads its records.
 async fn acquire(node: &Rc<Node>, index: u16, version: u64, hold: u64) -> Result<(), StateError> {
     let key = part_key(index);
-    let record = PartRecord {
-        host: node.settings.host_name.clone(),
-    };
+    let record = PartRecord { host: node.settings.host_name.clone() };
     let txn = Txn {
         conditions: vec![Condition { key, version }],
-        writes: vec![Write::Put {
-            key: part_key(index),
-            value: to_value(&record),
-            hold: Some(hold),
-        }],
+        writes: vec![Write::Put { key: part_key(index), value: to_value(&record), hold: Some(hold) }],
     };
     let token = match node.state.txn(&txn).await? {
         TxnResult::Done(token) => token,
@@ -214,12 +163,7 @@
     }
     let now = node.now();
     let mut core = node.core();
-    if core
-        .mirror
-        .parts
-        .get(&index)
-        .is_some_and(|h| h.token == token)
-    {
+    if core.mirror.parts.get(&index).is_some_and(|h| h.token == token) {
         core.adopt(Lot { part: index, token }, &chunks, now);
     }
     drop(core);
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -7,6 +7,7 @@
 mod holds;
 mod web;
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::{Mutex, MutexGuard};
@@ -34,6 +35,8 @@
     http: Rc<Client>,
     executor: &'static LocalExecutor<'static>,
     started: Instant,
+    /// The hold that this node's keys live with; 0: none.
+    hold: Cell<u64>,
     fresh_wanted: Sender<Sender<bool>>,
     pump_wanted: Sender<()>,
 }
@@ -61,10 +64,7 @@
         if self.fresh_wanted.try_send(done).is_err() {
             return false;
         }
-        within(USER_TIMEOUT_MS, wait.recv())
-            .await
-            .and_then(Result::ok)
-            .unwrap_or(false)
+        within(USER_TIMEOUT_MS, wait.recv()).await.and_then(Result::ok).unwrap_or(false)
     }
 }
 
@@ -92,6 +92,7 @@
             http,
             executor,
             started: Instant::now(),
+            hold: Cell::new(0),
             fresh_wanted,
             pump_wanted,
         });
@@ -131,7 +132,14 @@
         let outcome = read_changes(&node).await;
         let good = outcome.is_ok();
         if let Ok(changed) = outcome {
-            node.core().refreshed(began, changed);
+            let effects = {
+                let mut core = node.core();
+                core.refreshed(began, changed);
+                core.take_mail(node.now())
+            };
+            for effect in effects {
+                carry::carry(&node, effect);
+            }
             if changed {
                 node.poke();
             }
@@ -172,9 +180,5 @@
 
 /// Address on which a controller takes messages of others.
 fn peer_address(node: &Node, host: &str) -> Option<SocketAddr> {
-    node.settings
-        .seeds
-        .iter()
-        .find(|s| s.host_name == host)
-        .map(|s| s.address)
+    node.settings.seeds.iter().find(|s| s.host_name == host).map(|s| s.address)
 }
--- a/src/node/web.rs
+++ b/src/node/web.rs
@@ -74,13 +74,7 @@
     let core = node.core();
     core.mirror.jobs.get(id)?;
     let (phase, done, running, reason) = core.progress(id);
-    Some(JobState {
-        id: id.clone(),
-        phase,
-        done: Some(done),
-        running: Some(running),
-        reason: (!reason.is_empty()).then_some(reason),
-    })
+    Some(JobState { id: id.clone(), phase, done: Some(done), running: Some(running), reason: (!reason.is_empty()).then_some(reason) })
 }
 
 /// What the store says of a job, by readings that begin after the request
@@ -143,15 +137,10 @@
             return Reply::new(422, encode(&why));
         }
     }
-    let at = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or(Duration::ZERO)
-        .as_millis() as u64;
+    let at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO).as_millis() as u64;
     let record = JobRecord { spec, at };
     let txn = Txn {
-        conditions: [job_key(&id), end_key(&id)]
-            .map(|key| Condition { key, version: 0 })
-            .to_vec(),
+        conditions: [job_key(&id), end_key(&id)].map(|key| Condition { key, version: 0 }).to_vec(),
         writes: vec![Write::put(job_key(&id), &record)],
     };
     let deadline = node.now() + USER_TIMEOUT_MS;
@@ -182,24 +171,14 @@
 fn announce(node: &Rc<Node>, team: &str) {
     let holder = {
         let core = node.core();
-        let part = core
-            .mirror
-            .teams
-            .get(team)
-            .copied()
-            .unwrap_or_else(|| core.config.default_part(team));
+        let part = core.mirror.teams.get(team).copied().unwrap_or_else(|| core.config.default_part(team));
         core.mirror.parts.get(&part).map(|h| h.host.clone())
     };
     let node2 = node.clone();
     node.executor
         .spawn(async move {
             match holder.as_deref().and_then(|h| peer_address(&node2, h)) {
-                Some(addr) => drop(
-                    node2
-                        .http
-                        .call(addr, "POST", "/peer/jobs", &[], SYNC_TIMEOUT_MS)
-                        .await,
-                ),
+                Some(addr) => drop(node2.http.call(addr, "POST", "/peer/jobs", &[], SYNC_TIMEOUT_MS).await),
                 None => drop(node2.fresh().await),
             }
         })
@@ -224,19 +203,8 @@
             continue;
         };
         let txn = Txn {
-            conditions: vec![Condition {
-                key: job_key(&id),
-                version: job.version,
-            }],
-            writes: vec![
-                Write::Delete { key: job_key(&id) },
-                Write::put(
-                    end_key(&id),
-                    &EndRecord {
-                        phase: Phase::Withdrawn,
-                    },
-                ),
-            ],
+            conditions: vec![Condition { key: job_key(&id), version: job.version }],
+            writes: vec![Write::Delete { key: job_key(&id) }, Write::put(end_key(&id), &EndRecord { phase: Phase::Withdrawn })],
         };
         match node.state.txn(&txn).await {
             Ok(TxnResult::Done(_)) => {
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -12,10 +12,8 @@
 
 /// Submits the job in a JSON file.
 pub fn submit(node: SocketAddr, file: &Path) -> Result<ExitCode, Vec<String>> {
-    let text =
-        std::fs::read_to_string(file).map_err(|e| vec![format!("{}: {e}", file.display())])?;
-    let job: serde_json::Value =
-        serde_json::from_str(&text).map_err(|e| vec![format!("{}: {e}", file.display())])?;
+    let text = std::fs::read_to_string(file).map_err(|e| vec![format!("{}: {e}", file.display())])?;
+    let job: serde_json::Value = serde_json::from_str(&text).map_err(|e| vec![format!("{}: {e}", file.display())])?;
     call(node, "POST", "/v1/jobs", &encode(&job))
 }
 
@@ -30,8 +28,7 @@
 }
 
 fn call(node: SocketAddr, method: &str, path: &str, body: &[u8]) -> Result<ExitCode, Vec<String>> {
-    let response = smol::block_on(Client::default().call(node, method, path, body, ANSWER_MS))
-        .map_err(|e| vec![format!("{node}: {e}")])?;
+    let response = smol::block_on(Client::default().call(node, method, path, body, ANSWER_MS)).map_err(|e| vec![format!("{node}: {e}")])?;
     if let Ok(answer) = decode::<serde_json::Value>(&response.body) {
         println!("{answer:#}");
     }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -39,40 +39,17 @@
 
     /// Evaluates a script.
     pub fn evaluate(script: &str) -> Result<Self, Vec<String>> {
-        let one = |e: mlua::Error| {
-            vec![format!(
-                "policy: {}",
-                e.to_string().lines().next().unwrap_or_default()
-            )]
-        };
-        let lua = Lua::new_with(
-            StdLib::MATH | StdLib::STRING | StdLib::TABLE,
-            LuaOptions::default(),
-        )
-        .map_err(one)?;
+        let one = |e: mlua::Error| vec![format!("policy: {}", e.to_string().lines().next().unwrap_or_default())];
+        let lua = Lua::new_with(StdLib::MATH | StdLib::STRING | StdLib::TABLE, LuaOptions::default()).map_err(one)?;
         lua.set_memory_limit(POLICY_MEMORY).map_err(one)?;
         // The base library is always there; these reach files or code.
-        for name in [
-            "dofile",
-            "loadfile",
-            "load",
-            "require",
-            "collectgarbage",
-            "print",
-        ] {
+        for name in ["dofile", "loadfile", "load", "require", "collectgarbage", "print"] {
             lua.globals().set(name, Value::Nil).map_err(one)?;
         }
         let deadline = Instant::now() + POLICY_TIME;
-        lua.set_hook(
-            HookTriggers::new().every_nth_instruction(10_000),
-            move |_, _| {
-                if Instant::now() > deadline {
-                    Err(mlua::Error::runtime("takes too long"))
-                } else {
-                    Ok(VmState::Continue)
-                }
-            },
-        )
+        lua.set_hook(HookTriggers::new().every_nth_instruction(10_000), move |_, _| {
+            if Instant::now() > deadline { Err(mlua::Error::runtime("takes too long")) } else { Ok(VmState::Continue) }
+        })
         .map_err(one)?;
         let table: Table = lua.load(script).set_name("policy").eval().map_err(one)?;
         read(&table)
@@ -81,21 +58,11 @@
 
 fn read(table: &Table) -> Result<Policy, Vec<String>> {
     let mut faults = Vec::new();
-    let names = [
-        "idle_s",
-        "idle_spot_s",
-        "silent_s",
-        "boot_patience",
-        "spare",
-    ];
+    let names = ["idle_s", "idle_spot_s", "silent_s", "boot_patience", "spare"];
     for pair in table.pairs::<Value, Value>() {
         match pair {
-            Ok((Value::String(key), _)) if names.iter().any(|n| key.as_bytes() == n.as_bytes()) => {
-            }
-            Ok((key, _)) => faults.push(format!(
-                "policy: unknown name {}",
-                key.to_string().unwrap_or_default()
-            )),
+            Ok((Value::String(key), _)) if names.iter().any(|n| key.as_bytes() == n.as_bytes()) => {}
+            Ok((key, _)) => faults.push(format!("policy: unknown name {}", key.to_string().unwrap_or_default())),
             Err(error) => faults.push(format!("policy: {error}")),
         }
     }
@@ -103,9 +70,7 @@
         Ok(Value::Number(x)) if (low..=high).contains(&x) => x,
         Ok(Value::Integer(x)) if (low..=high).contains(&(x as f64)) => x as f64,
         _ => {
-            faults.push(format!(
-                "policy: {name} must be a number from {low} to {high}"
-            ));
+            faults.push(format!("policy: {name} must be a number from {low} to {high}"));
             low
         }
     };
@@ -116,9 +81,5 @@
         boot_patience: number("boot_patience", 1.5, 100.0),
         spare: number("spare", 0.0, 10.0),
     };
-    if faults.is_empty() {
-        Ok(policy)
-    } else {
-        Err(faults)
-    }
+    if faults.is_empty() { Ok(policy) } else { Err(faults) }
 }
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -155,10 +155,7 @@
 impl Standing {
     /// True if the attempt is proven to be over.
     pub fn ended(self) -> bool {
-        matches!(
-            self,
-            Standing::Exited(_) | Standing::Gone | Standing::Refused
-        )
+        matches!(self, Standing::Exited(_) | Standing::Gone | Standing::Refused)
     }
 }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -140,21 +140,15 @@
 impl Settings {
     /// Reads and checks a file; every fault found is one entry of the error.
     pub fn load(path: &Path) -> Result<Self, Vec<String>> {
-        let text =
-            std::fs::read_to_string(path).map_err(|e| vec![format!("{}: {e}", path.display())])?;
+        let text = std::fs::read_to_string(path).map_err(|e| vec![format!("{}: {e}", path.display())])?;
         Self::parse(&text)
     }
 
     /// Reads and checks the text of a file.
     pub fn parse(text: &str) -> Result<Self, Vec<String>> {
-        let settings: Self =
-            serde_json::from_str(text).map_err(|e| vec![format!("settings: {e}")])?;
+        let settings: Self = serde_json::from_str(text).map_err(|e| vec![format!("settings: {e}")])?;
         let faults = settings.faults();
-        if faults.is_empty() {
-            Ok(settings)
-        } else {
-            Err(faults)
-        }
+        if faults.is_empty() { Ok(settings) } else { Err(faults) }
     }
 
     fn faults(&self) -> Vec<String> {
@@ -171,33 +165,18 @@
         let mut hosts: Vec<&str> = self.seeds.iter().map(|s| s.host_name.as_str()).collect();
         hosts.push(&self.host_name);
         hosts.sort_unstable();
-        check(
-            hosts.windows(2).all(|w| w[0] != w[1]),
-            "two controllers have the same host_name".into(),
-        );
+        check(hosts.windows(2).all(|w| w[0] != w[1]), "two controllers have the same host_name".into());
         check(hosts.len() <= 200, "more than 200 controllers".into());
         for zone in self.seeds.iter().map(|s| &s.zone).chain([&self.zone]) {
-            check(
-                c.zones.contains(zone),
-                format!("zone {zone} is not in cluster.zones"),
-            );
+            check(c.zones.contains(zone), format!("zone {zone} is not in cluster.zones"));
         }
         let mut names: Vec<&str> = c.teams.iter().map(|t| t.name.as_str()).collect();
         names.sort_unstable();
-        check(
-            names.windows(2).all(|w| w[0] != w[1]),
-            "two teams have the same name".into(),
-        );
+        check(names.windows(2).all(|w| w[0] != w[1]), "two teams have the same name".into());
         for t in &c.teams {
             for (what, min, max) in [("cpus", t.cpus, t.cpus_max), ("gpus", t.gpus, t.gpus_max)] {
-                check(
-                    min.is_finite() && max.is_finite() && min >= 0.0 && max >= 0.0,
-                    format!("team {}: {what} must be 0 or more", t.name),
-                );
-                check(
-                    max == 0.0 || min <= max,
-                    format!("team {}: {what} is over {what}_max", t.name),
-                );
+                check(min.is_finite() && max.is_finite() && min >= 0.0 && max >= 0.0, format!("team {}: {what} must be 0 or more", t.name));
+                check(max == 0.0 || min <= max, format!("team {}: {what} is over {what}_max", t.name));
             }
         }
         let w = &c.workers;
@@ -214,31 +193,13 @@
             ("limits.cpu_share", c.limits.cpu_share),
             ("limits.mem_mb", c.limits.mem_mb),
         ] {
-            check(
-                value.is_finite() && value > 0.0,
-                format!("cluster.{what} must be over 0"),
-            );
+            check(value.is_finite() && value > 0.0, format!("cluster.{what} must be over 0"));
         }
-        check(
-            c.cloud.list_lag_s >= 0.0,
-            "cluster.cloud.list_lag_s must be 0 or more".into(),
-        );
-        check(
-            w.lease_s > w.report_s,
-            "cluster.workers.lease_s must be over report_s".into(),
-        );
-        check(
-            w.cancel_s > w.lease_s,
-            "cluster.workers.cancel_s must be over lease_s".into(),
-        );
-        check(
-            c.state.txn_ops >= 4,
-            "cluster.state.txn_ops must be 4 or more".into(),
-        );
-        check(
-            c.limits.fd_limit >= 64,
-            "cluster.limits.fd_limit must be 64 or more".into(),
-        );
+        check(c.cloud.list_lag_s >= 0.0, "cluster.cloud.list_lag_s must be 0 or more".into());
+        check(w.lease_s > w.report_s, "cluster.workers.lease_s must be over report_s".into());
+        check(w.cancel_s > w.lease_s, "cluster.workers.cancel_s must be over lease_s".into());
+        check(c.state.txn_ops >= 4, "cluster.state.txn_ops must be 4 or more".into());
+        check(c.limits.fd_limit >= 64, "cluster.limits.fd_limit must be 64 or more".into());
         faults
     }
 
@@ -248,16 +209,8 @@
         let mut members: Vec<Member> = self
             .seeds
             .iter()
-            .map(|s| Member {
-                host: s.host_name.clone(),
-                zone: s.zone.clone(),
-                address: s.address,
-            })
-            .chain([Member {
-                host: self.host_name.clone(),
-                zone: self.zone.clone(),
-                address: self.internal_addr,
-            }])
+            .map(|s| Member { host: s.host_name.clone(), zone: s.zone.clone(), address: s.address })
+            .chain([Member { host: self.host_name.clone(), zone: self.zone.clone(), address: self.internal_addr }])
             .collect();
         members.sort_by(|a, b| a.host.cmp(&b.host));
         members
--- a/src/storage/client.rs
+++ b/src/storage/client.rs
@@ -51,26 +51,16 @@
 
 impl Bucket {
     pub(crate) fn new(per_s: f64) -> Self {
-        Self {
-            per_s,
-            burst: per_s.max(1.0),
-            tokens: per_s.max(1.0),
-            at: Instant::now(),
-        }
+        Self { per_s, burst: per_s.max(1.0), tokens: per_s.max(1.0), at: Instant::now() }
     }
 
     /// Takes `n` tokens, going into debt; returns how long to wait for them.
     pub(crate) fn take(&mut self, n: f64) -> Duration {
         let now = Instant::now();
-        self.tokens =
-            (self.tokens + now.duration_since(self.at).as_secs_f64() * self.per_s).min(self.burst);
+        self.tokens = (self.tokens + now.duration_since(self.at).as_secs_f64() * self.per_s).min(self.burst);
         self.at = now;
         self.tokens -= n;
-        if self.tokens >= 0.0 {
-            Duration::ZERO
-        } else {
-            Duration::from_secs_f64(-self.tokens / self.per_s)
-        }
+        if self.tokens >= 0.0 { Duration::ZERO } else { Duration::from_secs_f64(-self.tokens / self.per_s) }
     }
 }
 
@@ -108,14 +98,10 @@
     }
 
     async fn call(&self, method: &str, path: &str, body: &[u8]) -> Result<Response, StateError> {
-        let response = self
-            .http
-            .call(self.addr, method, path, body, STATE_TIMEOUT_MS)
-            .await
-            .map_err(|e| match e {
-                CallError::NotSent => StateError::Unavailable,
-                CallError::Unknown => StateError::Unknown,
-            })?;
+        let response = self.http.call(self.addr, method, path, body, STATE_TIMEOUT_MS).await.map_err(|e| match e {
+            CallError::NotSent => StateError::Unavailable,
+            CallError::Unknown => StateError::Unknown,
+        })?;
         match response.status {
             429 | 503 => Err(StateError::Unavailable),
             _ => Ok(response),
@@ -127,9 +113,7 @@
         self.budget(0).await;
         let response = self.call("GET", &format!("/store/{key}"), &[]).await?;
         match response.status {
-            200 => decode(&response.body)
-                .map(Some)
-                .map_err(|_| StateError::Unknown),
+            200 => decode(&response.body).map(Some).map_err(|_| StateError::Unknown),
             404 => Ok(None),
             _ => Err(StateError::Refused),
         }
@@ -142,17 +126,8 @@
         let mut first = None;
         loop {
             self.budget(0).await;
-            let after = all
-                .last()
-                .map(|e| format!("&after={}", e.key))
-                .unwrap_or_default();
-            let response = self
-                .call(
-                    "GET",
-                    &format!("/store?under={prefix}{after}&limit={STORE_PAGE}"),
-                    &[],
-                )
-                .await?;
+            let after = all.last().map(|e| format!("&after={}", e.key)).unwrap_or_default();
+            let response = self.call("GET", &format!("/store?under={prefix}{after}&limit={STORE_PAGE}"), &[]).await?;
             if response.status != 200 {
                 return Err(StateError::Refused);
             }
@@ -171,41 +146,25 @@
         self.budget(txn.writes.len()).await;
         let response = self.call("POST", "/txn", &encode(txn)).await?;
         match response.status {
-            200 => Ok(TxnResult::Done(
-                decode::<TxnReply>(&response.body)
-                    .map_err(|_| StateError::Unknown)?
-                    .revision,
-            )),
-            409 => Ok(TxnResult::Conflict(
-                decode::<TxnReply>(&response.body)
-                    .map_err(|_| StateError::Unknown)?
-                    .failed,
-            )),
-            400 if String::from_utf8_lossy(&response.body).contains("no such lease") => {
-                Err(StateError::NoHold)
-            }
+            200 => Ok(TxnResult::Done(decode::<TxnReply>(&response.body).map_err(|_| StateError::Unknown)?.revision)),
+            409 => Ok(TxnResult::Conflict(decode::<TxnReply>(&response.body).map_err(|_| StateError::Unknown)?.failed)),
+            400 if String::from_utf8_lossy(&response.body).contains("no such lease") => Err(StateError::NoHold),
             _ => Err(StateError::Refused),
         }
     }
 
     /// Gets a hold.
     pub async fn hold(&self, ttl_ms: u64) -> Result<u64, StateError> {
-        let response = self
-            .call("POST", "/holds", &encode(&HoldRequest { ttl_ms }))
-            .await?;
+        let response = self.call("POST", "/holds", &encode(&HoldRequest { ttl_ms })).await?;
         match response.status {
-            200 => decode::<HoldReply>(&response.body)
-                .map(|r| r.hold)
-                .map_err(|_| StateError::Unknown),
+            200 => decode::<HoldReply>(&response.body).map(|r| r.hold).map_err(|_| StateError::Unknown),
             _ => Err(StateError::Refused),
         }
     }
 
     /// Renews a hold.
     pub async fn renew(&self, hold: u64) -> Result<(), StateError> {
-        let response = self
-            .call("POST", &format!("/holds/{hold}/renew"), &[])
-            .await?;
+        let response = self.call("POST", &format!("/holds/{hold}/renew"), &[]).await?;
         match response.status {
             200 => Ok(()),
             404 => Err(StateError::NoHold),
@@ -216,13 +175,7 @@
     /// Reads the changes under a prefix since a revision, without waiting.
     pub async fn changes(&self, prefix: &str, after: u64) -> Result<Changes, StateError> {
         self.budget(0).await;
-        let response = self
-            .call(
-                "GET",
-                &format!("/watch?under={prefix}&after={after}&waitMs=0"),
-                &[],
-            )
-            .await?;
+        let response = self.call("GET", &format!("/watch?under={prefix}&after={after}&waitMs=0"), &[]).await?;
         match response.status {
             200 => decode(&response.body).map_err(|_| StateError::Unknown),
             410 => Err(StateError::TooOld),
--- a/src/storage/mirror.rs
+++ b/src/storage/mirror.rs
@@ -2,14 +2,16 @@
 //! it has read. Brought up to date by reading changes; a copy brought up to
 //! date by a read that began after a poll arrived may answer that poll.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
 
+use base64::prelude::{BASE64_STANDARD, Engine};
+
 use crate::constants::ENDS_REMEMBERED;
 use crate::model::JobId;
 use crate::protocol::state::{Change, Entry, from_value};
 use crate::protocol::users::Phase;
-use crate::storage::records::{JobRecord, PartRecord, TeamRecord};
+use crate::storage::records::{JobRecord, MailLine, MailRecord, PartRecord, TeamRecord, parse_mail_key};
 
 /// An unfinished job with the version of its key.
 #[derive(Clone, Debug)]
@@ -42,6 +44,8 @@
     pub nodes: BTreeMap<String, u64>,
     /// Parts of teams.
     pub teams: BTreeMap<String, u16>,
+    mail: BTreeMap<(MailLine, usize), MailRecord>,
+    new_mail: BTreeSet<MailLine>,
     ends: HashMap<JobId, Phase>,
     ends_order: VecDeque<JobId>,
 }
@@ -53,6 +57,7 @@
         self.parts.clear();
         self.nodes.clear();
         self.teams.clear();
+        self.mail.clear();
         for entry in entries {
             self.set(&entry.key, &entry.value, entry.version);
         }
@@ -75,26 +80,14 @@
         let known = match key.strip_prefix("w/").and_then(|k| k.split_once('/')) {
             Some(("job", id)) => match (JobId::parse(id), from_value::<JobRecord>(value)) {
                 (Some(id), Some(record)) => {
-                    self.jobs.insert(
-                        id,
-                        MirroredJob {
-                            record: Arc::new(record),
-                            version,
-                        },
-                    );
+                    self.jobs.insert(id, MirroredJob { record: Arc::new(record), version });
                     true
                 }
                 _ => false,
             },
             Some(("part", index)) => match (index.parse(), from_value::<PartRecord>(value)) {
                 (Ok(index), Some(record)) => {
-                    self.parts.insert(
-                        index,
-                        Holder {
-                            host: record.host,
-                            token: version,
-                        },
-                    );
+                    self.parts.insert(index, Holder { host: record.host, token: version });
                     true
                 }
                 _ => false,
@@ -110,6 +103,14 @@
                 }
                 None => false,
             },
+            Some(("mail", rest)) => match (parse_mail_key(rest), from_value::<MailRecord>(value)) {
+                (Some((line, piece)), Some(record)) => {
+                    self.mail.insert((line, piece), record);
+                    self.new_mail.insert(line);
+                    true
+                }
+                _ => false,
+            },
             _ => false,
         };
         if !known {
@@ -133,10 +134,32 @@
             Some(("team", team)) => {
                 self.teams.remove(team);
             }
+            Some(("mail", rest)) => {
+                if let Some(key) = parse_mail_key(rest) {
+                    self.mail.remove(&key);
+                }
+            }
             _ => {}
         }
     }
 
+    /// Messages that came since the last call, whole ones only.
+    pub fn take_mail(&mut self) -> Vec<(MailLine, Vec<u8>)> {
+        let lines = std::mem::take(&mut self.new_mail);
+        lines.into_iter().filter_map(|line| self.letter(line).map(|bytes| (line, bytes))).collect()
+    }
+
+    /// Puts the pieces of a message together, if they agree.
+    fn letter(&self, line: MailLine) -> Option<Vec<u8>> {
+        let first = self.mail.get(&(line, 0))?;
+        let mut bytes = Vec::new();
+        for piece in 0..first.n {
+            let record = self.mail.get(&(line, piece)).filter(|r| r.id == first.id)?;
+            bytes.extend(BASE64_STANDARD.decode(&record.b).ok()?);
+        }
+        Some(bytes)
+    }
+
     /// Remembers a settled end; it never changes.
     pub fn settle(&mut self, job: &JobId, phase: Phase) {
         if self.ends.insert(job.clone(), phase).is_none() {
--- a/src/storage/records.rs
+++ b/src/storage/records.rs
@@ -8,7 +8,7 @@
 //! | `w/team/<name>` | [`TeamRecord`] | for ever |
 //! | `end/<id>` | [`EndRecord`] | for ever |
 //! | `run/<part>/<id>/<chunk>` | [`ChunkRecord`] | while the job runs or an attempt may |
-//! | `mail/…` | bytes of a peer message in text | with the sender's hold |
+//! | `w/mail/<kind>/<from>/<to>/<k>` | [`MailRecord`] | with the sender's hold |
 //!
 //! Every node follows `w/`. A job leaves it in the same transaction that
 //! writes its end, so start-up reads stay small as finished jobs pile up.
@@ -130,3 +130,56 @@
     /// Zone of the machine.
     pub z: String,
 }
+
+/// Key of one piece of a peer message that travels through the store.
+pub fn mail_key(kind: MailKind, from: u16, to: u16, piece: usize) -> String {
+    let kind = match kind {
+        MailKind::Sync => "sync",
+        MailKind::View => "view",
+    };
+    format!("w/mail/{kind}/{from}/{to}/{piece}")
+}
+
+/// Which message a piece belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum MailKind {
+    /// A placer's wants.
+    Sync,
+    /// An owner's state.
+    View,
+}
+
+/// Sender, receiver and kind of a peer message in the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct MailLine {
+    /// What it carries.
+    pub kind: MailKind,
+    /// Part of the sender.
+    pub from: u16,
+    /// Part of the receiver.
+    pub to: u16,
+}
+
+/// Reads line and piece from the key below `w/mail/`.
+pub fn parse_mail_key(rest: &str) -> Option<(MailLine, usize)> {
+    let mut parts = rest.split('/');
+    let kind = match parts.next()? {
+        "sync" => MailKind::Sync,
+        "view" => MailKind::View,
+        _ => return None,
+    };
+    let line = MailLine { kind, from: parts.next()?.parse().ok()?, to: parts.next()?.parse().ok()? };
+    Some((line, parts.next()?.parse().ok()?))
+}
+
+/// One piece of a peer message. Values hold nothing binary, so the bytes are
+/// written as base64.
+#[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq)]
+pub struct MailRecord {
+    /// Pieces of the message.
+    pub n: usize,
+    /// Token and number of the message: pieces of one message agree.
+    pub id: (u64, u64),
+    /// The bytes.
+    pub b: String,
+}
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -44,14 +44,7 @@
 
 impl Client {
     /// Sends a request and waits `timeout_ms` for its answer.
-    pub async fn call(
-        &self,
-        addr: SocketAddr,
-        method: &str,
-        path: &str,
-        body: &[u8],
-        timeout_ms: u64,
-    ) -> Result<Response, CallError> {
+    pub async fn call(&self, addr: SocketAddr, method: &str, path: &str, body: &[u8], timeout_ms: u64) -> Result<Response, CallError> {
         let pooled = self.lock().get_mut(&addr).and_then(Vec::pop);
         let mut stream = match pooled {
             Some(stream) => stream,
@@ -59,19 +52,18 @@
         };
         let mut message = Vec::with_capacity(160 + body.len());
         message.extend_from_slice(
-            format!("{method} {path} HTTP/1.1\r\nHost: {addr}\r\nContent-Type: application/msgpack\r\nContent-Length: {}\r\n\r\n", body.len()).as_bytes(),
+            format!(
+                "{method} {path} HTTP/1.1\r\nHost: {addr}\r\nContent-Type: application/msgpack\r\nContent-Length: {}\r\n\r\n",
+                body.len()
+            )
+            .as_bytes(),
         );
         message.extend_from_slice(body);
         let exchange = async {
-            stream
-                .write_all(&message)
-                .await
-                .map_err(|_| CallError::Unknown)?;
+            stream.write_all(&message).await.map_err(|_| CallError::Unknown)?;
             read_response(&mut stream).await.ok_or(CallError::Unknown)
         };
-        let (response, keep) = within(timeout_ms, exchange)
-            .await
-            .ok_or(CallError::Unknown)??;
+        let (response, keep) = within(timeout_ms, exchange).await.ok_or(CallError::Unknown)??;
         if keep {
             let mut idle = self.lock();
             let list = idle.entry(addr).or_default();
@@ -93,10 +85,7 @@
 }
 
 async fn connect(addr: SocketAddr) -> Result<TcpStream, CallError> {
-    let stream = within(CONNECT_MS, TcpStream::connect(addr))
-        .await
-        .ok_or(CallError::NotSent)?
-        .map_err(|_| CallError::NotSent)?;
+    let stream = within(CONNECT_MS, TcpStream::connect(addr)).await.ok_or(CallError::NotSent)?.map_err(|_| CallError::NotSent)?;
     stream.set_nodelay(true).map_err(|_| CallError::NotSent)?;
     Ok(stream)
 }
@@ -123,9 +112,7 @@
             let value = std::str::from_utf8(h.value).ok()?.trim();
             if h.name.eq_ignore_ascii_case("content-length") {
                 length = value.parse().ok()?;
-            } else if h.name.eq_ignore_ascii_case("connection")
-                && value.eq_ignore_ascii_case("close")
-            {
+            } else if h.name.eq_ignore_ascii_case("connection") && value.eq_ignore_ascii_case("close") {
                 keep = false;
             } else if h.name.eq_ignore_ascii_case("transfer-encoding") {
                 return None;
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -36,11 +36,7 @@
 impl Reply {
     /// An answer with a body.
     pub fn new(status: u16, body: Vec<u8>) -> Self {
-        Self {
-            status,
-            body,
-            retry_after_s: None,
-        }
+        Self { status, body, retry_after_s: None }
     }
 
     /// An answer without a body.
@@ -50,11 +46,7 @@
 
     /// A refusal that tells when to come back.
     pub fn busy(after_s: u64) -> Self {
-        Self {
-            status: 503,
-            body: Vec::new(),
-            retry_after_s: Some(after_s),
-        }
+        Self { status: 503, body: Vec::new(), retry_after_s: Some(after_s) }
     }
 }
 
@@ -101,11 +93,7 @@
     }
 }
 
-async fn connection<H: Handler>(
-    mut stream: TcpStream,
-    max_body: usize,
-    handler: &H,
-) -> Result<(), &'static str> {
+async fn connection<H: Handler>(mut stream: TcpStream, max_body: usize, handler: &H) -> Result<(), &'static str> {
     stream.set_nodelay(true).map_err(|_| "no delay")?;
     let mut buffer = Vec::new();
     loop {
@@ -126,20 +114,10 @@
     }
 }
 
-async fn write_reply(
-    stream: &mut TcpStream,
-    reply: &Reply,
-    close: bool,
-) -> Result<(), &'static str> {
+async fn write_reply(stream: &mut TcpStream, reply: &Reply, close: bool) -> Result<(), &'static str> {
     let mut out = Vec::with_capacity(128 + reply.body.len());
     out.extend_from_slice(
-        format!(
-            "HTTP/1.1 {} {}\r\nContent-Length: {}\r\n",
-            reply.status,
-            reason(reply.status),
-            reply.body.len()
-        )
-        .as_bytes(),
+        format!("HTTP/1.1 {} {}\r\nContent-Length: {}\r\n", reply.status, reason(reply.status), reply.body.len()).as_bytes(),
     );
     if !reply.body.is_empty() {
         out.extend_from_slice(b"Content-Type: application/msgpack\r\n");
@@ -152,10 +130,7 @@
     }
     out.extend_from_slice(b"\r\n");
     out.extend_from_slice(&reply.body);
-    within(READ_TIMEOUT_MS, stream.write_all(&out))
-        .await
-        .ok_or("write timeout")?
-        .map_err(|_| "write failed")
+    within(READ_TIMEOUT_MS, stream.write_all(&out)).await.ok_or("write timeout")?.map_err(|_| "write failed")
 }
 
 fn reason(status: u16) -> &'static str {
@@ -177,11 +152,7 @@
 type Faulty = (u16, &'static str);
 
 /// Reads one request. `None`: the other side closed between requests.
-async fn read_request(
-    stream: &mut TcpStream,
-    buffer: &mut Vec<u8>,
-    max_body: usize,
-) -> Result<Option<(Request, bool)>, Faulty> {
+async fn read_request(stream: &mut TcpStream, buffer: &mut Vec<u8>, max_body: usize) -> Result<Option<(Request, bool)>, Faulty> {
     let mut chunk = [0u8; 8192];
     loop {
         if !buffer.is_empty()
@@ -190,11 +161,7 @@
             buffer.drain(..used);
             return Ok(Some((request, close)));
         }
-        let limit = if buffer.is_empty() {
-            IDLE_TIMEOUT_MS
-        } else {
-            READ_TIMEOUT_MS
-        };
+        let limit = if buffer.is_empty() { IDLE_TIMEOUT_MS } else { READ_TIMEOUT_MS };
         match within(limit, stream.read(&mut chunk)).await {
             None if buffer.is_empty() => return Ok(None),
             None => return Err((408, "request took too long")),
@@ -218,9 +185,7 @@
     let mut length = 0usize;
     let mut close = head.version == Some(0);
     for h in head.headers.iter() {
-        let value = std::str::from_utf8(h.value)
-            .map_err(|_| (400, "header not text"))?
-            .trim();
+        let value = std::str::from_utf8(h.value).map_err(|_| (400, "header not text"))?.trim();
         if h.name.eq_ignore_ascii_case("content-length") {
             length = value.parse().map_err(|_| (400, "bad content length"))?;
         } else if h.name.eq_ignore_ascii_case("transfer-encoding") {
