Rent zone by zone for scattered jobs, and one zone for a gang of many

Found by the model test of a cut: four replicas that must be scattered got machines of one zone only, since a machine booting there counted as room.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -66,11 +66,21 @@
     let known = bins.len();
     let mut zones_used = count_by_zone.clone();
     for d in lacking {
+        let mut forced = d.zone.clone();
+        if d.one_zone && d.count > 1 && forced.is_none() {
+            // The whole gang goes where most of it fits already.
+            let fit =
+                |zone: &str| bins.iter().filter(|b| b.zone == zone && (d.spot || !b.spot)).map(|b| tasks_in(&b.free, &d.need)).sum::<u64>();
+            let mut zones: Vec<&String> = catalog.values().flat_map(|t| &t.zones).collect();
+            zones.sort_unstable();
+            zones.dedup();
+            forced = zones.into_iter().max_by_key(|z| (fit(z), std::cmp::Reverse(zones_used.get(*z).copied().unwrap_or(0)))).cloned();
+        }
         for _ in 0..d.count {
             let allowed = |b: &Bin| {
                 (d.spot || !b.spot)
                     && d.types.as_ref().is_none_or(|t| t.contains(&b.kind))
-                    && d.zone.as_ref().is_none_or(|z| z == &b.zone)
+                    && forced.as_ref().is_none_or(|z| z == &b.zone)
                     && b.free.covers(&d.need)
             };
             // Cheap room first for those who may use it.
@@ -85,7 +95,7 @@
                     continue;
                 }
                 for zone in &t.zones {
-                    if d.zone.as_ref().is_some_and(|z| z != zone) {
+                    if forced.as_ref().is_some_and(|z| z != zone) {
                         continue;
                     }
                     for spot in [true, false] {
--- a/src/coordination/placer.rs
+++ b/src/coordination/placer.rs
@@ -217,13 +217,14 @@
     /// What found no room in the last pass.
     pub lacking: Vec<Demand>,
     txn_ops: usize,
+    zones: Vec<String>,
     place_again: bool,
     others_turn: u16,
 }
 
 impl Placer {
     /// A placer that has just got its part.
-    pub fn new(part: u16, token: u64, parts: u16, limits: HashMap<String, Room>, txn_ops: usize) -> Self {
+    pub fn new(part: u16, token: u64, parts: u16, limits: HashMap<String, Room>, zones: Vec<String>, txn_ops: usize) -> Self {
         Self {
             part,
             token,
@@ -235,6 +236,7 @@
             promises: Vec::new(),
             lacking: Vec::new(),
             txn_ops,
+            zones,
             place_again: false,
             others_turn: part,
         }
@@ -682,17 +684,34 @@
         } else {
             0
         };
-        if count > 0 {
-            lacking.push(Demand {
-                team: job.team.clone(),
-                need: job.need,
-                types: spec.types.clone(),
-                zone: spec.zone.clone(),
-                spot: spec.spot,
-                count: count as u32,
-                one_zone: spec.one_zone,
-            });
+        if count == 0 {
+            return;
+        }
+        let demand = Demand {
+            team: job.team.clone(),
+            need: job.need,
+            types: spec.types.clone(),
+            zone: spec.zone.clone(),
+            spot: spec.spot,
+            count: count as u32,
+            one_zone: spec.one_zone,
+        };
+        if !spec.spread || job.tasks == 1 || spec.zone.is_some() {
+            lacking.push(demand);
+            return;
         }
+        // A scattered job lacks room zone by zone: machines that boot in one
+        // zone are of no use to the tasks that must be in another.
+        let most = job.tasks.div_ceil(2);
+        let mut left: BTreeMap<&String, u32> =
+            self.zones.iter().map(|z| (z, most.saturating_sub(job.live.values().filter(|l| &l.zone == z).count() as u32))).collect();
+        let mut shares: BTreeMap<&String, u32> = BTreeMap::new();
+        for _ in 0..count {
+            let Some((zone, room)) = left.iter_mut().max_by_key(|(_, room)| **room).filter(|(_, room)| **room > 0) else { break };
+            *room -= 1;
+            *shares.entry(zone).or_default() += 1;
+        }
+        lacking.extend(shares.into_iter().map(|(zone, count)| Demand { zone: Some(zone.clone()), count, ..demand.clone() }));
     }
 
     /// Places the next unit of a job: a task, or a whole gang.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -8,8 +8,7 @@
 use sim::{Faults, World, job};
 
 const NO_FAULTS: Faults = Faults { lost_txn_reply: 0, late_txn: 0, lost_command: 0, late_command: 0, lost_sync: 0, late_sync: 0 };
-const MANY_FAULTS: Faults =
-    Faults { lost_txn_reply: 60, late_txn: 60, lost_command: 80, late_command: 80, lost_sync: 80, late_sync: 500 };
+const MANY_FAULTS: Faults = Faults { lost_txn_reply: 60, late_txn: 60, lost_command: 80, late_command: 80, lost_sync: 80, late_sync: 500 };
 
 fn id(n: u32) -> JobId {
     JobId::from(format!("req-{n:06}").as_str())
--- a/tests/sim/mod.rs
+++ b/tests/sim/mod.rs
@@ -314,7 +314,8 @@
             }
             Effect::Nudge(part) => {
                 if let Some(to) = self.holder(part) {
-                    let from: Vec<u16> = self.hosts[host].core.as_ref().map(|c| c.held().iter().map(|l| l.part).collect()).unwrap_or_default();
+                    let from: Vec<u16> =
+                        self.hosts[host].core.as_ref().map(|c| c.held().iter().map(|l| l.part).collect()).unwrap_or_default();
                     if let Some(core) = self.core(to) {
                         for f in from {
                             core.nudged(part, f);
@@ -507,6 +508,7 @@
                         let to = self.settings.iter().position(|s| s.host_name == name).unwrap_or(0);
                         if let Some(w) = self.workers.get_mut(&machine) {
                             w.node = to;
+                            w.in_flight = false;
                         }
                         self.at(100, Event::Report(machine));
                     }
@@ -514,6 +516,7 @@
                         let hosts = self.hosts.len();
                         if let Some(w) = self.workers.get_mut(&machine) {
                             w.node = (w.node + 1) % hosts;
+                            w.in_flight = false;
                         }
                         self.at(1_000, Event::Report(machine));
                     }
@@ -599,14 +602,12 @@
         }
         w.advance(now, &specs, &mut self.checker);
         if w.in_flight && now < w.report_sent + 4_000 || now < w.report_sent + 500 {
-            let wait = 600;
-            if !w.retry_planned {
-                w.retry_planned = true;
-                self.at(wait, Event::Report(machine.clone()));
+            if now >= w.retry_at {
+                w.retry_at = now + 600;
+                self.at(600, Event::Report(machine.clone()));
             }
             return;
         }
-        w.retry_planned = false;
         w.in_flight = true;
         w.report_sent = now;
         let report = w.report();
--- a/tests/sim/store.rs
+++ b/tests/sim/store.rs
@@ -61,15 +61,13 @@
     pub fn follow(&self, mirror: &mut Mirror) -> bool {
         match mirror.revision {
             None => {
-                let entries: Vec<Entry> =
-                    self.list("w/").into_iter().map(|(key, value, version)| Entry { key, value, version }).collect();
+                let entries: Vec<Entry> = self.list("w/").into_iter().map(|(key, value, version)| Entry { key, value, version }).collect();
                 mirror.replace(&entries, self.revision);
                 true
             }
             Some(after) => {
                 let key = |c: &Change| c.set.clone().or(c.drop.clone()).unwrap_or_default();
-                let changes: Vec<Change> =
-                    self.log.iter().filter(|c| c.version > after && key(c).starts_with("w/")).cloned().collect();
+                let changes: Vec<Change> = self.log.iter().filter(|c| c.version > after && key(c).starts_with("w/")).cloned().collect();
                 mirror.apply(&changes, self.revision);
                 !changes.is_empty()
             }
