--- a/src/constants.rs
+++ b/src/constants.rs
@@ -139,6 +139,12 @@
 pub const PLACE_GAP_MS: u64 = 50;
 /// ms of the core's clock tick.
 pub const TICK_MS: u64 = 100;
+/// ms that an attempt waits for those pushed out for it; longer than any save
+/// seen in the field, after which the placer tries elsewhere.
+pub const EVICT_WAIT_MS: u64 = 15_000;
+/// ms that a refused placement waits before it is tried again: the refusal
+/// brought the owner's whole state, and the next pass uses it.
+pub const REFUSED_PAUSE_MS: u64 = 250;
 /// Failures in a row, with no success between, that quarantine a machine.
 pub const QUARANTINE_ERRORS: u32 = 3;
 /// ms that a job waits after a failed attempt, doubled with each failure.
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -113,6 +113,8 @@
     pub me: u16,
     /// Limits of the teams.
     pub limits: HashMap<String, Room>,
+    /// Guarantees of the teams; 0: none.
+    pub guarantees: HashMap<String, Room>,
     /// Zones.
     pub zones: Vec<String>,
     /// Team names in order.
@@ -137,6 +139,7 @@
         teams.sort_unstable();
         Self {
             limits: settings.cluster.teams.iter().map(|t| (t.name.clone(), team_limit(t))).collect(),
+            guarantees: settings.cluster.teams.iter().map(|t| (t.name.clone(), Room::offer(t.cpus, t.gpus, 0.0))).collect(),
             zones: settings.cluster.zones.clone(),
             teams,
             timing: Timing { lease_ms: ms(w.lease_s), report_ms: ms(w.report_s) },
@@ -202,8 +205,15 @@
         if let Some(catalog) = &self.catalog {
             owner.set_types(catalog.values());
         }
-        let mut placer =
-            Placer::new(lot.part, lot.token, parts, self.config.limits.clone(), self.config.zones.clone(), self.config.txn_ops);
+        let mut placer = Placer::new(
+            lot.part,
+            lot.token,
+            parts,
+            self.config.limits.clone(),
+            self.config.guarantees.clone(),
+            self.config.zones.clone(),
+            self.config.txn_ops,
+        );
         for (id, chunk, record, version) in chunks {
             placer.load_chunk(id, *chunk, record, *version);
         }
--- a/src/coordination/owner.rs
+++ b/src/coordination/owner.rs
@@ -16,10 +16,10 @@
 use tracing::{info, warn};
 
 use crate::constants::*;
-use crate::model::{AttemptId, JobId, MachineId, Room};
+use crate::model::{AttemptId, JobId, MachineId, Rank, Room};
 use crate::policy::Policy;
 use crate::protocol::cloud::RentalEntry;
-use crate::protocol::peer::{AttemptView, Cause, MachineView, Rented, Standing, Sync, View};
+use crate::protocol::peer::{AttemptView, Cause, MachineView, Rented, Standing, Sync, View, Want};
 use crate::protocol::worker::{Commands, Order, Report, ReportReply, TaskPhase, Verb};
 
 /// Times that bound the owner's proofs, from the settings.
@@ -145,6 +145,8 @@
 enum Stage {
     /// Not judged yet: the machine has not shown our token.
     Unjudged,
+    /// Waits since then for those who were pushed out for it.
+    Waiting(u64),
     /// Has room. `sent`: session that a start order went out to.
     Accepted { sent: Option<u64>, seen: bool },
     /// Over.
@@ -154,15 +156,22 @@
 #[derive(Debug)]
 struct Held {
     from: u16,
-    machine: MachineId,
-    need: Room,
-    image: String,
-    go: bool,
-    kill: Option<u32>,
+    /// What its placer says of it; refreshed by every sync.
+    want: Want,
+    /// Set when it is pushed out: seconds of grace.
+    evicted: Option<u32>,
     killed_at: Option<u64>,
+    since: u64,
     stage: Stage,
 }
 
+impl Held {
+    /// Seconds of grace if it shall end, for whatever reason.
+    fn ending(&self) -> Option<u32> {
+        self.want.kill.or(self.evicted)
+    }
+}
+
 #[derive(Default, Debug)]
 struct Asker {
     token: u64,
@@ -360,9 +369,15 @@
 
     /// Re-judges all attempts of a machine.
     fn judge(&mut self, machine: &MachineId, now: u64) {
-        let ids: Vec<AttemptId> = self.held.iter().filter(|(_, h)| &h.machine == machine).map(|(id, _)| id.clone()).collect();
-        for id in ids {
-            self.judge_one(&id, now);
+        let ids: Vec<AttemptId> = self.held.iter().filter(|(_, h)| &h.want.machine == machine).map(|(id, _)| id.clone()).collect();
+        for id in &ids {
+            self.judge_one(id, now);
+        }
+        // Those who wait may have got their room from an end just found.
+        for id in &ids {
+            if self.held.get(id).is_some_and(|h| matches!(h.stage, Stage::Waiting(_))) {
+                self.judge_one(id, now);
+            }
         }
         self.update_idle(machine, now);
     }
@@ -374,12 +389,16 @@
         if matches!(held.stage, Stage::Ended(_)) {
             return;
         }
-        let machine = held.machine.clone();
-        let stage = self.next_stage(id, held, now);
+        let machine = held.want.machine.clone();
+        let mut stage = self.next_stage(id, held, now);
+        if held.stage == Stage::Unjudged && stage == Stage::Ended(Standing::Refused) && self.push_out(id, now) {
+            stage = Stage::Waiting(now);
+        }
+        let Some(held) = self.held.get(id) else { return };
         if stage == held.stage {
             return;
         }
-        let (image, from) = (held.image.clone(), held.from);
+        let (image, from) = (held.want.image.clone(), held.from);
         if let Stage::Accepted { .. } = stage
             && let Some(m) = self.machines.get_mut(&machine)
         {
@@ -396,10 +415,10 @@
     }
 
     fn next_stage(&self, id: &AttemptId, held: &Held, now: u64) -> Stage {
-        if self.gone.contains(&held.machine) {
+        if self.gone.contains(&held.want.machine) {
             return Stage::Ended(Standing::Gone);
         }
-        let Some(m) = self.machines.get(&held.machine) else {
+        let Some(m) = self.machines.get(&held.want.machine) else {
             return held.stage;
         };
         if let Some(seen) = m.tasks.get(id) {
@@ -414,23 +433,119 @@
             return held.stage;
         }
         match held.stage {
-            Stage::Unjudged if held.kill.is_some() => Stage::Ended(Standing::Gone),
+            Stage::Unjudged if held.ending().is_some() => Stage::Ended(Standing::Gone),
             Stage::Unjudged => {
-                let fits = m.open() && m.session > m.dead_session && self.free(&held.machine).covers(&held.need);
+                let fits = m.open() && m.session > m.dead_session && self.free(&held.want.machine).covers(&held.want.need);
                 if fits { Stage::Accepted { sent: None, seen: false } } else { Stage::Ended(Standing::Refused) }
             }
-            Stage::Accepted { sent: None, .. } if held.kill.is_some() => Stage::Ended(Standing::Gone),
+            Stage::Waiting(_) if held.ending().is_some() => Stage::Ended(Standing::Gone),
+            Stage::Waiting(since) => {
+                let mut free = self.free(&held.want.machine);
+                if !m.open() || m.session <= m.dead_session || now > since + EVICT_WAIT_MS {
+                    return Stage::Ended(Standing::Refused);
+                }
+                // Its own claim is part of what is taken.
+                free = self.room_without(&held.want.machine, id).unwrap_or(free);
+                if free.covers(&held.want.need) { Stage::Accepted { sent: None, seen: false } } else { held.stage }
+            }
+            Stage::Accepted { sent: None, .. } if held.ending().is_some() => Stage::Ended(Standing::Gone),
             Stage::Accepted { sent: None, .. } if m.dead(now, &self.timing) => Stage::Ended(Standing::Gone),
             Stage::Accepted { sent: Some(session), .. } if session < m.session || session <= m.dead_session => Stage::Ended(Standing::Gone),
             Stage::Accepted { sent: Some(_), seen } if m.settled() => {
                 // Guards against a start order that arrives late: only a
                 // machine with no order of unknown fate proves absence.
-                if seen || held.kill.is_some() { Stage::Ended(Standing::Gone) } else { Stage::Accepted { sent: None, seen: false } }
+                if seen || held.ending().is_some() { Stage::Ended(Standing::Gone) } else { Stage::Accepted { sent: None, seen: false } }
             }
             stage => stage,
         }
     }
 
+    /// Tells those to leave that an attempt may push out, if that makes room
+    /// for it: lowest priority first, then the youngest, who lose least.
+    fn push_out(&mut self, id: &AttemptId, now: u64) -> bool {
+        let Some(held) = self.held.get(id) else { return false };
+        let want = held.want.clone();
+        let Some(m) = self.machines.get(&want.machine).filter(|m| m.open() && m.session > m.dead_session) else { return false };
+        if self.crowded(m) {
+            return false;
+        }
+        let here = |h: &&Held| h.want.machine == want.machine;
+        // Those who leave already make room for those who wait already.
+        let claimed = self
+            .held
+            .values()
+            .filter(here)
+            .filter(|h| matches!(h.stage, Stage::Waiting(_)))
+            .fold(Room::default(), |s, h| s.plus(&h.want.need));
+        let staying = self
+            .held
+            .values()
+            .filter(here)
+            .filter(|h| matches!(h.stage, Stage::Accepted { .. }) && h.ending().is_none())
+            .fold(Room::default(), |s, h| s.plus(&h.want.need));
+        let mut free = m.room.minus(&claimed.plus(&staying));
+        let mut candidates: Vec<(Rank, u64, AttemptId, Room)> = self
+            .held
+            .iter()
+            .filter(|(_, h)| here(h) && matches!(h.stage, Stage::Accepted { .. }) && h.ending().is_none())
+            .filter(|(_, h)| want.evict.allows(&want.team, want.rank, &h.want))
+            .map(|(id, h)| (h.want.rank, h.since, id.clone(), h.want.need))
+            .collect();
+        candidates.sort_unstable();
+        let mut victims = Vec::new();
+        while !free.covers(&want.need) {
+            let Some((_, _, victim, room)) = candidates.pop() else { return false };
+            free = free.plus(&room);
+            victims.push(victim);
+        }
+        for victim in victims {
+            if let Some(h) = self.held.get_mut(&victim) {
+                info!(attempt = %victim, machine = %want.machine, part = self.part, by = %id, "pushed out");
+                let grace = if want.rank == Rank::Production { 0 } else { h.want.grace };
+                h.evicted = Some(grace);
+                h.killed_at = None;
+            }
+            self.judge_one(&victim, now);
+        }
+        true
+    }
+
+    /// True if a task is on the machine that nobody has claimed yet.
+    fn crowded(&self, m: &Machine) -> bool {
+        m.tasks.iter().any(|(id, seen)| seen.phase != TaskPhase::Exited && !self.held.contains_key(id))
+    }
+
+    /// Room not taken by the accepted attempts other than this one.
+    fn room_without(&self, machine: &MachineId, id: &AttemptId) -> Option<Room> {
+        let m = self.machines.get(machine).filter(|m| !self.crowded(m))?;
+        let taken = self
+            .held
+            .iter()
+            .filter(|(other, h)| *other != id && &h.want.machine == machine && matches!(h.stage, Stage::Accepted { .. }))
+            .fold(Room::default(), |sum, (_, h)| sum.plus(&h.want.need));
+        Some(m.room.minus(&taken))
+    }
+
+    /// Room of the attempts that each priority may push out, without and with
+    /// what teams run beyond their guarantees.
+    fn soft(&self, machine: &MachineId) -> ([Room; 3], [Room; 3]) {
+        let (mut lower, mut over) = ([Room::default(); 3], [Room::default(); 3]);
+        for h in
+            self.held.values().filter(|h| &h.want.machine == machine && matches!(h.stage, Stage::Accepted { .. }) && h.ending().is_none())
+        {
+            for rank in 0..3 {
+                let below = h.want.rank.index() > rank;
+                if below {
+                    lower[rank] = lower[rank].plus(&h.want.need);
+                }
+                if below || h.want.over {
+                    over[rank] = over[rank].plus(&h.want.need);
+                }
+            }
+        }
+        (lower, over)
+    }
+
     /// Counts failures: a machine on which several jobs in a row failed is
     /// not used any more.
     fn note_end(&mut self, machine: &MachineId, id: &AttemptId, standing: Standing) {
@@ -456,18 +571,17 @@
         let Some(m) = self.machines.get(machine) else {
             return Room::default();
         };
-        let unclaimed = m.tasks.iter().any(|(id, seen)| seen.phase != TaskPhase::Exited && !self.held.contains_key(id));
-        if unclaimed {
+        if self.crowded(m) {
             return Room::default();
         }
         self.held
             .values()
-            .filter(|h| &h.machine == machine && matches!(h.stage, Stage::Accepted { .. }))
-            .fold(m.room, |free, h| free.minus(&h.need))
+            .filter(|h| &h.want.machine == machine && matches!(h.stage, Stage::Accepted { .. } | Stage::Waiting(_)))
+            .fold(m.room, |free, h| free.minus(&h.want.need))
     }
 
     fn busy(&self, machine: &MachineId) -> usize {
-        let held = self.held.values().filter(|h| &h.machine == machine && !matches!(h.stage, Stage::Ended(_))).count();
+        let held = self.held.values().filter(|h| &h.want.machine == machine && !matches!(h.stage, Stage::Ended(_))).count();
         let unclaimed = self
             .machines
             .get(machine)
@@ -503,7 +617,7 @@
             match self.held.get(id) {
                 Some(h) => {
                     let due = h.killed_at.is_none_or(|at| now >= at + KILL_REPEAT_MS);
-                    if let Some(grace) = h.kill
+                    if let Some(grace) = h.ending()
                         && seen.phase != TaskPhase::Exited
                         && due
                     {
@@ -525,8 +639,9 @@
             }
         }
         if starts {
-            for (id, h) in self.held.iter().filter(|(_, h)| &h.machine == machine) {
-                if h.go && h.kill.is_none() && matches!(h.stage, Stage::Accepted { seen: false, .. }) && !m.tasks.contains_key(id) {
+            for (id, h) in self.held.iter().filter(|(_, h)| &h.want.machine == machine) {
+                if h.want.go && h.ending().is_none() && matches!(h.stage, Stage::Accepted { seen: false, .. }) && !m.tasks.contains_key(id)
+                {
                     orders.push(order(Verb::Launch, id, None));
                     started.push(id.clone());
                 }
@@ -649,32 +764,22 @@
         self.held.retain(|id, h| {
             let keep = h.from != sync.from || listed.contains(id);
             if !keep {
-                touched.insert(h.machine.clone());
+                touched.insert(h.want.machine.clone());
             }
             keep
         });
         for w in &sync.wants {
             let held = self.held.entry(w.id.clone()).or_insert_with(|| {
                 touched.insert(w.machine.clone());
-                Held {
-                    from: sync.from,
-                    machine: w.machine.clone(),
-                    need: w.need,
-                    image: w.image.clone(),
-                    go: w.go,
-                    kill: w.kill,
-                    killed_at: None,
-                    stage: Stage::Unjudged,
-                }
+                Held { from: sync.from, want: w.clone(), evicted: None, killed_at: None, since: now, stage: Stage::Unjudged }
             });
-            if held.go != w.go || held.kill != w.kill {
-                if held.kill != w.kill {
+            if held.want.go != w.go || held.want.kill != w.kill {
+                if held.want.kill != w.kill {
                     held.killed_at = None;
                 }
-                held.go = w.go;
-                held.kill = w.kill;
                 touched.insert(w.machine.clone());
             }
+            held.want = w.clone();
             if !self.machines.contains_key(&w.machine) && !self.gone.contains(&w.machine) {
                 self.missing.entry(w.machine.clone()).or_insert(now);
             }
@@ -713,6 +818,8 @@
                 open: m.open(),
                 leaving: m.notice || m.quarantined,
                 free: self.free(id),
+                soft: self.soft(id).0,
+                soft_over: self.soft(id).1,
                 busy: self.busy(id).min(usize::from(u16::MAX)) as u16,
                 images: m.images.iter().cloned().collect(),
                 renter: m.renter,
@@ -727,7 +834,8 @@
                 let standing = match h.stage {
                     Stage::Unjudged => return None,
                     Stage::Ended(standing) => standing,
-                    Stage::Accepted { .. } => match self.machines.get(&h.machine).and_then(|m| m.tasks.get(id)).map(|s| s.phase) {
+                    Stage::Waiting(_) => Standing::Accepted,
+                    Stage::Accepted { .. } => match self.machines.get(&h.want.machine).and_then(|m| m.tasks.get(id)).map(|s| s.phase) {
                         Some(TaskPhase::Running | TaskPhase::Saving) => Standing::Running,
                         Some(_) => Standing::Preparing,
                         None => Standing::Accepted,
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -10,7 +10,7 @@
 
 use std::collections::HashMap;
 
-use crate::model::{MachineId, Room};
+use crate::model::{MachineId, Rank, Room};
 use crate::protocol::peer::MachineView;
 
 /// A row of bits, one a machine.
@@ -72,6 +72,10 @@
     pub free: Room,
     /// Tasks on it.
     pub busy: u32,
+    /// Room of attempts below each priority.
+    pub soft: [Room; 3],
+    /// The same with what teams run beyond their guarantees.
+    pub soft_over: [Room; 3],
 }
 
 /// What a task asks of a machine.
@@ -131,6 +135,8 @@
                 spot: m.spot,
                 free: m.free,
                 busy: u32::from(m.busy),
+                soft: m.soft,
+                soft_over: m.soft_over,
             });
         }
         field
@@ -193,10 +199,32 @@
         best.map(|(_, i)| i)
     }
 
+    /// The machine on which least must be pushed out, among those where that
+    /// suffices; one that has the image goes first.
+    pub fn evict_fit(&self, ask: &Ask<'_>, rank: Rank, over: bool) -> Option<usize> {
+        let rank = rank.index();
+        let image = self.images.get(ask.image);
+        let has_image = |i: usize| image.is_some_and(|row| row.0[i / 64] >> (i % 64) & 1 == 1);
+        self.allowed(ask)
+            .ones()
+            .filter_map(|i| {
+                let slot = &self.slots[i];
+                let soft = if over { &slot.soft_over } else { &slot.soft };
+                let room = soft.get(rank)?;
+                slot.free.plus(room).covers(&ask.need).then(|| (has_image(i), std::cmp::Reverse(ask.need.minus(&slot.free)), i))
+            })
+            .max_by_key(|(image, missing, i)| (*image, *missing, std::cmp::Reverse(*i)))
+            .map(|(_, _, i)| i)
+    }
+
     /// Takes room on a machine.
     pub fn take(&mut self, i: usize, need: &Room, image: &str) {
         let n = self.slots.len();
         let slot = &mut self.slots[i];
+        let pushed = need.minus(&slot.free);
+        for room in slot.soft.iter_mut().chain(&mut slot.soft_over) {
+            *room = room.minus(&pushed);
+        }
         slot.free = slot.free.minus(need);
         slot.busy += 1;
         self.busy.set(i);
--- a/src/coordination/placer.rs
+++ b/src/coordination/placer.rs
@@ -12,8 +12,8 @@
 use crate::constants::*;
 use crate::coordination::fleet::Demand;
 use crate::coordination::placement::{Ask, Field};
-use crate::model::{AttemptId, JobId, JobSpec, MachineId, Room, Shape};
-use crate::protocol::peer::{Cause, JobNote, Rented, Standing, Sync, View, Want};
+use crate::model::{AttemptId, JobId, JobSpec, MachineId, Rank, Room, Shape};
+use crate::protocol::peer::{Cause, Evict, JobNote, Rented, Standing, Sync, View, Want};
 use crate::protocol::state::{Condition, Txn, Write};
 use crate::protocol::users::Phase;
 use crate::storage::mirror::MirroredJob;
@@ -31,6 +31,7 @@
     standing: Option<Standing>,
     kill: Option<u32>,
     since: u64,
+    evict: Evict,
 }
 
 /// An attempt that is over, kept until that is written.
@@ -104,6 +105,11 @@
         self.record.as_ref().map(|r| &r.spec)
     }
 
+    /// Priority; a job that is over only takes room for its stops.
+    fn rank(&self) -> Rank {
+        self.spec().map_or(Rank::Low, |s| s.rank)
+    }
+
     fn is_done(&self, task: u32) -> bool {
         self.done.get(task as usize).copied().unwrap_or(false)
     }
@@ -210,6 +216,7 @@
     jobs: BTreeMap<JobId, Job>,
     copies: Vec<PartCopy>,
     limits: HashMap<String, Room>,
+    guarantees: HashMap<String, Room>,
     turn: usize,
     pending: Option<Pending>,
     /// Machines rented that are not in any view yet.
@@ -224,13 +231,22 @@
 
 impl Placer {
     /// A placer that has just got its part.
-    pub fn new(part: u16, token: u64, parts: u16, limits: HashMap<String, Room>, zones: Vec<String>, txn_ops: usize) -> Self {
+    pub fn new(
+        part: u16,
+        token: u64,
+        parts: u16,
+        limits: HashMap<String, Room>,
+        guarantees: HashMap<String, Room>,
+        zones: Vec<String>,
+        txn_ops: usize,
+    ) -> Self {
         Self {
             part,
             token,
             jobs: BTreeMap::new(),
             copies: (0..parts).map(|_| PartCopy::default()).collect(),
             limits,
+            guarantees,
             turn: 0,
             pending: None,
             promises: Vec::new(),
@@ -266,7 +282,17 @@
         for l in record.live.iter().filter(|l| (first..end).contains(&l.t)) {
             job.live.insert(
                 l.t,
-                Live { attempt: l.a, machine: l.m.clone(), part: l.p, zone: l.z.clone(), change: 0, standing: None, kill: None, since: 0 },
+                Live {
+                    attempt: l.a,
+                    machine: l.m.clone(),
+                    part: l.p,
+                    zone: l.z.clone(),
+                    change: 0,
+                    standing: None,
+                    kill: None,
+                    evict: Evict::Nobody,
+                    since: 0,
+                },
             );
         }
     }
@@ -430,11 +456,12 @@
 
     /// Everything wanted of a part.
     pub fn sync_for(&mut self, to: u16, to_token: u64, now: u64) -> Sync {
-        let copy = &mut self.copies[usize::from(to)];
-        copy.seq += 1;
+        let over = self.over();
+        let seq = self.copies[usize::from(to)].seq + 1;
         let mut wants = Vec::new();
         for (id, job) in &self.jobs {
             let image = job.spec().map(|s| s.image.clone()).unwrap_or_default();
+            let grace = job.spec().map(JobSpec::grace_s).unwrap_or(0);
             let gang = job.spec().is_some_and(|s| s.shape == Shape::Gang);
             let granted = !gang
                 || (job.live.len() as u32 == job.tasks - job.done_count.min(job.tasks) && job.live.values().all(|l| l.standing.is_some()));
@@ -445,6 +472,11 @@
                 let go = !gang || granted || job.tasks == 1;
                 let kill = if job.over { Some(0) } else { l.kill };
                 wants.push(Want {
+                    team: job.team.clone(),
+                    rank: job.rank(),
+                    over: over.contains(&(id, task)),
+                    grace,
+                    evict: l.evict,
                     id: AttemptId { job: id.clone(), task, attempt: l.attempt },
                     machine: l.machine.clone(),
                     need: job.need,
@@ -461,26 +493,43 @@
                     image: image.clone(),
                     go: false,
                     kill: Some(0),
+                    team: job.team.clone(),
+                    rank: job.rank(),
+                    over: true,
+                    grace: 0,
+                    evict: Evict::Nobody,
                 });
             }
         }
+        self.copies[usize::from(to)].seq = seq;
         let rented = self
             .promises
             .iter()
             .filter(|p| p.part == to)
             .map(|p| Rented { age_ms: now.saturating_sub(p.at), ..p.rented.clone() })
             .collect();
-        Sync {
-            version: PEER_VERSION,
-            from: self.part,
-            from_token: self.token,
-            to,
-            to_token,
-            seq: copy.seq,
-            wants,
-            rented,
-            notes: self.notes(),
+        Sync { version: PEER_VERSION, from: self.part, from_token: self.token, to, to_token, seq, wants, rented, notes: self.notes() }
+    }
+
+    /// Attempts that their teams run beyond their guarantees: the guarantee
+    /// goes to the highest priority first, then to the oldest.
+    fn over(&self) -> HashSet<(&JobId, u32)> {
+        let mut all: Vec<(&str, Rank, u64, &JobId, u32, Room)> = Vec::new();
+        for (id, job) in &self.jobs {
+            let at = job.record.as_ref().map_or(0, |r| r.at);
+            all.extend(job.live.keys().map(|&t| (job.team.as_str(), job.rank(), at, id, t, job.need)));
+        }
+        all.sort_unstable();
+        let mut used: HashMap<&str, Room> = HashMap::new();
+        let mut over = HashSet::new();
+        for (team, _, _, id, task, need) in all {
+            let sum = used.entry(team).or_default();
+            *sum = sum.plus(&need);
+            if !within(sum, self.guarantees.get(team)) {
+                over.insert((id, task));
+            }
         }
+        over
     }
 
     /// Counts of the unfinished jobs.
@@ -579,6 +628,7 @@
                     job.reason = "its tasks failed; it is tried again after a pause";
                 }
             }
+            Standing::Refused => job.not_before = now + REFUSED_PAUSE_MS,
             Standing::Exited(Cause::NoRoom | Cause::InUse | Cause::Unknown | Cause::Alone) => job.not_before = now + 500,
             _ => {}
         }
@@ -743,16 +793,19 @@
             job.reason = "its team is at its limit";
             return false;
         }
+        let guaranteed = within(&after, self.guarantees.get(&job.team));
+        let evict = if guaranteed { Evict::LowerAndOver } else { Evict::Lower };
         // Jobs that ask the same found no room a moment ago.
         let shape_key = format!(
-            "{:?}{:?}{:?}{}{}{}{:?}",
+            "{:?}{:?}{:?}{}{}{}{:?}{:?}{guaranteed}",
             job.need,
             spec.types,
             spec.zone,
             spec.spot,
             spec.spread && job.tasks > 1,
             tasks.len(),
-            job.avoid
+            job.avoid,
+            spec.rank
         );
         if failed.contains(&shape_key) {
             job.reason = "no machine has room; more are asked for";
@@ -784,17 +837,23 @@
                 let found = [true, false]
                     .into_iter()
                     .find_map(|with_image| order.iter().find_map(|&p| trial[p].first_fit(&ask, with_image).map(|i| (p, i))));
-                let Some((p, i)) = found else { break };
+                // Fairness has no work while room exists; without room, lower
+                // priorities make way, and what others run beyond their
+                // guarantee does for a team within its own.
+                let pushed = || order.iter().find_map(|&p| trial[p].evict_fit(&ask, spec.rank, guaranteed).map(|i| (p, i)));
+                let Some((p, i, evict)) = found.map(|(p, i)| (p, i, Evict::Nobody)).or_else(|| pushed().map(|(p, i)| (p, i, evict))) else {
+                    break;
+                };
                 trial[p].take(i, &job.need, &spec.image);
                 *per_zone.entry(trial[p].slots[i].zone.clone()).or_default() += 1;
-                chosen.push((task, p, i));
+                chosen.push((task, p, i, evict));
             }
             if chosen.len() < tasks.len() {
                 continue;
             }
             let attempt = job.next;
             job.next += 1;
-            for (task, p, i) in chosen {
+            for (task, p, i, evict) in chosen {
                 let slot = &trial[p].slots[i];
                 if p != usize::from(self.part) {
                     self.others_turn = p as u16;
@@ -811,6 +870,7 @@
                         change,
                         standing: None,
                         kill: None,
+                        evict,
                         since: now,
                     },
                 );
@@ -850,6 +910,12 @@
     }
 }
 
+/// True if a use is within a guarantee; one that names nothing holds nothing.
+fn within(used: &Room, guarantee: Option<&Room>) -> bool {
+    let Some(g) = guarantee.filter(|g| g.cpus > 0 || g.gpus > 0) else { return false };
+    (g.cpus == 0 || used.cpus <= g.cpus) && (g.gpus == 0 || used.gpus <= g.gpus)
+}
+
 /// Zones in which a job's next task may start, given its other tasks.
 fn allowed_zones<'a>(
     spec: &'a JobSpec,
--- a/src/model.rs
+++ b/src/model.rs
@@ -164,6 +164,13 @@
     Low,
 }
 
+impl Rank {
+    /// Position, highest first.
+    pub fn index(self) -> usize {
+        self as usize
+    }
+}
+
 /// What a user asked for; wire names, since it is stored as it came.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct JobSpec {
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -9,7 +9,7 @@
 use borsh::{BorshDeserialize, BorshSerialize};
 
 use crate::constants::PEER_VERSION;
-use crate::model::{AttemptId, JobId, MachineId, Room};
+use crate::model::{AttemptId, JobId, MachineId, Rank, Room};
 
 /// What a placer wants of an owner.
 #[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
@@ -50,6 +50,39 @@
     pub go: bool,
     /// Set when it shall end: seconds of grace.
     pub kill: Option<u32>,
+    /// Its team.
+    pub team: String,
+    /// Priority of its job.
+    pub rank: Rank,
+    /// True if its team runs it beyond its guarantee.
+    pub over: bool,
+    /// Seconds of grace in which it saves when stopped.
+    pub grace: u32,
+    /// Whom it may push out if there is no room.
+    pub evict: Evict,
+}
+
+/// Whom an attempt may push out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub enum Evict {
+    /// Nobody.
+    Nobody,
+    /// Work of lower priority.
+    Lower,
+    /// That, and what other teams run beyond their guarantee.
+    LowerAndOver,
+}
+
+impl Evict {
+    /// True if the protocol lets an attempt of this team and priority push
+    /// out another.
+    pub fn allows(self, team: &str, rank: Rank, victim: &Want) -> bool {
+        match self {
+            Evict::Nobody => false,
+            Evict::Lower => victim.rank > rank,
+            Evict::LowerAndOver => victim.rank > rank || victim.over && victim.team != team,
+        }
+    }
 }
 
 /// A machine that was rented and has not shown up yet.
@@ -116,6 +149,10 @@
     pub leaving: bool,
     /// Free room.
     pub free: Room,
+    /// Room of attempts below each priority, highest first.
+    pub soft: [Room; 3],
+    /// The same with all that teams run beyond their guarantees.
+    pub soft_over: [Room; 3],
     /// Tasks on it.
     pub busy: u16,
     /// Images that it has or fetches.
