--- a/src/coordination/owner.rs
+++ b/src/coordination/owner.rs
@@ -535,10 +535,10 @@
         {
             for rank in 0..3 {
                 let below = h.want.rank.index() > rank;
-                if below {
+                if below && h.want.over {
                     lower[rank] = lower[rank].plus(&h.want.need);
                 }
-                if below || h.want.over {
+                if h.want.over {
                     over[rank] = over[rank].plus(&h.want.need);
                 }
             }
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -74,13 +74,14 @@
 }
 
 impl Evict {
-    /// True if the protocol lets an attempt of this team and priority push
-    /// out another.
+    /// True if an attempt of this team and priority may push out another.
+    /// Work within its team's guarantee is never pushed out: it would come
+    /// back at once and push out whoever took its place, for ever.
     pub fn allows(self, team: &str, rank: Rank, victim: &Want) -> bool {
         match self {
             Evict::Nobody => false,
-            Evict::Lower => victim.rank > rank,
-            Evict::LowerAndOver => victim.rank > rank || victim.over && victim.team != team,
+            Evict::Lower => victim.over && victim.rank > rank,
+            Evict::LowerAndOver => victim.over && (victim.rank > rank || victim.team != team),
         }
     }
 }
