--- a/src/coordination/owner.rs
+++ b/src/coordination/owner.rs
@@ -538,7 +538,7 @@
                 if below && h.want.over {
                     lower[rank] = lower[rank].plus(&h.want.need);
                 }
-                if h.want.over {
+                if below && h.want.over || h.want.over && h.want.rank.index() == rank && h.want.rank != Rank::Production {
                     over[rank] = over[rank].plus(&h.want.need);
                 }
             }
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -76,12 +76,17 @@
 impl Evict {
     /// True if an attempt of this team and priority may push out another.
     /// Work within its team's guarantee is never pushed out: it would come
-    /// back at once and push out whoever took its place, for ever.
+    /// back at once and push out whoever took its place, for ever. Nor do
+    /// shares push out production or a higher priority: a replica that is
+    /// down costs its users more than a batch task that waits.
     pub fn allows(self, team: &str, rank: Rank, victim: &Want) -> bool {
         match self {
             Evict::Nobody => false,
             Evict::Lower => victim.over && victim.rank > rank,
-            Evict::LowerAndOver => victim.over && (victim.rank > rank || victim.team != team),
+            Evict::LowerAndOver => {
+                let others = victim.team != team && victim.rank >= rank && victim.rank != Rank::Production;
+                victim.over && (victim.rank > rank || others)
+            }
         }
     }
 }
