--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -115,6 +115,10 @@
     pub limits: HashMap<String, Room>,
     /// Guarantees of the teams; 0: none.
     pub guarantees: HashMap<String, Room>,
+    /// Seconds within which tasks of a class should start.
+    pub start_within: HashMap<String, f64>,
+    /// Seconds within which work within a guarantee should start.
+    pub guarantee_within: f64,
     /// Zones.
     pub zones: Vec<String>,
     /// Team names in order.
@@ -135,11 +139,14 @@
         let me = members.iter().position(|m| m.host == settings.host_name).unwrap_or(0) as u16;
         let w = &settings.cluster.workers;
         let ms = |s: f64| (s * 1000.0) as u64;
+        let objectives = &settings.cluster.objectives;
         let mut teams: Vec<String> = settings.cluster.teams.iter().map(|t| t.name.clone()).collect();
         teams.sort_unstable();
         Self {
             limits: settings.cluster.teams.iter().map(|t| (t.name.clone(), team_limit(t))).collect(),
             guarantees: settings.cluster.teams.iter().map(|t| (t.name.clone(), Room::offer(t.cpus, t.gpus, 0.0))).collect(),
+            start_within: objectives.iter().filter(|o| o.kind == "wait").filter_map(|o| Some((o.class.clone()?, o.within_s?))).collect(),
+            guarantee_within: objectives.iter().filter(|o| o.kind == "guarantee").filter_map(|o| o.within_s).fold(f64::MAX, f64::min),
             zones: settings.cluster.zones.clone(),
             teams,
             timing: Timing { lease_ms: ms(w.lease_s), report_ms: ms(w.report_s) },
@@ -214,6 +221,9 @@
             self.config.zones.clone(),
             self.config.txn_ops,
         );
+        if let Some(catalog) = &self.catalog {
+            placer.expect(&self.config.start_within, self.config.guarantee_within, catalog);
+        }
         for (id, chunk, record, version) in chunks {
             placer.load_chunk(id, *chunk, record, *version);
         }
@@ -252,6 +262,7 @@
     pub fn set_catalog(&mut self, catalog: Catalog) {
         for part in self.parts.values_mut() {
             part.owner.set_types(catalog.values());
+            part.placer.expect(&self.config.start_within, self.config.guarantee_within, &catalog);
         }
         self.catalog = Some(catalog);
     }
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -201,12 +201,13 @@
 
     /// The machine on which least must be pushed out, among those where that
     /// suffices; one that has the image goes first.
-    pub fn evict_fit(&self, ask: &Ask<'_>, rank: Rank, over: bool) -> Option<usize> {
+    pub fn evict_fit(&self, ask: &Ask<'_>, rank: Rank, over: bool, with_image: bool) -> Option<usize> {
         let rank = rank.index();
         let image = self.images.get(ask.image);
         let has_image = |i: usize| image.is_some_and(|row| row.0[i / 64] >> (i % 64) & 1 == 1);
         self.allowed(ask)
             .ones()
+            .filter(|&i| !with_image || has_image(i))
             .filter_map(|i| {
                 let slot = &self.slots[i];
                 let soft = if over { &slot.soft_over } else { &slot.soft };
--- a/src/coordination/placer.rs
+++ b/src/coordination/placer.rs
@@ -12,7 +12,7 @@
 use crate::constants::*;
 use crate::coordination::fleet::Demand;
 use crate::coordination::placement::{Ask, Field};
-use crate::model::{AttemptId, JobId, JobSpec, MachineId, Rank, Room, Shape};
+use crate::model::{AttemptId, Catalog, JobId, JobSpec, MachineId, Rank, Room, Shape};
 use crate::protocol::peer::{Cause, Evict, JobNote, Rented, Standing, Sync, View, Want};
 use crate::protocol::state::{Condition, Txn, Write};
 use crate::protocol::users::Phase;
@@ -217,6 +217,12 @@
     copies: Vec<PartCopy>,
     limits: HashMap<String, Room>,
     guarantees: HashMap<String, Room>,
+    /// Seconds within which tasks of a class should start.
+    start_within: HashMap<String, f64>,
+    /// Seconds within which work within a guarantee should start.
+    guarantee_within: f64,
+    /// Usual fetch rate.
+    fetch_gb_per_s: f64,
     turn: usize,
     pending: Option<Pending>,
     /// Machines rented that are not in any view yet.
@@ -247,6 +253,9 @@
             copies: (0..parts).map(|_| PartCopy::default()).collect(),
             limits,
             guarantees,
+            start_within: HashMap::new(),
+            guarantee_within: f64::MAX,
+            fetch_gb_per_s: f64::MAX,
             turn: 0,
             pending: None,
             promises: Vec::new(),
@@ -258,6 +267,13 @@
         }
     }
 
+    /// Learns what is expected of starts, and how fast images come.
+    pub fn expect(&mut self, start_within: &HashMap<String, f64>, guarantee_within: f64, catalog: &Catalog) {
+        self.start_within.clone_from(start_within);
+        self.guarantee_within = guarantee_within;
+        self.fetch_gb_per_s = catalog.values().map(|t| t.fetch_gb_per_s).fold(0.0, f64::max);
+    }
+
     // ---- records -----------------------------------------------------------
 
     /// Loads one chunk of a task record, as an earlier owner left it.
@@ -795,6 +811,9 @@
         }
         let guaranteed = within(&after, self.guarantees.get(&job.team));
         let evict = if guaranteed { Evict::LowerAndOver } else { Evict::Lower };
+        let soon = self.start_within.get(&spec.class).copied().unwrap_or(f64::MAX);
+        let soon = if guaranteed { soon.min(self.guarantee_within) } else { soon };
+        let too_slow = spec.image_gb > soon * self.fetch_gb_per_s;
         // Jobs that ask the same found no room a moment ago.
         let shape_key = format!(
             "{:?}{:?}{:?}{}{}{}{:?}{:?}{guaranteed}",
@@ -834,16 +853,17 @@
                 let zones = allowed_zones(spec, zone.as_deref(), &per_zone, job.tasks, &trial);
                 let ask =
                     Ask { need: job.need, types: spec.types.as_deref(), zones, spot: spec.spot, image: &spec.image, avoid: &job.avoid };
-                let found = [true, false]
-                    .into_iter()
-                    .find_map(|with_image| order.iter().find_map(|&p| trial[p].first_fit(&ask, with_image).map(|i| (p, i))));
                 // Fairness has no work while room exists; without room, lower
                 // priorities make way, and what others run beyond their
-                // guarantee does for a team within its own.
-                let pushed = || order.iter().find_map(|&p| trial[p].evict_fit(&ask, spec.rank, guaranteed).map(|i| (p, i)));
-                let Some((p, i, evict)) = found.map(|(p, i)| (p, i, Evict::Nobody)).or_else(|| pushed().map(|(p, i)| (p, i, evict))) else {
-                    break;
+                // guarantee does for a team within its own. Room without the
+                // image counts as none if the fetch alone takes too long.
+                let room = |with_image| order.iter().find_map(|&p| trial[p].first_fit(&ask, with_image).map(|i| (p, i, Evict::Nobody)));
+                let pushed = |with_image| {
+                    order.iter().find_map(|&p| trial[p].evict_fit(&ask, spec.rank, guaranteed, with_image).map(|i| (p, i, evict)))
                 };
+                let found =
+                    room(true).or_else(|| if too_slow { pushed(true) } else { None }).or_else(|| room(false)).or_else(|| pushed(false));
+                let Some((p, i, evict)) = found else { break };
                 trial[p].take(i, &job.need, &spec.image);
                 *per_zone.entry(trial[p].slots[i].zone.clone()).or_default() += 1;
                 chosen.push((task, p, i, evict));
