--- a/src/constants.rs
+++ b/src/constants.rs
@@ -139,6 +139,11 @@
 pub const PLACE_GAP_MS: u64 = 50;
 /// ms of the core's clock tick.
 pub const TICK_MS: u64 = 100;
+/// ms without any lack of room after which replicas are moved together.
+pub const QUIET_MS: u64 = 20_000;
+/// ms between two machines whose replicas are moved: each is down for some
+/// tenths of a second, which must not add up in any half minute.
+pub const MOVE_GAP_MS: u64 = 8_000;
 /// ms that an attempt waits for those pushed out for it; longer than any save
 /// seen in the field, after which the placer tries elsewhere.
 pub const EVICT_WAIT_MS: u64 = 15_000;
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -556,6 +556,7 @@
                 part.last_place = now;
                 part.placer.place(now);
             }
+            part.placer.consolidate(now);
             if let Some(txn) = part.placer.next_txn() {
                 effects.push(Effect::Txn(lot, txn));
             }
--- a/src/coordination/owner.rs
+++ b/src/coordination/owner.rs
@@ -589,6 +589,12 @@
         held + unclaimed
     }
 
+    fn lasting(&self, machine: &MachineId) -> u16 {
+        let count =
+            self.held.values().filter(|h| &h.want.machine == machine && h.want.lasting && !matches!(h.stage, Stage::Ended(_))).count();
+        count.min(usize::from(u16::MAX)) as u16
+    }
+
     fn update_idle(&mut self, machine: &MachineId, now: u64) {
         let busy = self.busy(machine);
         if let Some(m) = self.machines.get_mut(machine)
@@ -821,6 +827,7 @@
                 soft: self.soft(id).0,
                 soft_over: self.soft(id).1,
                 busy: self.busy(id).min(usize::from(u16::MAX)) as u16,
+                lasting: self.lasting(id),
                 images: m.images.iter().cloned().collect(),
                 renter: m.renter,
                 age_ms: now.saturating_sub(m.booked),
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -72,6 +72,8 @@
     pub free: Room,
     /// Tasks on it.
     pub busy: u32,
+    /// Tasks on it that run until their jobs are cancelled.
+    pub lasting: u32,
     /// Room of attempts below each priority.
     pub soft: [Room; 3],
     /// The same with what teams run beyond their guarantees.
@@ -89,6 +91,8 @@
     pub zones: Option<Vec<&'a str>>,
     /// True if spot machines are allowed.
     pub spot: bool,
+    /// True if it runs until its job is cancelled.
+    pub lasting: bool,
     /// Image.
     pub image: &'a str,
     /// Machines to leave out.
@@ -102,7 +106,6 @@
     pub slots: Vec<Slot>,
     ready: Bits,
     spot: Bits,
-    busy: Bits,
     types: HashMap<String, Bits>,
     zones: HashMap<String, Bits>,
     images: HashMap<String, Bits>,
@@ -112,7 +115,7 @@
     /// Builds the rows from an owner's view.
     pub fn new(machines: &[MachineView]) -> Self {
         let n = machines.len();
-        let mut field = Self { ready: Bits::zeros(n), spot: Bits::zeros(n), busy: Bits::zeros(n), ..Self::default() };
+        let mut field = Self { ready: Bits::zeros(n), spot: Bits::zeros(n), ..Self::default() };
         for (i, m) in machines.iter().enumerate() {
             if m.up && m.open {
                 field.ready.set(i);
@@ -120,9 +123,6 @@
             if m.spot {
                 field.spot.set(i);
             }
-            if m.busy > 0 {
-                field.busy.set(i);
-            }
             field.types.entry(m.kind.clone()).or_insert_with(|| Bits::zeros(n)).set(i);
             field.zones.entry(m.zone.clone()).or_insert_with(|| Bits::zeros(n)).set(i);
             for image in &m.images {
@@ -135,6 +135,7 @@
                 spot: m.spot,
                 free: m.free,
                 busy: u32::from(m.busy),
+                lasting: u32::from(m.lasting),
                 soft: m.soft,
                 soft_over: m.soft_over,
             });
@@ -181,22 +182,15 @@
         if with_image {
             bits.and(self.images.get(ask.image)?);
         }
-        let mut best: Option<(u8, usize)> = None;
-        for i in bits.ones() {
+        // Cheap room first for those who may use it, then machines in use, so
+        // that whole machines stay free or can be returned. What lasts goes to
+        // where most of its kind is: a machine that one replica holds for an
+        // hour is paid for whole.
+        bits.ones().filter(|&i| self.slots[i].free.covers(&ask.need)).min_by_key(|&i| {
             let slot = &self.slots[i];
-            if !slot.free.covers(&ask.need) {
-                continue;
-            }
-            // Cheap room first for those who may use it, then rooms in use.
-            let class = u8::from(ask.spot && !slot.spot) * 2 + u8::from(slot.busy == 0);
-            if class == 0 {
-                return Some(i);
-            }
-            if best.is_none_or(|(c, _)| class < c) {
-                best = Some((class, i));
-            }
-        }
-        best.map(|(_, i)| i)
+            let company = if ask.lasting { slot.lasting } else { 0 };
+            (ask.spot && !slot.spot, slot.busy == 0, std::cmp::Reverse(company), i)
+        })
     }
 
     /// The machine on which least must be pushed out, among those where that
@@ -218,6 +212,12 @@
             .map(|(_, _, i)| i)
     }
 
+    /// The first machine in use other than `than` that has room and the image.
+    pub fn fit_elsewhere(&self, ask: &Ask<'_>, than: &MachineId) -> Option<usize> {
+        let i = self.first_fit(&Ask { avoid: &[than.clone()], ..ask.clone() }, true)?;
+        (self.slots[i].busy > 0).then_some(i)
+    }
+
     /// Takes room on a machine.
     pub fn take(&mut self, i: usize, need: &Room, image: &str) {
         let n = self.slots.len();
@@ -228,7 +228,6 @@
         }
         slot.free = slot.free.minus(need);
         slot.busy += 1;
-        self.busy.set(i);
         self.images.entry(image.to_owned()).or_insert_with(|| Bits::zeros(n)).set(i);
     }
 
--- a/src/coordination/placer.rs
+++ b/src/coordination/placer.rs
@@ -105,6 +105,10 @@
         self.record.as_ref().map(|r| &r.spec)
     }
 
+    fn lasting(&self) -> bool {
+        self.spec().is_some_and(|s| s.shape == Shape::Service)
+    }
+
     /// Priority; a job that is over only takes room for its stops.
     fn rank(&self) -> Rank {
         self.spec().map_or(Rank::Low, |s| s.rank)
@@ -232,6 +236,8 @@
     txn_ops: usize,
     zones: Vec<String>,
     place_again: bool,
+    lacked_at: u64,
+    moved_at: u64,
     others_turn: u16,
 }
 
@@ -263,6 +269,8 @@
             txn_ops,
             zones,
             place_again: false,
+            lacked_at: 0,
+            moved_at: 0,
             others_turn: part,
         }
     }
@@ -492,6 +500,7 @@
                     rank: job.rank(),
                     over: over.contains(&(id, task)),
                     grace,
+                    lasting: job.lasting(),
                     evict: l.evict,
                     id: AttemptId { job: id.clone(), task, attempt: l.attempt },
                     machine: l.machine.clone(),
@@ -513,6 +522,7 @@
                     rank: job.rank(),
                     over: true,
                     grace: 0,
+                    lasting: false,
                     evict: Evict::Nobody,
                 });
             }
@@ -728,9 +738,81 @@
             }
             at = (at + 1) % n.max(1);
         }
+        if !lacking.is_empty() {
+            self.lacked_at = now;
+        }
         self.lacking = lacking;
     }
 
+    /// Moves the replicas of one machine to others in use, if all of them fit
+    /// there and nothing has lacked room for a while: the machine can then be
+    /// given back. A replica that moves is down for as long as a stop and a
+    /// start take, so this is done one machine at a time.
+    pub fn consolidate(&mut self, now: u64) {
+        if now < self.lacked_at + QUIET_MS || now < self.moved_at + MOVE_GAP_MS {
+            return;
+        }
+        // Look again soon, but not at every event: the look walks everything.
+        self.moved_at = (now + COPY_REFRESH_MS).saturating_sub(MOVE_GAP_MS);
+        let fields = self.fields();
+        let mut mine: BTreeMap<&MachineId, Vec<(&JobId, u32)>> = BTreeMap::new();
+        for (id, job) in &self.jobs {
+            for (&task, l) in &job.live {
+                if job.over || l.kill.is_some() || l.standing != Some(Standing::Running) {
+                    // Something is on the move already.
+                    if job.lasting() && !job.over {
+                        return;
+                    }
+                    continue;
+                }
+                mine.entry(&l.machine).or_default().push((id, task));
+            }
+        }
+        let mut candidates: Vec<(u32, f64, &MachineId)> = Vec::new();
+        for field in &fields {
+            for slot in &field.slots {
+                let Some(tasks) = mine.get(&slot.id) else { continue };
+                let all_last = tasks.iter().all(|(id, _)| self.jobs[*id].lasting());
+                if tasks.len() as u32 == slot.busy && all_last {
+                    candidates.push((slot.busy, slot.free.gpus as f64, &slot.id));
+                }
+            }
+        }
+        candidates.sort_by(|a, b| a.0.cmp(&b.0).then(b.2.cmp(a.2)));
+        let chosen = candidates.into_iter().map(|(_, _, m)| m).find(|m| self.all_fit_elsewhere(m, &mine[*m], &fields)).cloned();
+        let Some(machine) = chosen else { return };
+        self.moved_at = now;
+        info!(machine = %machine, part = self.part, "moving its replicas together with others");
+        for job in self.jobs.values_mut().filter(|j| !j.over) {
+            let mut hit = false;
+            for l in job.live.values_mut().filter(|l| l.machine == machine) {
+                l.kill = Some(0);
+                hit = true;
+            }
+            if hit && !job.avoid.contains(&machine) {
+                job.avoid.push(machine.clone());
+            }
+        }
+    }
+
+    fn all_fit_elsewhere(&self, machine: &MachineId, tasks: &[(&JobId, u32)], fields: &[Field]) -> bool {
+        let mut trial = fields.to_vec();
+        tasks.iter().all(|(id, task)| {
+            let job = &self.jobs[*id];
+            let Some(spec) = job.spec() else { return false };
+            let mut per_zone: HashMap<String, u32> = HashMap::new();
+            for (_, l) in job.live.iter().filter(|(t, _)| *t != task) {
+                *per_zone.entry(l.zone.clone()).or_default() += 1;
+            }
+            let zones = allowed_zones(spec, None, &per_zone, job.tasks, &trial);
+            let ask =
+                Ask { need: job.need, types: spec.types.as_deref(), zones, spot: spec.spot, lasting: true, image: &spec.image, avoid: &[] };
+            let Some((p, i)) = (0..trial.len()).find_map(|p| trial[p].fit_elsewhere(&ask, machine).map(|i| (p, i))) else { return false };
+            trial[p].take(i, &job.need, &spec.image);
+            true
+        })
+    }
+
     fn note_lack(&self, id: &JobId, usage: &HashMap<String, Room>, lacking: &mut Vec<Demand>) {
         let Some(job) = self.jobs.get(id) else { return };
         let Some(spec) = job.spec() else { return };
@@ -851,8 +933,15 @@
             }
             for &task in &tasks {
                 let zones = allowed_zones(spec, zone.as_deref(), &per_zone, job.tasks, &trial);
-                let ask =
-                    Ask { need: job.need, types: spec.types.as_deref(), zones, spot: spec.spot, image: &spec.image, avoid: &job.avoid };
+                let ask = Ask {
+                    need: job.need,
+                    types: spec.types.as_deref(),
+                    zones,
+                    spot: spec.spot,
+                    lasting: spec.shape == Shape::Service,
+                    image: &spec.image,
+                    avoid: &job.avoid,
+                };
                 // Fairness has no work while room exists; without room, lower
                 // priorities make way, and what others run beyond their
                 // guarantee does for a team within its own. Room without the
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -58,6 +58,8 @@
     pub over: bool,
     /// Seconds of grace in which it saves when stopped.
     pub grace: u32,
+    /// True if it runs until its job is cancelled.
+    pub lasting: bool,
     /// Whom it may push out if there is no room.
     pub evict: Evict,
 }
@@ -161,6 +163,8 @@
     pub soft_over: [Room; 3],
     /// Tasks on it.
     pub busy: u16,
+    /// Tasks on it that run until their jobs are cancelled.
+    pub lasting: u16,
     /// Images that it has or fetches.
     pub images: Vec<String>,
     /// Part that rented it, if known.
