--- a/src/coordination/owner.rs
+++ b/src/coordination/owner.rs
@@ -75,7 +75,9 @@
     /// Sessions up to this one have surely ended.
     dead_session: u64,
     tasks: BTreeMap<AttemptId, Seen>,
-    images: VecDeque<String>,
+    /// Images with their sizes, most recently used first.
+    images: VecDeque<(String, u64)>,
+    cache_mb: u64,
     notice: bool,
     closing: bool,
     quarantined: bool,
@@ -109,6 +111,7 @@
             dead_session: 0,
             tasks: BTreeMap::new(),
             images: VecDeque::new(),
+            cache_mb: u64::MAX,
             notice: false,
             closing: false,
             quarantined: false,
@@ -131,11 +134,18 @@
         self.ambiguous.is_none() && self.answered_with_starts.is_none() && !self.calling
     }
 
-    fn remember_image(&mut self, image: &str) {
-        if let Some(at) = self.images.iter().position(|i| i == image) {
-            self.images.remove(at);
-        }
-        self.images.push_front(image.to_owned());
+    /// Notes the use of an image. The worker keeps the most recently used
+    /// ones as far as its cache goes; so does this note, since a start on a
+    /// machine that has dropped the image waits for a fetch.
+    fn remember_image(&mut self, image: &str, mb: u64) {
+        self.images.retain(|(name, _)| name != image);
+        self.images.push_front((image.to_owned(), mb));
+        let mut sum = 0;
+        let cache = self.cache_mb;
+        self.images.retain(|(_, mb)| {
+            sum += mb;
+            sum <= cache
+        });
         self.images.truncate(IMAGES_REMEMBERED);
     }
 }
@@ -223,6 +233,7 @@
     parts: u16,
     rooms: BTreeMap<String, Room>,
     boot_ms: BTreeMap<String, u64>,
+    caches: BTreeMap<String, u64>,
     machines: BTreeMap<MachineId, Machine>,
     held: BTreeMap<AttemptId, Held>,
     askers: BTreeMap<u16, Asker>,
@@ -246,6 +257,7 @@
             parts,
             rooms: BTreeMap::new(),
             boot_ms: BTreeMap::new(),
+            caches: BTreeMap::new(),
             machines: BTreeMap::new(),
             held: BTreeMap::new(),
             askers: BTreeMap::new(),
@@ -263,6 +275,7 @@
         for t in types {
             self.rooms.insert(t.name.clone(), t.room);
             self.boot_ms.insert(t.name.clone(), (t.boot_s * 1000.0) as u64);
+            self.caches.insert(t.name.clone(), (t.cache_gb * 1000.0) as u64);
         }
         for m in self.machines.values_mut() {
             m.room = self.rooms.get(&m.kind).copied().unwrap_or_default();
@@ -398,11 +411,12 @@
         if stage == held.stage {
             return;
         }
-        let (image, from) = (held.want.image.clone(), held.from);
+        let (image, mb, from) = (held.want.image.clone(), held.want.image_mb, held.from);
         if let Stage::Accepted { .. } = stage
             && let Some(m) = self.machines.get_mut(&machine)
         {
-            m.remember_image(&image);
+            m.cache_mb = self.caches.get(&m.kind).copied().unwrap_or(u64::MAX);
+            m.remember_image(&image, mb);
         }
         if let Stage::Ended(standing) = stage {
             info!(attempt = %id, machine = %machine, part = self.part, ?standing, "attempt is over");
@@ -828,7 +842,7 @@
                 soft_over: self.soft(id).1,
                 busy: self.busy(id).min(usize::from(u16::MAX)) as u16,
                 lasting: self.lasting(id),
-                images: m.images.iter().cloned().collect(),
+                images: m.images.iter().map(|(name, _)| name.clone()).collect(),
                 renter: m.renter,
                 age_ms: now.saturating_sub(m.booked),
             })
--- a/src/coordination/placer.rs
+++ b/src/coordination/placer.rs
@@ -486,6 +486,7 @@
         for (id, job) in &self.jobs {
             let image = job.spec().map(|s| s.image.clone()).unwrap_or_default();
             let grace = job.spec().map(JobSpec::grace_s).unwrap_or(0);
+            let image_mb = job.spec().map_or(0, |s| (s.image_gb * 1000.0).ceil() as u64);
             let gang = job.spec().is_some_and(|s| s.shape == Shape::Gang);
             let granted = !gang
                 || (job.live.len() as u32 == job.tasks - job.done_count.min(job.tasks) && job.live.values().all(|l| l.standing.is_some()));
@@ -506,6 +507,7 @@
                     machine: l.machine.clone(),
                     need: job.need,
                     image: image.clone(),
+                    image_mb,
                     go,
                     kill,
                 });
@@ -516,6 +518,7 @@
                     machine: e.machine.clone(),
                     need: job.need,
                     image: image.clone(),
+                    image_mb,
                     go: false,
                     kill: Some(0),
                     team: job.team.clone(),
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -45,6 +45,8 @@
     pub need: Room,
     /// Its image.
     pub image: String,
+    /// Size of the image, thousandths of a GB.
+    pub image_mb: u64,
     /// False while a gang's other tasks have no room yet: hold the room, but
     /// don't start.
     pub go: bool,
