--- a/src/constants.rs
+++ b/src/constants.rs
@@ -144,6 +144,8 @@
 /// ms between two machines whose replicas are moved: each is down for some
 /// tenths of a second, which must not add up in any half minute.
 pub const MOVE_GAP_MS: u64 = 8_000;
+/// ms that a replica stays where it is before it is moved again.
+pub const STAY_MS: u64 = 60_000;
 /// ms that an attempt waits for those pushed out for it; longer than any save
 /// seen in the field, after which the placer tries elsewhere.
 pub const EVICT_WAIT_MS: u64 = 15_000;
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -128,6 +128,8 @@
     /// ms after the last proof of the store's word for which reports may be
     /// answered without a newer one.
     pub blind_ms: u64,
+    /// Time of day at the steady clock's zero, ms.
+    pub wall_offset_ms: u64,
     /// Changes a transaction may hold.
     pub txn_ops: usize,
 }
@@ -154,6 +156,7 @@
             // from the store must still be carried out in time: whatever we
             // keep alive until then ends with its lease.
             blind_ms: ms(w.cancel_s - w.lease_s).saturating_sub(BLIND_MARGIN_MS),
+            wall_offset_ms: 0,
             txn_ops: settings.cluster.state.txn_ops,
             members,
             me,
@@ -556,7 +559,7 @@
                 part.last_place = now;
                 part.placer.place(now);
             }
-            part.placer.consolidate(now);
+            part.placer.consolidate(now, now + self.config.wall_offset_ms);
             if let Some(txn) = part.placer.next_txn() {
                 effects.push(Effect::Txn(lot, txn));
             }
--- a/src/coordination/placer.rs
+++ b/src/coordination/placer.rs
@@ -751,8 +751,13 @@
     /// there and nothing has lacked room for a while: the machine can then be
     /// given back. A replica that moves is down for as long as a stop and a
     /// start take, so this is done one machine at a time.
-    pub fn consolidate(&mut self, now: u64) {
-        if now < self.lacked_at + QUIET_MS || now < self.moved_at + MOVE_GAP_MS {
+    ///
+    /// Placers take turns by the time of day, so that two of them don't count
+    /// on the same room: a replica that then finds none waits for an image.
+    pub fn consolidate(&mut self, now: u64, time_of_day: u64) {
+        let turn = time_of_day / MOVE_GAP_MS % self.copies.len() as u64;
+        let settled = time_of_day % MOVE_GAP_MS < MOVE_GAP_MS / 2;
+        if turn != u64::from(self.part) || !settled || now < self.lacked_at + QUIET_MS || now < self.moved_at + MOVE_GAP_MS {
             return;
         }
         // Look again soon, but not at every event: the look walks everything.
@@ -775,6 +780,10 @@
         for field in &fields {
             for slot in &field.slots {
                 let Some(tasks) = mine.get(&slot.id) else { continue };
+                let fresh = tasks.iter().any(|(id, t)| self.jobs[*id].live.get(t).is_some_and(|l| now < l.since + STAY_MS));
+                if fresh {
+                    continue;
+                }
                 let all_last = tasks.iter().all(|(id, _)| self.jobs[*id].lasting());
                 if tasks.len() as u32 == slot.busy && all_last {
                     candidates.push((slot.busy, slot.free.gpus as f64, &slot.id));
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -11,7 +11,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::{Mutex, MutexGuard};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use smol::LocalExecutor;
 use smol::channel::{Receiver, Sender, bounded, unbounded};
@@ -76,7 +76,8 @@
         let public = listen(settings.listen).await?;
         let internal = listen(settings.internal_addr).await?;
         let http = Rc::new(Client::default());
-        let config = Config::new(&settings);
+        let mut config = Config::new(&settings);
+        config.wall_offset_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO).as_millis() as u64;
         let nodes = config.members.len();
         let state = StateClient::new(http.clone(), settings.services.state, &settings.cluster.state, nodes);
         let cloud = cloud::CloudClient::new(http.clone(), settings.services.cloud, settings.cluster.cloud.rps / nodes as f64);
