--- a/src/policy.lua
+++ b/src/policy.lua
@@ -1,7 +1,7 @@
 -- The operators' own settings, with the values used when no file is given.
 return {
   -- seconds that an empty ordinary machine is kept for work to come
-  idle_s = 45,
+  idle_s = 20,
   -- the same for a spot machine
   idle_spot_s = 30,
   -- seconds without a report after which a machine is given back, so that
