--- a/src/coordination/owner.rs
+++ b/src/coordination/owner.rs
@@ -134,6 +134,13 @@
         self.ambiguous.is_none() && self.answered_with_starts.is_none() && !self.calling
     }
 
+    /// ms that a usual image of this machine takes to fetch.
+    fn fetch_ms(&self, gb_per_s: Option<f64>) -> u64 {
+        let sum: u64 = self.images.iter().map(|(_, mb)| mb).sum();
+        let usual = sum as f64 / self.images.len().max(1) as f64;
+        gb_per_s.filter(|r| *r > 0.0).map_or(0, |r| (usual / r) as u64)
+    }
+
     /// Notes the use of an image. The worker keeps the most recently used
     /// ones as far as its cache goes; so does this note, since a start on a
     /// machine that has dropped the image waits for a fetch.
@@ -234,6 +241,8 @@
     rooms: BTreeMap<String, Room>,
     boot_ms: BTreeMap<String, u64>,
     caches: BTreeMap<String, u64>,
+    /// Image fetch, GB/s, by type.
+    fetch: BTreeMap<String, f64>,
     machines: BTreeMap<MachineId, Machine>,
     held: BTreeMap<AttemptId, Held>,
     askers: BTreeMap<u16, Asker>,
@@ -258,6 +267,7 @@
             rooms: BTreeMap::new(),
             boot_ms: BTreeMap::new(),
             caches: BTreeMap::new(),
+            fetch: BTreeMap::new(),
             machines: BTreeMap::new(),
             held: BTreeMap::new(),
             askers: BTreeMap::new(),
@@ -275,6 +285,7 @@
         for t in types {
             self.rooms.insert(t.name.clone(), t.room);
             self.boot_ms.insert(t.name.clone(), (t.boot_s * 1000.0) as u64);
+            self.fetch.insert(t.name.clone(), t.fetch_gb_per_s);
             self.caches.insert(t.name.clone(), (t.cache_gb * 1000.0) as u64);
         }
         for m in self.machines.values_mut() {
@@ -925,7 +936,8 @@
                     m.release_wanted = true;
                 }
             }
-            let keep = if m.spot { self.policy.idle_spot_ms } else { self.policy.idle_ms };
+            let restart = self.boot_ms.get(&m.kind).copied().unwrap_or(30_000) + m.fetch_ms(self.fetch.get(&m.kind).copied());
+            let keep = (restart as f64 * if m.spot { self.policy.idle_spot } else { self.policy.idle }) as u64;
             if m.idle_since.is_some_and(|at| now > at + keep) || (m.quarantined || m.notice) && m.idle_since.is_some() {
                 m.closing = true;
             }
--- a/src/policy.lua
+++ b/src/policy.lua
@@ -1,9 +1,10 @@
 -- The operators' own settings, with the values used when no file is given.
 return {
-  -- seconds that an empty ordinary machine is kept for work to come
-  idle_s = 20,
-  -- the same for a spot machine
-  idle_spot_s = 30,
+  -- how long an empty ordinary machine is kept for work to come, as a multiple
+  -- of the time that a new one takes to boot and to fetch an image
+  idle = 0.75,
+  -- the same for a spot machine, which costs less to keep
+  idle_spot = 1.5,
   -- seconds without a report after which a machine is given back, so that
   -- its work can move with proof
   silent_s = 9,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -19,10 +19,11 @@
 /// Checked values.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Policy {
-    /// ms that an empty ordinary machine is kept.
-    pub idle_ms: u64,
-    /// ms that an empty spot machine is kept.
-    pub idle_spot_ms: u64,
+    /// How long an empty ordinary machine is kept, as a multiple of the time
+    /// that a new one takes to boot and to fetch an image.
+    pub idle: f64,
+    /// The same for a spot machine.
+    pub idle_spot: f64,
     /// ms of silence after which a machine is released.
     pub silent_ms: u64,
     /// A machine that boots this many times as long as usual is released.
@@ -58,7 +59,7 @@
 
 fn read(table: &Table) -> Result<Policy, Vec<String>> {
     let mut faults = Vec::new();
-    let names = ["idle_s", "idle_spot_s", "silent_s", "boot_patience", "spare"];
+    let names = ["idle", "idle_spot", "silent_s", "boot_patience", "spare"];
     for pair in table.pairs::<Value, Value>() {
         match pair {
             Ok((Value::String(key), _)) if names.iter().any(|n| key.as_bytes() == n.as_bytes()) => {}
@@ -75,8 +76,8 @@
         }
     };
     let policy = Policy {
-        idle_ms: (number("idle_s", 0.0, 86_400.0) * 1000.0) as u64,
-        idle_spot_ms: (number("idle_spot_s", 0.0, 86_400.0) * 1000.0) as u64,
+        idle: number("idle", 0.0, 1_000.0),
+        idle_spot: number("idle_spot", 0.0, 1_000.0),
         silent_ms: (number("silent_s", 1.0, 3_600.0) * 1000.0) as u64,
         boot_patience: number("boot_patience", 1.5, 100.0),
         spare: number("spare", 0.0, 10.0),
