--- a/src/coordination/owner.rs
+++ b/src/coordination/owner.rs
@@ -908,9 +908,15 @@
         }
         self.last_tick = now;
         let (dead_after, silent_ms) = (self.timing.dead_after_ms(), self.policy.silent_ms.max(2 * self.timing.report_ms + 500));
-        let silent = |m: &Machine| m.heard.is_some_and(|at| now > at.max(self.silent_floor) + silent_ms);
+        // A spot machine that is silent was mostly taken without notice. An
+        // ordinary one mostly lost its network: its tasks go on until their
+        // lease ends, and it may come back with its images, so it is only
+        // given back some time after that.
+        let floor = self.silent_floor;
+        let patience = move |m: &Machine| if m.spot { silent_ms } else { dead_after + 2 * silent_ms };
+        let silent = move |m: &Machine, after: u64| m.heard.is_some_and(|at| now > at.max(floor) + after);
         let (silent_count, up_count) =
-            self.machines.values().filter(|m| m.heard.is_some()).fold((0, 0), |(s, u), m| (s + usize::from(silent(m)), u + 1));
+            self.machines.values().filter(|m| m.heard.is_some()).fold((0, 0), |(s, u), m| (s + usize::from(silent(m, silent_ms)), u + 1));
         // Many silent machines at once mean that this node is cut off, not
         // that all of them died: giving them back would end all their work.
         let mass = silent_count > 3 && silent_count * 2 > up_count;
@@ -920,8 +926,7 @@
             if m.releasing || m.release_wanted {
                 continue;
             }
-            let quiet = m.heard.is_some_and(|at| now > at.max(self.silent_floor) + silent_ms);
-            if quiet && !mass {
+            if silent(m, patience(m)) && !mass {
                 info!(machine = %id, part = self.part, "machine is silent; giving it back");
                 m.release_wanted = true;
             }
@@ -942,7 +947,6 @@
                 m.closing = true;
             }
         }
-        let _ = dead_after;
         for id in dead {
             if let Some(m) = self.machines.get_mut(&id) {
                 info!(machine = %id, part = self.part, "lease has run out");
--- a/src/policy.lua
+++ b/src/policy.lua
@@ -5,8 +5,8 @@
   idle = 0.75,
   -- the same for a spot machine, which costs less to keep
   idle_spot = 1.5,
-  -- seconds without a report after which a machine is given back, so that
-  -- its work can move with proof
+  -- seconds without a report after which a spot machine is given back, so that
+  -- its work can move with proof; an ordinary one gets its lease and twice this
   silent_s = 9,
   -- how many times the usual boot time a machine may take
   boot_patience = 3.0,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -24,7 +24,8 @@
     pub idle: f64,
     /// The same for a spot machine.
     pub idle_spot: f64,
-    /// ms of silence after which a machine is released.
+    /// ms of silence after which a spot machine is released; an ordinary one
+    /// gets its lease and twice this.
     pub silent_ms: u64,
     /// A machine that boots this many times as long as usual is released.
     pub boot_patience: f64,
