--- a/src/constants.rs
+++ b/src/constants.rs
@@ -86,6 +86,11 @@
 /// ms between two sendings of the same stop order: the worker needs time to
 /// save before it answers with the end.
 pub const KILL_REPEAT_MS: u64 = 1_500;
+/// ms between two writings of what machines have which images: a hint, so the
+/// write budget comes first.
+pub const IMAGES_EVERY_MS: u64 = 8_000;
+/// Bytes that the writing of one image, or one machine's name, takes at most.
+pub const IMAGE_NOTE_BYTES: usize = 48;
 /// Images remembered per machine; a worker keeps its most recent ones.
 pub const IMAGES_REMEMBERED: usize = 24;
 
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -21,12 +21,12 @@
 use crate::policy::Policy;
 use crate::protocol::cloud::{Rental, RentalEntry};
 use crate::protocol::peer::{self, JobNote, Rented, Sync, View};
-use crate::protocol::state::Txn;
+use crate::protocol::state::{Condition, Txn, Write};
 use crate::protocol::users::{Phase, team_limit};
 use crate::protocol::worker::{Report, ReportReply};
 use crate::settings::{Member, Settings};
 use crate::storage::Mirror;
-use crate::storage::records::{ChunkRecord, MailKind};
+use crate::storage::records::{ChunkRecord, ImagesRecord, MailKind, images_key, part_key};
 
 /// What the process has to do. Each names the part and its token, so that an
 /// answer to a part that is no longer held is dropped.
@@ -34,6 +34,8 @@
 pub enum Effect {
     /// Make a transaction.
     Txn(Lot, Txn),
+    /// Write a hint; its end does not matter.
+    Note(Txn),
     /// Call a worker.
     Command(Lot, CommandCall),
     /// Sync with an owner on another node.
@@ -128,6 +130,8 @@
     /// ms after the last proof of the store's word for which reports may be
     /// answered without a newer one.
     pub blind_ms: u64,
+    /// Bytes that a value in the store may have.
+    pub value_bytes: usize,
     /// Time of day at the steady clock's zero, ms.
     pub wall_offset_ms: u64,
     /// Changes a transaction may hold.
@@ -156,6 +160,7 @@
             // from the store must still be carried out in time: whatever we
             // keep alive until then ends with its lease.
             blind_ms: ms(w.cancel_s - w.lease_s).saturating_sub(BLIND_MARGIN_MS),
+            value_bytes: (settings.cluster.state.value_kb * 1024.0) as usize,
             wall_offset_ms: 0,
             txn_ops: settings.cluster.state.txn_ops,
             members,
@@ -209,9 +214,10 @@
     }
 
     /// Takes a part, with its task records.
-    pub fn adopt(&mut self, lot: Lot, chunks: &[(JobId, u32, ChunkRecord, u64)], now: u64) {
+    pub fn adopt(&mut self, lot: Lot, chunks: &[(JobId, u32, ChunkRecord, u64)], images: ImagesRecord, now: u64) {
         let parts = self.config.members.len() as u16;
         let mut owner = Owner::new(lot.part, lot.token, parts, self.config.timing, self.policy.clone(), now);
+        owner.learn_images(images);
         if let Some(catalog) = &self.catalog {
             owner.set_types(catalog.values());
         }
@@ -531,6 +537,10 @@
             };
             let lot = part.lot;
             part.owner.tick(now);
+            if let Some(record) = part.owner.images_note(now, self.config.value_bytes) {
+                let owned = Condition { key: part_key(index), version: lot.token };
+                effects.push(Effect::Note(Txn { conditions: vec![owned], writes: vec![Write::put(images_key(index), &record)] }));
+            }
             effects.extend(part.owner.calls(now).into_iter().map(|c| Effect::Command(lot, c)));
             let names = part.owner.releases();
             if !names.is_empty() {
--- a/src/coordination/owner.rs
+++ b/src/coordination/owner.rs
@@ -21,6 +21,7 @@
 use crate::protocol::cloud::RentalEntry;
 use crate::protocol::peer::{AttemptView, Cause, MachineView, Rented, Standing, Sync, View, Want};
 use crate::protocol::worker::{Commands, Order, Report, ReportReply, TaskPhase, Verb};
+use crate::storage::records::ImagesRecord;
 
 /// Times that bound the owner's proofs, from the settings.
 #[derive(Clone, Copy, Debug)]
@@ -247,6 +248,10 @@
     held: BTreeMap<AttemptId, Held>,
     askers: BTreeMap<u16, Asker>,
     gone: HashSet<MachineId>,
+    /// Images that an earlier owner noted.
+    earlier: BTreeMap<MachineId, VecDeque<(String, u64)>>,
+    noted: ImagesRecord,
+    noted_at: u64,
     missing: BTreeMap<MachineId, u64>,
     releasing: bool,
     last_tick: u64,
@@ -272,6 +277,9 @@
             held: BTreeMap::new(),
             askers: BTreeMap::new(),
             gone: HashSet::new(),
+            earlier: BTreeMap::new(),
+            noted: ImagesRecord::default(),
+            noted_at: now,
             missing: BTreeMap::new(),
             releasing: false,
             last_tick: now,
@@ -349,6 +357,11 @@
         if (report.session, report.seq) <= (m.session, m.seq) || report.session <= m.dead_session {
             return false;
         }
+        if m.heard.is_none()
+            && let Some(images) = self.earlier.remove(&report.machine)
+        {
+            m.images = images;
+        }
         if m.heard.is_none() {
             info!(machine = %report.machine, part = self.part, after_ms = now - m.booked, "machine is up");
         }
@@ -419,16 +432,19 @@
             stage = Stage::Waiting(now);
         }
         let Some(held) = self.held.get(id) else { return };
-        if stage == held.stage {
-            return;
-        }
-        let (image, mb, from) = (held.want.image.clone(), held.want.image_mb, held.from);
-        if let Stage::Accepted { .. } = stage
-            && let Some(m) = self.machines.get_mut(&machine)
-        {
+        let (image, mb, from, same) = (held.want.image.clone(), held.want.image_mb, held.from, stage == held.stage);
+        // A fetch that is given up leaves nothing: only a task that got past it
+        // shows that the machine has the image.
+        let past_fetch = |m: &Machine| {
+            m.tasks.get(id).is_some_and(|t| t.cause == Some(Cause::Done) || !matches!(t.phase, TaskPhase::Fetching | TaskPhase::Exited))
+        };
+        if let Some(m) = self.machines.get_mut(&machine).filter(|m| past_fetch(m)) {
             m.cache_mb = self.caches.get(&m.kind).copied().unwrap_or(u64::MAX);
             m.remember_image(&image, mb);
         }
+        if same {
+            return;
+        }
         if let Stage::Ended(standing) = stage {
             info!(attempt = %id, machine = %machine, part = self.part, ?standing, "attempt is over");
             self.note_end(&machine, id, standing);
@@ -614,6 +630,46 @@
         held + unclaimed
     }
 
+    /// Images that a machine has or fetches.
+    fn images_of(&self, id: &MachineId, m: &Machine) -> Vec<String> {
+        let mut names: Vec<String> = m.images.iter().map(|(name, _)| name.clone()).collect();
+        for h in self.held.values().filter(|h| &h.want.machine == id && matches!(h.stage, Stage::Accepted { .. }) && h.ending().is_none()) {
+            if !names.contains(&h.want.image) {
+                names.push(h.want.image.clone());
+            }
+        }
+        names
+    }
+
+    /// What machines have which images, if that changed and the last note is
+    /// old enough; as much of it as fits one value.
+    pub fn images_note(&mut self, now: u64, value_bytes: usize) -> Option<ImagesRecord> {
+        if now < self.noted_at + IMAGES_EVERY_MS {
+            return None;
+        }
+        self.noted_at = now;
+        let mut record = ImagesRecord::default();
+        let mut bytes = 0;
+        for (id, m) in self.machines.iter().filter(|(_, m)| !m.images.is_empty()) {
+            bytes += IMAGE_NOTE_BYTES + m.images.iter().map(|(name, _)| name.len() + IMAGE_NOTE_BYTES / 3).sum::<usize>();
+            if bytes > value_bytes {
+                break;
+            }
+            record.m.push((id.clone(), m.images.iter().cloned().collect()));
+        }
+        if record == self.noted {
+            return None;
+        }
+        self.noted = record.clone();
+        Some(record)
+    }
+
+    /// Takes the note of an earlier owner.
+    pub fn learn_images(&mut self, record: ImagesRecord) {
+        self.earlier = record.m.iter().cloned().map(|(id, images)| (id, images.into())).collect();
+        self.noted = record;
+    }
+
     fn lasting(&self, machine: &MachineId) -> u16 {
         let count =
             self.held.values().filter(|h| &h.want.machine == machine && h.want.lasting && !matches!(h.stage, Stage::Ended(_))).count();
@@ -853,7 +909,7 @@
                 soft_over: self.soft(id).1,
                 busy: self.busy(id).min(usize::from(u16::MAX)) as u16,
                 lasting: self.lasting(id),
-                images: m.images.iter().map(|(name, _)| name.clone()).collect(),
+                images: self.images_of(id, m),
                 renter: m.renter,
                 age_ms: now.saturating_sub(m.booked),
             })
--- a/src/node/carry.rs
+++ b/src/node/carry.rs
@@ -36,6 +36,11 @@
                 let now = node.now();
                 node.core().sync_done(lot, sync.to, view, now);
             }
+            Effect::Note(txn) => {
+                if let Err(fault) = node.state.txn(&txn).await {
+                    debug!(%fault, "hint not written");
+                }
+            }
             Effect::MailSync(sync) => {
                 let line = MailLine { kind: MailKind::Sync, from: sync.from, to: sync.to };
                 mail(&node, line, (sync.from_token, sync.seq), &peer::write(&sync)).await;
--- a/src/node/holds.rs
+++ b/src/node/holds.rs
@@ -12,7 +12,9 @@
 use crate::protocol::state::{Condition, Txn, Write, from_value, to_value};
 use crate::storage::StateError;
 use crate::storage::client::TxnResult;
-use crate::storage::records::{ChunkRecord, NodeRecord, PartRecord, TeamRecord, node_key, parse_run_key, part_key, run_prefix, team_key};
+use crate::storage::records::{
+    ChunkRecord, ImagesRecord, NodeRecord, PartRecord, TeamRecord, images_key, node_key, parse_run_key, part_key, run_prefix, team_key,
+};
 
 /// Keeps the hold alive and takes and gives up parts, for ever.
 pub async fn keep(node: Rc<Node>) {
@@ -157,6 +159,7 @@
             _ => tracing::error!(key = e.key, "task record not understood"),
         }
     }
+    let images = node.state.get(&images_key(index)).await?.and_then(|e| from_value::<ImagesRecord>(&e.value)).unwrap_or_default();
     // The jobs must be at least as new as the records.
     while !node.fresh().await {
         smol::Timer::after(Duration::from_millis(TICK_MS)).await;
@@ -164,7 +167,7 @@
     let now = node.now();
     let mut core = node.core();
     if core.mirror.parts.get(&index).is_some_and(|h| h.token == token) {
-        core.adopt(Lot { part: index, token }, &chunks, now);
+        core.adopt(Lot { part: index, token }, &chunks, images, now);
     }
     drop(core);
     node.poke();
--- a/src/storage/records.rs
+++ b/src/storage/records.rs
@@ -8,6 +8,7 @@
 //! | `w/team/<name>` | [`TeamRecord`] | for ever |
 //! | `end/<id>` | [`EndRecord`] | for ever |
 //! | `run/<part>/<id>/<chunk>` | [`ChunkRecord`] | while the job runs or an attempt may |
+//! | `img/<part>` | [`ImagesRecord`] | for ever; a hint only |
 //! | `w/mail/<kind>/<from>/<to>/<k>` | [`MailRecord`] | with the sender's hold |
 //!
 //! Every node follows `w/`. A job leaves it in the same transaction that
@@ -87,6 +88,19 @@
     pub zone: String,
 }
 
+/// Key of what an owner knows of its machines' images.
+pub fn images_key(part: u16) -> String {
+    format!("img/{part}")
+}
+
+/// Which images an owner's machines have, with their sizes in thousandths of
+/// a GB. Only a hint, so that a restarted owner places by images at once.
+#[derive(Clone, Debug, Default, Serialize, Deserialize, PartialEq, Eq)]
+pub struct ImagesRecord {
+    /// Machines with their images, most recently used first.
+    pub m: Vec<(MachineId, Vec<(String, u64)>)>,
+}
+
 /// Which part serves a team.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct TeamRecord {
--- a/tests/sim/mod.rs
+++ b/tests/sim/mod.rs
@@ -270,6 +270,9 @@
                     self.at(d, Event::TxnArrives(host, life, lot, txn, false));
                 }
             }
+            Effect::Note(txn) => {
+                self.store.txn(&txn);
+            }
             Effect::Command(lot, call) => {
                 let unreachable = self.silent.contains(&call.machine);
                 if unreachable || self.chance(self.faults.lost_command) {
@@ -368,7 +371,7 @@
         self.refresh(host);
         let now = self.now;
         if let Some(core) = self.core(host) {
-            core.adopt(Lot { part, token }, &chunks, now);
+            core.adopt(Lot { part, token }, &chunks, ImagesRecord::default(), now);
         }
         self.pump(host);
     }
