--- a/src/constants.rs
+++ b/src/constants.rs
@@ -151,6 +151,9 @@
 pub const MOVE_GAP_MS: u64 = 8_000;
 /// ms that a replica stays where it is before it is moved again.
 pub const STAY_MS: u64 = 60_000;
+/// ms after its start within which a task is stopped only if nothing else will
+/// do: a start that is undone within 30 s is none to its users.
+pub const FRESH_START_MS: u64 = 35_000;
 /// ms that an attempt waits for those pushed out for it; longer than any save
 /// seen in the field, after which the placer tries elsewhere.
 pub const EVICT_WAIT_MS: u64 = 15_000;
--- a/src/coordination/owner.rs
+++ b/src/coordination/owner.rs
@@ -502,7 +502,8 @@
     }
 
     /// Tells those to leave that an attempt may push out, if that makes room
-    /// for it: lowest priority first, then the youngest, who lose least.
+    /// for it: what is over its guarantee first, then the lowest priority, then
+    /// those past their start, and of these the youngest, who lose least.
     fn push_out(&mut self, id: &AttemptId, now: u64) -> bool {
         let Some(held) = self.held.get(id) else { return false };
         let want = held.want.clone();
@@ -525,17 +526,17 @@
             .filter(|h| matches!(h.stage, Stage::Accepted { .. }) && h.ending().is_none())
             .fold(Room::default(), |s, h| s.plus(&h.want.need));
         let mut free = m.room.minus(&claimed.plus(&staying));
-        let mut candidates: Vec<(Rank, u64, AttemptId, Room)> = self
+        let mut candidates: Vec<(bool, Rank, bool, u64, AttemptId, Room)> = self
             .held
             .iter()
             .filter(|(_, h)| here(h) && matches!(h.stage, Stage::Accepted { .. }) && h.ending().is_none())
             .filter(|(_, h)| want.evict.allows(&want.team, want.rank, &h.want))
-            .map(|(id, h)| (h.want.rank, h.since, id.clone(), h.want.need))
+            .map(|(id, h)| (h.want.over, h.want.rank, now > h.since + FRESH_START_MS, h.since, id.clone(), h.want.need))
             .collect();
         candidates.sort_unstable();
         let mut victims = Vec::new();
         while !free.covers(&want.need) {
-            let Some((_, _, victim, room)) = candidates.pop() else { return false };
+            let Some((_, _, _, _, victim, room)) = candidates.pop() else { return false };
             free = free.plus(&room);
             victims.push(victim);
         }
@@ -579,7 +580,7 @@
                 if below && h.want.over {
                     lower[rank] = lower[rank].plus(&h.want.need);
                 }
-                if below && h.want.over || h.want.over && h.want.rank.index() == rank && h.want.rank != Rank::Production {
+                if below || h.want.over && h.want.rank.index() == rank && h.want.rank != Rank::Production {
                     over[rank] = over[rank].plus(&h.want.need);
                 }
             }
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -79,8 +79,9 @@
 
 impl Evict {
     /// True if an attempt of this team and priority may push out another.
-    /// Work within its team's guarantee is never pushed out: it would come
-    /// back at once and push out whoever took its place, for ever. Nor do
+    /// Work within its team's guarantee is pushed out only by a higher
+    /// priority that is within its own: otherwise it would come back at once
+    /// and push out whoever took its place, for ever. Nor do
     /// shares push out production or a higher priority: a replica that is
     /// down costs its users more than a batch task that waits.
     pub fn allows(self, team: &str, rank: Rank, victim: &Want) -> bool {
@@ -89,7 +90,7 @@
             Evict::Lower => victim.over && victim.rank > rank,
             Evict::LowerAndOver => {
                 let others = victim.team != team && victim.rank >= rank && victim.rank != Rank::Production;
-                victim.over && (victim.rank > rank || others)
+                victim.rank > rank || victim.over && others
             }
         }
     }
