--- a/src/coordination/placer.rs
+++ b/src/coordination/placer.rs
@@ -237,6 +237,7 @@
     zones: Vec<String>,
     place_again: bool,
     lacked_at: u64,
+    placed_at: u64,
     moved_at: u64,
     others_turn: u16,
 }
@@ -270,6 +271,7 @@
             zones,
             place_again: false,
             lacked_at: 0,
+            placed_at: 0,
             moved_at: 0,
             others_turn: part,
         }
@@ -757,7 +759,11 @@
     pub fn consolidate(&mut self, now: u64, time_of_day: u64) {
         let turn = time_of_day / MOVE_GAP_MS % self.copies.len() as u64;
         let settled = time_of_day % MOVE_GAP_MS < MOVE_GAP_MS / 2;
-        if turn != u64::from(self.part) || !settled || now < self.lacked_at + QUIET_MS || now < self.moved_at + MOVE_GAP_MS {
+        if turn != u64::from(self.part)
+            || !settled
+            || now < self.lacked_at.max(self.placed_at) + QUIET_MS
+            || now < self.moved_at + MOVE_GAP_MS
+        {
             return;
         }
         // Look again soon, but not at every event: the look walks everything.
@@ -816,12 +822,14 @@
             for (_, l) in job.live.iter().filter(|(t, _)| *t != task) {
                 *per_zone.entry(l.zone.clone()).or_default() += 1;
             }
-            let zones = allowed_zones(spec, None, &per_zone, job.tasks, &trial);
+            let zones = allowed_zones(spec, None, &per_zone, job.tasks, fields);
             let ask =
                 Ask { need: job.need, types: spec.types.as_deref(), zones, spot: spec.spot, lasting: true, image: &spec.image, avoid: &[] };
             let Some((p, i)) = (0..trial.len()).find_map(|p| trial[p].fit_elsewhere(&ask, machine).map(|i| (p, i))) else { return false };
             trial[p].take(i, &job.need, &spec.image);
-            true
+            // Guards against others taking that room meanwhile: one more must
+            // be left, or the replica would wait for a fetch.
+            trial.iter().any(|f| f.fit_elsewhere(&ask, machine).is_some())
         })
     }
 
@@ -997,6 +1005,7 @@
                 );
             }
             *used = after;
+            self.placed_at = now;
             fields.clone_from_slice(&trial);
             return true;
         }
