--- a/src/constants.rs
+++ b/src/constants.rs
@@ -154,6 +154,13 @@
 /// ms after its start within which a task is stopped only if nothing else will
 /// do: a start that is undone within 30 s is none to its users.
 pub const FRESH_START_MS: u64 = 35_000;
+/// ms over which arrivals are counted to tell what will come: long enough for
+/// a few of them, short enough to follow a day.
+pub const ARRIVALS_MS: u64 = 120_000;
+/// ms after taking a part in which what comes is no arrival but a backlog.
+pub const SETTLE_MS: u64 = 10_000;
+/// Tasks of one size that room is kept for at most.
+pub const SPARE_MOST: u32 = 4;
 /// ms that an attempt waits for those pushed out for it; longer than any save
 /// seen in the field, after which the placer tries elsewhere.
 pub const EVICT_WAIT_MS: u64 = 15_000;
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -16,7 +16,7 @@
 use crate::constants::*;
 use crate::coordination::fleet::{Bin, Shortage, plan};
 use crate::coordination::owner::{CommandCall, CommandResult, Owner, SyncRefusal, Timing};
-use crate::coordination::placer::{Placer, Promise, TxnOutcome, TxnVerdict};
+use crate::coordination::placer::{Placer, Promise, Terms, TxnOutcome, TxnVerdict};
 use crate::model::{Catalog, JobId, MachineId, Room};
 use crate::policy::Policy;
 use crate::protocol::cloud::{Rental, RentalEntry};
@@ -221,15 +221,14 @@
         if let Some(catalog) = &self.catalog {
             owner.set_types(catalog.values());
         }
-        let mut placer = Placer::new(
-            lot.part,
-            lot.token,
-            parts,
-            self.config.limits.clone(),
-            self.config.guarantees.clone(),
-            self.config.zones.clone(),
-            self.config.txn_ops,
-        );
+        let terms = Terms {
+            limits: self.config.limits.clone(),
+            guarantees: self.config.guarantees.clone(),
+            zones: self.config.zones.clone(),
+            txn_ops: self.config.txn_ops,
+            spare: self.policy.spare,
+        };
+        let mut placer = Placer::new(lot.part, lot.token, parts, terms, now);
         if let Some(catalog) = &self.catalog {
             placer.expect(&self.config.start_within, self.config.guarantee_within, catalog);
         }
@@ -253,7 +252,7 @@
                 nudged: BTreeMap::new(),
             },
         );
-        self.jobs_changed();
+        self.jobs_changed(now);
     }
 
     /// Gives a part up.
@@ -292,18 +291,18 @@
         for part in lost {
             self.abandon(part);
         }
-        self.jobs_changed();
+        self.jobs_changed(began);
     }
 
     fn team_part(mirror: &Mirror, config: &Config, team: &str) -> u16 {
         mirror.teams.get(team).copied().filter(|&p| usize::from(p) < config.members.len()).unwrap_or_else(|| config.default_part(team))
     }
 
-    fn jobs_changed(&mut self) {
+    fn jobs_changed(&mut self, now: u64) {
         let (mirror, config) = (&self.mirror, &self.config);
         for part in self.parts.values_mut() {
             let index = part.lot.part;
-            part.placer.set_jobs(mirror.jobs.iter().filter(|(_, j)| Self::team_part(mirror, config, &j.record.spec.team) == index));
+            part.placer.set_jobs(mirror.jobs.iter().filter(|(_, j)| Self::team_part(mirror, config, &j.record.spec.team) == index), now);
             for line in &mut part.lines {
                 line.dirty = true;
             }
--- a/src/coordination/owner.rs
+++ b/src/coordination/owner.rs
@@ -847,6 +847,11 @@
         for r in &sync.rented {
             self.expect(&r.machine, r, sync.from, now);
         }
+        for id in &sync.keep {
+            if let Some(m) = self.machines.get_mut(id) {
+                m.idle_since = m.idle_since.map(|_| now);
+            }
+        }
         let mut touched = BTreeSet::new();
         let listed: HashSet<&AttemptId> = sync.wants.iter().map(|w| &w.id).collect();
         self.held.retain(|id, h| {
--- a/src/coordination/placer.rs
+++ b/src/coordination/placer.rs
@@ -4,7 +4,7 @@
 //! Every attempt is written to the state service before its owner hears of it,
 //! and stays in what this placer wants until its end has been written too.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 
 use tracing::{debug, info, warn};
@@ -213,6 +213,20 @@
     pub at: u64,
 }
 
+/// What a placer is told when it starts.
+pub struct Terms {
+    /// Limits of the teams.
+    pub limits: HashMap<String, Room>,
+    /// Guarantees of the teams.
+    pub guarantees: HashMap<String, Room>,
+    /// Zones.
+    pub zones: Vec<String>,
+    /// Changes a transaction may hold.
+    pub txn_ops: usize,
+    /// Share of the expected work that room is kept for.
+    pub spare: f64,
+}
+
 /// The placer of a part.
 pub struct Placer {
     part: u16,
@@ -225,6 +239,14 @@
     start_within: HashMap<String, f64>,
     /// Seconds within which work within a guarantee should start.
     guarantee_within: f64,
+    /// Starts awaited by their users that came of late.
+    arrivals: VecDeque<(u64, Arc<JobRecord>)>,
+    /// Empty machines that work to come would take.
+    keep: Vec<MachineId>,
+    /// Share of the expected work that room is kept for.
+    spare: f64,
+    boot_ms: u64,
+    started: u64,
     /// Usual fetch rate.
     fetch_gb_per_s: f64,
     turn: usize,
@@ -244,15 +266,8 @@
 
 impl Placer {
     /// A placer that has just got its part.
-    pub fn new(
-        part: u16,
-        token: u64,
-        parts: u16,
-        limits: HashMap<String, Room>,
-        guarantees: HashMap<String, Room>,
-        zones: Vec<String>,
-        txn_ops: usize,
-    ) -> Self {
+    pub fn new(part: u16, token: u64, parts: u16, terms: Terms, now: u64) -> Self {
+        let Terms { limits, guarantees, zones, txn_ops, spare } = terms;
         Self {
             part,
             token,
@@ -262,6 +277,11 @@
             guarantees,
             start_within: HashMap::new(),
             guarantee_within: f64::MAX,
+            arrivals: VecDeque::new(),
+            keep: Vec::new(),
+            spare,
+            boot_ms: 0,
+            started: now,
             fetch_gb_per_s: f64::MAX,
             turn: 0,
             pending: None,
@@ -281,6 +301,7 @@
     pub fn expect(&mut self, start_within: &HashMap<String, f64>, guarantee_within: f64, catalog: &Catalog) {
         self.start_within.clone_from(start_within);
         self.guarantee_within = guarantee_within;
+        self.boot_ms = catalog.values().map(|t| (t.boot_s * 1000.0) as u64).max().unwrap_or(0);
         self.fetch_gb_per_s = catalog.values().map(|t| t.fetch_gb_per_s).fold(0.0, f64::max);
     }
 
@@ -331,7 +352,7 @@
     }
 
     /// Takes the unfinished jobs of this part's teams.
-    pub fn set_jobs<'a>(&mut self, mine: impl Iterator<Item = (&'a JobId, &'a MirroredJob)>) {
+    pub fn set_jobs<'a>(&mut self, mine: impl Iterator<Item = (&'a JobId, &'a MirroredJob)>, now: u64) {
         let mut present: HashSet<&JobId> = HashSet::new();
         for (id, m) in mine {
             present.insert(id);
@@ -340,6 +361,10 @@
                 continue;
             }
             let spec = &m.record.spec;
+            let news = job.record.is_none() && job.chunks.is_empty() && now > self.started + SETTLE_MS;
+            if news && spec.shape != Shape::Array && self.start_within.contains_key(&spec.class) {
+                self.arrivals.push_back((now, m.record.clone()));
+            }
             job.team = spec.team.clone();
             job.need = spec.need();
             job.tasks = spec.tasks.min(u64::from(u32::MAX)) as u32;
@@ -539,7 +564,18 @@
             .filter(|p| p.part == to)
             .map(|p| Rented { age_ms: now.saturating_sub(p.at), ..p.rented.clone() })
             .collect();
-        Sync { version: PEER_VERSION, from: self.part, from_token: self.token, to, to_token, seq, wants, rented, notes: self.notes() }
+        Sync {
+            keep: self.keep.clone(),
+            version: PEER_VERSION,
+            from: self.part,
+            from_token: self.token,
+            to,
+            to_token,
+            seq,
+            wants,
+            rented,
+            notes: self.notes(),
+        }
     }
 
     /// Attempts that their teams run beyond their guarantees: the guarantee
@@ -746,9 +782,72 @@
         if !lacking.is_empty() {
             self.lacked_at = now;
         }
+        self.add_spare(&mut fields, &mut lacking, now);
         self.lacking = lacking;
     }
 
+    /// Counts the work that is expected to come while a machine boots, for
+    /// classes whose starts are awaited: empty machines that it would take are
+    /// kept, and what finds no room is asked for like waiting work.
+    fn add_spare(&mut self, fields: &mut [Field], lacking: &mut Vec<Demand>, now: u64) {
+        while self.arrivals.front().is_some_and(|(at, _)| now > at + ARRIVALS_MS) {
+            self.arrivals.pop_front();
+        }
+        self.keep.clear();
+        let seen_ms = now.saturating_sub(self.started + SETTLE_MS).clamp(1, ARRIVALS_MS);
+        if self.spare <= 0.0 || seen_ms < ARRIVALS_MS / 3 {
+            return;
+        }
+        let mut groups: BTreeMap<(Room, bool), (f64, Arc<JobRecord>)> = BTreeMap::new();
+        for (_, record) in &self.arrivals {
+            let spec = &record.spec;
+            let restart_ms = self.boot_ms as f64 + spec.image_gb / self.fetch_gb_per_s * 1000.0;
+            let expected = spec.tasks as f64 * restart_ms / seen_ms as f64 * self.spare;
+            groups.entry((spec.need(), spec.spot)).or_insert_with(|| (0.0, record.clone())).0 += expected;
+        }
+        // The largest first: what is left of whole machines is of no use to them.
+        for (expected, record) in groups.into_values().rev() {
+            let spec = &record.spec;
+            let need = spec.need();
+            let mut count = 0;
+            for _ in 0..(expected.round() as u32).min(SPARE_MOST) {
+                let ask = Ask {
+                    need,
+                    types: spec.types.as_deref(),
+                    zones: None,
+                    spot: spec.spot,
+                    lasting: false,
+                    image: &spec.image,
+                    avoid: &[],
+                };
+                let found = (0..fields.len()).find_map(|p| {
+                    let fit = fields[p].first_fit(&ask, false).or_else(|| fields[p].evict_fit(&ask, spec.rank, false, false));
+                    fit.map(|i| (p, i))
+                });
+                let Some((p, i)) = found else {
+                    count += 1;
+                    continue;
+                };
+                if fields[p].slots[i].busy == 0 {
+                    self.keep.push(fields[p].slots[i].id.clone());
+                }
+                fields[p].take(i, &need, &spec.image);
+            }
+            if count > 0 {
+                let zone = spec.zone.clone();
+                lacking.push(Demand {
+                    team: spec.team.clone(),
+                    need,
+                    types: spec.types.clone(),
+                    zone,
+                    spot: spec.spot,
+                    count,
+                    one_zone: false,
+                });
+            }
+        }
+    }
+
     /// Moves the replicas of one machine to others in use, if all of them fit
     /// there and nothing has lacked room for a while: the machine can then be
     /// given back. A replica that moves is down for as long as a stop and a
--- a/src/policy.lua
+++ b/src/policy.lua
@@ -10,6 +10,7 @@
   silent_s = 9,
   -- how many times the usual boot time a machine may take
   boot_patience = 3.0,
-  -- spare room kept for each task expected to arrive while a machine boots
-  spare = 1.0,
+  -- room kept for each task expected to arrive while a machine boots and
+  -- fetches, of classes whose starts are awaited
+  spare = 0.5,
 }
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -30,6 +30,8 @@
     pub wants: Vec<Want>,
     /// Machines rented by the placer that belong to the owner.
     pub rented: Vec<Rented>,
+    /// Empty machines that the placer counts on for work to come.
+    pub keep: Vec<MachineId>,
     /// Counts of the placer's jobs, for answers at any node.
     pub notes: Vec<JobNote>,
 }
