--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -19,6 +19,8 @@
     pub zone: Option<String>,
     /// May use spot machines.
     pub spot: bool,
+    /// True if it is not worth an ordinary machine.
+    pub only_spot: bool,
     /// How many.
     pub count: u32,
     /// All in one zone.
@@ -99,6 +101,9 @@
                         continue;
                     }
                     for spot in [true, false] {
+                        if !spot && d.only_spot {
+                            continue;
+                        }
                         if spot && (!d.spot || t.spot_price <= 0.0) || !shortage.open(&t.name, zone, spot, now) {
                             continue;
                         }
--- a/src/coordination/placer.rs
+++ b/src/coordination/placer.rs
@@ -362,7 +362,8 @@
             }
             let spec = &m.record.spec;
             let news = job.record.is_none() && job.chunks.is_empty() && now > self.started + SETTLE_MS;
-            if news && spec.shape != Shape::Array && self.start_within.contains_key(&spec.class) {
+            let guaranteed = self.guarantee_within < f64::MAX && within(&spec.need(), self.guarantees.get(&spec.team));
+            if news && (self.start_within.contains_key(&spec.class) || guaranteed) {
                 self.arrivals.push_back((now, m.record.clone()));
             }
             job.team = spec.team.clone();
@@ -786,6 +787,16 @@
         self.lacking = lacking;
     }
 
+    /// Tasks of a job whose starts are awaited: those that fit its team's
+    /// guarantee, or all of them where the class itself is awaited.
+    fn awaited(&self, spec: &JobSpec) -> u64 {
+        if self.start_within.contains_key(&spec.class) {
+            return spec.tasks;
+        }
+        let guarantee = self.guarantees.get(&spec.team);
+        (1..=spec.tasks.min(u64::from(CHUNK_TASKS))).take_while(|&n| within(&spec.need().times(n), guarantee)).last().unwrap_or(0)
+    }
+
     /// Counts the work that is expected to come while a machine boots, for
     /// classes whose starts are awaited: empty machines that it would take are
     /// kept, and what finds no room is asked for like waiting work.
@@ -802,7 +813,7 @@
         for (_, record) in &self.arrivals {
             let spec = &record.spec;
             let restart_ms = self.boot_ms as f64 + spec.image_gb / self.fetch_gb_per_s * 1000.0;
-            let expected = spec.tasks as f64 * restart_ms / seen_ms as f64 * self.spare;
+            let expected = self.awaited(spec) as f64 * restart_ms / seen_ms as f64 * self.spare;
             groups.entry((spec.need(), spec.spot)).or_insert_with(|| (0.0, record.clone())).0 += expected;
         }
         // The largest first: what is left of whole machines is of no use to them.
@@ -962,6 +973,7 @@
             spot: spec.spot,
             count: count as u32,
             one_zone: spec.one_zone,
+            only_spot: false,
         };
         if !spec.spread || job.tasks == 1 || spec.zone.is_some() {
             lacking.push(demand);
