--- a/src/coordination/placer.rs
+++ b/src/coordination/placer.rs
@@ -854,6 +854,7 @@
                     spot: spec.spot,
                     count,
                     one_zone: false,
+                    only_spot: spec.spot,
                 });
             }
         }
