--- /dev/null
+++ b/tests/edges.rs
@@ -0,0 +1,178 @@
+//! Bad input at each edge: refused with a fault that is named, changing nothing.
+
+mod sim;
+
+use lemonweir::coordination::fleet::{Bin, Demand, Shortage, plan};
+use lemonweir::model::{JobId, Room, Shape};
+use lemonweir::policy::Policy;
+use lemonweir::protocol::peer::{self, Sync, View};
+use lemonweir::protocol::users::{never_runs, read_submission};
+use lemonweir::protocol::worker::Report;
+use lemonweir::protocol::{decode, encode};
+use lemonweir::settings::Settings;
+use lemonweir::storage::Mirror;
+use lemonweir::storage::records::{MailKind, MailRecord, mail_key};
+use rmpv::Value;
+use sim::{catalog, job, settings_text};
+
+fn submission() -> Vec<(Value, Value)> {
+    let bytes = encode(&job(1, "red", Shape::Array, 3));
+    match rmpv::decode::read_value(&mut bytes.as_slice()).expect("a map") {
+        Value::Map(fields) => fields,
+        other => panic!("not a map: {other}"),
+    }
+}
+
+fn read_map(fields: Vec<(Value, Value)>) -> Result<lemonweir::model::JobSpec, lemonweir::protocol::Malformed> {
+    let mut bytes = Vec::new();
+    rmpv::encode::write_value(&mut bytes, &Value::Map(fields)).expect("written");
+    read_submission(&bytes)
+}
+
+#[test]
+fn submissions_are_checked_in_full() {
+    assert!(read_map(submission()).is_ok());
+    let nullable = ["hardware", "hall", "dueS"];
+    for (i, (key, _)) in submission().iter().enumerate() {
+        let mut fields = submission();
+        fields.remove(i);
+        let may_lack = nullable.contains(&key.as_str().expect("text"));
+        assert_eq!(read_map(fields).is_ok(), may_lack, "without {key}");
+        let mut fields = submission();
+        fields[i].1 = Value::Array(vec![Value::Map(Vec::new())]);
+        assert!(read_map(fields).is_err(), "bad {key}");
+    }
+    let with = |key: &str, value: Value| {
+        let mut fields = submission();
+        fields.iter_mut().find(|(k, _)| k.as_str() == Some(key)).expect("field").1 = value;
+        read_map(fields)
+    };
+    for id in ["", "req-", "req-12x", "job-12", "req-1/2", "req-111111111111111111111"] {
+        assert!(with("nameId", id.into()).is_err(), "{id}");
+    }
+    assert!(with("pieces", 0.into()).is_err());
+    assert!(with("pieces", 100_001.into()).is_err());
+    assert!(with("cores", f64::NAN.into()).is_err());
+    assert!(with("cores", (-1.0).into()).is_err());
+    assert!(with("cores", 4.into()).is_ok(), "a whole number is an amount too");
+    assert!(read_submission(b"{\"json\":1}").is_err());
+    assert!(read_submission(&[]).is_err());
+    let mut extra = encode(&job(1, "red", Shape::Array, 3));
+    extra.push(0);
+    assert!(read_submission(&extra).is_err(), "trailing bytes");
+}
+
+#[test]
+fn jobs_that_can_never_run_are_told_why() {
+    let settings = Settings::parse(&settings_text(0, 3)).expect("settings");
+    let c = &settings.cluster;
+    let why = |spec| never_runs(&spec, &c.teams, &c.zones, &catalog());
+    assert_eq!(why(job(1, "red", Shape::Array, 1000)), None, "an array counts one task");
+    assert!(why(job(1, "green", Shape::Array, 1)).is_some());
+    assert!(why(job(1, "red", Shape::Gang, 13)).is_some(), "13 of 12 accelerators");
+    assert_eq!(why(job(1, "red", Shape::Service, 12)), None);
+    let mut big = job(1, "blue", Shape::Array, 1);
+    big.gpus = 5.0;
+    assert!(why(big).is_some());
+    let mut elsewhere = job(1, "blue", Shape::Array, 1);
+    elsewhere.zone = Some("west".into());
+    assert!(why(elsewhere).is_some());
+}
+
+#[test]
+fn settings_name_each_fault() {
+    let good = settings_text(0, 3);
+    assert!(Settings::parse(&good).is_ok());
+    let with_new = good.replacen("{", "{\"something_new\":[1],", 1);
+    assert!(Settings::parse(&with_new).is_ok(), "unknown fields are ignored");
+    let faults = |text: String| Settings::parse(&text).expect_err("a fault");
+    assert_eq!(faults(good.replace("\"lease_s\":14.0", "\"lease_s\":1.0")).len(), 1);
+    assert_eq!(faults(good.replace("\"lease_s\":14.0", "\"lease_s\":1.0").replace("\"rps\":200.0", "\"rps\":0.0")).len(), 2);
+    assert!(faults(good.replace("\"h1\"", "\"h0\""))[0].contains("same host_name"));
+    assert!(faults("{".into())[0].starts_with("settings:"));
+}
+
+#[test]
+fn policies_are_bounded_and_checked() {
+    let default = include_str!("../src/policy.lua");
+    assert!(Policy::evaluate(default).is_ok());
+    let fault = |script: &str| Policy::evaluate(script).expect_err("a fault").join("; ");
+    assert!(fault(&default.replace("spare =", "spear =")).contains("spear"));
+    assert!(fault(&default.replace("silent_s = 9", "silent_s = 0")).contains("silent_s"));
+    assert!(fault("while true do end").contains("too long"));
+    assert!(fault("local t = {} for i = 1, 1e9 do t[i] = ('x'):rep(1000000) .. i end return t").contains("memory"));
+    assert!(fault("return io.open('/etc/passwd')").contains("io"));
+    assert!(fault("return os.getenv('HOME')").contains("os"));
+    assert!(fault("return 7").starts_with("policy:"));
+}
+
+#[test]
+fn garbage_from_workers_and_peers_is_refused() {
+    assert!(decode::<Report>(b"\x81\xa3box\x01").is_err());
+    assert!(decode::<Report>(&[0xff; 40]).is_err());
+    assert!(peer::read::<Sync>(&[]).is_err());
+    assert!(peer::read::<Sync>(&[9, 0, 0]).expect_err("format").contains("format 9"));
+    // A length that promises more than there is must not be believed.
+    let mut bytes = vec![lemonweir::constants::PEER_VERSION];
+    bytes.extend([0xff; 64]);
+    assert!(peer::read::<View>(&bytes).is_err());
+}
+
+#[test]
+fn mail_is_taken_whole_or_not_at_all() {
+    use base64::prelude::{BASE64_STANDARD, Engine};
+    let mut mirror = Mirror::default();
+    let piece = |n, id, b: &[u8]| lemonweir::protocol::state::to_value(&MailRecord { n, id: (1, id), b: BASE64_STANDARD.encode(b) });
+    let set = |k, value, version| lemonweir::protocol::state::Change {
+        set: Some(mail_key(MailKind::Sync, 0, 1, k)),
+        drop: None,
+        value: Some(value),
+        version,
+    };
+    mirror.apply(&[set(0, piece(2, 5, b"ab"), 1)], 1);
+    assert!(mirror.take_mail().is_empty(), "a piece is missing");
+    mirror.apply(&[set(1, piece(2, 4, b"cd"), 2)], 2);
+    assert!(mirror.take_mail().is_empty(), "a piece is of an earlier message");
+    mirror.apply(&[set(1, piece(2, 5, b"cd"), 3)], 3);
+    let mail = mirror.take_mail();
+    assert_eq!(mail.len(), 1);
+    assert_eq!(mail[0].1, b"abcd");
+    assert!(mirror.take_mail().is_empty(), "taken once");
+}
+
+#[test]
+fn job_ids_have_one_form() {
+    assert!(JobId::parse("req-000412").is_some());
+    assert!(JobId::parse("req-000412/3").is_none());
+}
+
+// ---- what to rent ----------------------------------------------------------
+
+fn demand(count: u32, spot: bool) -> Demand {
+    Demand { team: "red".into(), need: Room::offer(4.0, 1.0, 8.0), types: None, zone: None, spot, only_spot: false, count, one_zone: false }
+}
+
+#[test]
+fn renting_counts_what_boots_and_takes_the_cheapest() {
+    let shortage = Shortage::default();
+    let count = |plan: Vec<(String, String, bool, u32)>| (plan.iter().map(|p| p.3).sum::<u32>(), plan.iter().all(|p| p.2));
+    assert_eq!(
+        count(plan(&[demand(9, true)], &[], &Default::default(), &catalog(), &shortage, 0)),
+        (3, true),
+        "nine on spot machines of four"
+    );
+    assert_eq!(count(plan(&[demand(4, false)], &[], &Default::default(), &catalog(), &shortage, 0)).0, 1);
+    let booting = Bin { kind: "box".into(), zone: "north".into(), spot: false, free: Room::offer(16.0, 4.0, 64.0) };
+    assert!(plan(&[demand(4, false)], &[booting], &Default::default(), &catalog(), &shortage, 0).is_empty(), "it is on its way");
+}
+
+/// Found on afspraakloket: machines that boot in one zone counted as room for
+/// replicas that had to be in another.
+#[test]
+fn a_gang_of_one_zone_gets_machines_of_one_zone() {
+    let mut gang = demand(9, true);
+    gang.one_zone = true;
+    let plan = plan(&[gang], &[], &Default::default(), &catalog(), &Shortage::default(), 0);
+    assert_eq!(plan.len(), 1, "{plan:?}");
+    assert_eq!(plan[0].3, 3);
+}
--- /dev/null
+++ b/tests/placement.rs
@@ -0,0 +1,137 @@
+//! Placement by bit-vectors compared with a slow plain model.
+
+use lemonweir::coordination::placement::{Ask, Field};
+use lemonweir::model::{MachineId, Rank, Room};
+use lemonweir::protocol::peer::MachineView;
+use proptest::prelude::*;
+
+const ZONES: [&str; 3] = ["a", "b", "c"];
+const KINDS: [&str; 2] = ["small", "large"];
+const IMAGES: [&str; 3] = ["x", "y", "z"];
+
+fn room() -> impl Strategy<Value = Room> {
+    (0..9u64, 0..3u64, 0..5u64).prop_map(|(c, g, m)| Room { cpus: c * 500, gpus: g * 1000, memory: m * 4000 })
+}
+
+fn machine(n: usize) -> impl Strategy<Value = MachineView> {
+    (room(), room(), 0..3usize, 0..2usize, any::<[bool; 3]>(), 0..3u16, 0..3u16, prop::sample::subsequence(IMAGES.to_vec(), 0..=3))
+        .prop_map(move |(free, soft, zone, kind, [spot, up, open], busy, lasting, images)| MachineView {
+            id: MachineId::from(format!("n-{n:03}").as_str()),
+            kind: KINDS[kind].into(),
+            zone: ZONES[zone].into(),
+            spot,
+            up,
+            open,
+            leaving: false,
+            free,
+            soft: [soft, soft, Room::default()],
+            soft_over: [soft; 3],
+            busy,
+            lasting,
+            images: images.into_iter().map(str::to_owned).collect(),
+            renter: None,
+            age_ms: 0,
+        })
+}
+
+fn machines() -> impl Strategy<Value = Vec<MachineView>> {
+    (0..80usize).prop_flat_map(|n| (0..n).map(machine).collect::<Vec<_>>())
+}
+
+#[derive(Clone, Debug)]
+struct Wish {
+    need: Room,
+    types: Option<Vec<String>>,
+    zones: Option<Vec<&'static str>>,
+    spot: bool,
+    lasting: bool,
+    image: &'static str,
+    avoid: Vec<MachineId>,
+}
+
+fn wish() -> impl Strategy<Value = Wish> {
+    (
+        room(),
+        prop::option::of(prop::sample::subsequence(KINDS.to_vec(), 0..=2)),
+        prop::option::of(prop::sample::subsequence(ZONES.to_vec(), 0..=3)),
+        any::<[bool; 2]>(),
+        prop::sample::select(IMAGES.to_vec()),
+        prop::collection::vec(0..80usize, 0..3),
+    )
+        .prop_map(|(need, types, zones, [spot, lasting], image, avoid)| Wish {
+            need,
+            types: types.map(|t| t.into_iter().map(str::to_owned).collect()),
+            zones,
+            spot,
+            lasting,
+            image,
+            avoid: avoid.into_iter().map(|n| MachineId::from(format!("n-{n:03}").as_str())).collect(),
+        })
+}
+
+impl Wish {
+    fn ask(&self) -> Ask<'_> {
+        Ask {
+            need: self.need,
+            types: self.types.as_deref(),
+            zones: self.zones.clone(),
+            spot: self.spot,
+            lasting: self.lasting,
+            image: self.image,
+            avoid: &self.avoid,
+        }
+    }
+
+    fn allows(&self, m: &MachineView) -> bool {
+        m.up && m.open
+            && (self.spot || !m.spot)
+            && self.types.as_ref().is_none_or(|t| t.contains(&m.kind))
+            && self.zones.as_ref().is_none_or(|z| z.contains(&m.zone.as_str()))
+            && !self.avoid.contains(&m.id)
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, rng_seed: proptest::test_runner::RngSeed::Fixed(7), failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// The walk takes what the plain model takes: among allowed machines with
+    /// room, the first of the best class.
+    #[test]
+    fn first_fit_is_the_plain_models(machines in machines(), wish in wish(), with_image in any::<bool>()) {
+        let fits = |m: &MachineView| wish.allows(m) && m.free.covers(&wish.need) && (!with_image || m.images.iter().any(|i| i == wish.image));
+        let mut best: Option<(usize, (bool, bool, i32))> = None;
+        for (i, m) in machines.iter().enumerate().filter(|(_, m)| fits(m)) {
+            let class = (wish.spot && !m.spot, m.busy == 0, if wish.lasting { -i32::from(m.lasting) } else { 0 });
+            if best.is_none_or(|(_, b)| class < b) {
+                best = Some((i, class));
+            }
+        }
+        prop_assert_eq!(Field::new(&machines).first_fit(&wish.ask(), with_image), best.map(|(i, _)| i));
+    }
+
+    /// Pushing out is offered only where it suffices, and with least missing.
+    #[test]
+    fn evict_fit_suffices(machines in machines(), wish in wish(), over in any::<bool>(), with_image in any::<bool>()) {
+        let suffices = |m: &MachineView| {
+            let soft = if over { m.soft_over } else { m.soft };
+            wish.allows(m) && (!with_image || m.images.iter().any(|i| i == wish.image)) && m.free.plus(&soft[Rank::High.index()]).covers(&wish.need)
+        };
+        match Field::new(&machines).evict_fit(&wish.ask(), Rank::High, over, with_image) {
+            Some(i) => prop_assert!(suffices(&machines[i])),
+            None => prop_assert!(!machines.iter().any(suffices)),
+        }
+    }
+
+    /// Taking room never makes more of it.
+    #[test]
+    fn taking_room_takes_it(machines in machines(), wish in wish()) {
+        let mut field = Field::new(&machines);
+        if let Some(i) = field.first_fit(&wish.ask(), false) {
+            let before = field.slots[i].free;
+            field.take(i, &wish.need, wish.image);
+            prop_assert_eq!(field.slots[i].free.plus(&wish.need), before);
+            // The image now counts as there.
+            prop_assert!(wish.need != Room::default() || field.first_fit(&wish.ask(), true).is_some());
+        }
+    }
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod sim;
 
-use lemonweir::model::{JobId, MachineId, Shape};
+use lemonweir::model::{JobId, MachineId, Rank, Shape};
 use lemonweir::protocol::users::Phase;
 use sim::checker::Checker;
 use sim::{Faults, World, job};
@@ -167,3 +167,47 @@
     c.check_time(34_011, &Default::default());
     assert!(first_fault(&c).contains("ran_cancelled"));
 }
+
+// ---- preemption --------------------------------------------------------------
+
+/// Where no room is left, a higher priority pushes out a lower one, and what
+/// was pushed out is done in the end.
+#[test]
+fn a_higher_priority_pushes_out_a_lower() {
+    let mut world = World::new(80, 2, NO_FAULTS);
+    world.capacity = 1;
+    world.run_ms = 120_000;
+    world.submit(job(1, "blue", Shape::Array, 4));
+    world.run(60_000);
+    let mut urgent = job(2, "blue", Shape::Service, 1);
+    urgent.rank = Rank::Production;
+    world.submit(urgent);
+    world.run(6_000);
+    let runs =
+        |world: &World, id: &str| world.workers.values().any(|w| w.tasks.iter().any(|((p, _), t)| p.starts_with(id) && t.cause.is_none()));
+    assert!(runs(&world, "req-000002"), "the replica has pushed a batch task out");
+    world.withdraw(&id(2));
+    world.run(400_000);
+    assert_eq!(world.phase(&id(1)), Some(Phase::Done));
+    world.checker.assert_kept();
+}
+
+/// Found on afspraakloket: two jobs pushed each other out for ever, one by its
+/// priority and the other by its guarantee.
+#[test]
+fn nobody_is_pushed_out_for_ever() {
+    let mut world = World::new(81, 2, NO_FAULTS);
+    world.capacity = 1;
+    world.run_ms = 20_000;
+    // Blue has no guarantee but the higher priority; red is within its own.
+    let mut high = job(1, "blue", Shape::Array, 4);
+    high.rank = Rank::High;
+    world.submit(high);
+    world.run(40_000);
+    world.submit(job(2, "red", Shape::Array, 4));
+    world.run(200_000);
+    world.checker.assert_kept();
+    assert!(world.checker.starts <= 16, "{} starts for 8 tasks", world.checker.starts);
+    assert_eq!(world.phase(&id(1)), Some(Phase::Done));
+    assert_eq!(world.phase(&id(2)), Some(Phase::Done));
+}
