--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -214,7 +214,7 @@
 
     /// The first machine in use other than `than` that has room and the image.
     pub fn fit_elsewhere(&self, ask: &Ask<'_>, than: &MachineId) -> Option<usize> {
-        let i = self.first_fit(&Ask { avoid: &[than.clone()], ..ask.clone() }, true)?;
+        let i = self.first_fit(&Ask { avoid: std::slice::from_ref(than), ..ask.clone() }, true)?;
         (self.slots[i].busy > 0).then_some(i)
     }
 
