--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -19,8 +19,6 @@
     pub zone: Option<String>,
     /// May use spot machines.
     pub spot: bool,
-    /// True if it can wait for room that others leave soon.
-    pub patient: bool,
     /// True if it is not worth an ordinary machine.
     pub only_spot: bool,
     /// How many.
--- a/src/coordination/placer.rs
+++ b/src/coordination/placer.rs
@@ -31,8 +31,6 @@
     standing: Option<Standing>,
     kill: Option<u32>,
     since: u64,
-    /// When it was first seen running, ms.
-    running_since: Option<u64>,
     evict: Evict,
 }
 
@@ -341,7 +339,6 @@
                     kill: None,
                     evict: Evict::Nobody,
                     since: 0,
-                    running_since: None,
                 },
             );
         }
@@ -636,9 +633,6 @@
             if live.standing != Some(a.standing) {
                 debug!(attempt = %a.id, machine = %live.machine, standing = ?a.standing, "attempt moved on");
                 live.standing = Some(a.standing);
-                if a.standing == Standing::Running {
-                    live.running_since.get_or_insert(now);
-                }
             }
             if a.standing.ended() {
                 Self::attempt_over(job, &a.id, a.standing, now);
@@ -789,33 +783,10 @@
         if !lacking.is_empty() {
             self.lacked_at = now;
         }
-        self.count_soon_free(&mut lacking, now);
         self.add_spare(&mut fields, &mut lacking, now);
         self.lacking = lacking;
     }
 
-    /// Leaves out demand of arrays that tasks will make room for sooner than a
-    /// new machine could: it would come too late to be of use to them, and be
-    /// paid for whole.
-    fn count_soon_free(&self, lacking: &mut Vec<Demand>, now: u64) {
-        let mut soon: Vec<Room> = Vec::new();
-        for job in self.jobs.values().filter(|j| !j.over) {
-            let Some(spec) = job.spec().filter(|s| s.shape == Shape::Array) else { continue };
-            let usual_ms = (spec.estimate_s * 1000.0) as u64;
-            let ends = |since: u64| if now > since + usual_ms { now + usual_ms / 2 } else { since + usual_ms };
-            let count = job.live.values().filter_map(|l| l.running_since).filter(|&since| ends(since) < now + self.boot_ms).count();
-            soon.extend(std::iter::repeat_n(job.need, count));
-        }
-        for d in lacking.iter_mut().filter(|d| d.patient) {
-            while d.count > 0 {
-                let Some(at) = soon.iter().position(|room| room.covers(&d.need)) else { break };
-                soon.swap_remove(at);
-                d.count -= 1;
-            }
-        }
-        lacking.retain(|d| d.count > 0);
-    }
-
     /// Tasks of a job whose starts are awaited: those that fit its team's
     /// guarantee, or all of them where the class itself is awaited.
     fn awaited(&self, spec: &JobSpec) -> u64 {
@@ -884,7 +855,6 @@
                     count,
                     one_zone: false,
                     only_spot: spec.spot,
-                    patient: false,
                 });
             }
         }
@@ -1005,7 +975,6 @@
             count: count as u32,
             one_zone: spec.one_zone,
             only_spot: false,
-            patient: spec.shape == Shape::Array && !within(&used.plus(&job.need.times(count)), self.guarantees.get(&job.team)),
         };
         if !spec.spread || job.tasks == 1 || spec.zone.is_some() {
             lacking.push(demand);
@@ -1144,7 +1113,6 @@
                         kill: None,
                         evict,
                         since: now,
-                        running_since: None,
                     },
                 );
             }
