--- a/src/constants.rs
+++ b/src/constants.rs
@@ -161,6 +161,10 @@
 pub const SETTLE_MS: u64 = 10_000;
 /// Tasks of one size that room is kept for at most.
 pub const SPARE_MOST: u32 = 4;
+/// ms without a new task after which empty machines are kept for less long.
+pub const LULL_MS: u64 = 40_000;
+/// Share of the usual time that empty machines are then kept.
+pub const LULL_KEEP: f64 = 0.3;
 /// ms that an attempt waits for those pushed out for it; longer than any save
 /// seen in the field, after which the placer tries elsewhere.
 pub const EVICT_WAIT_MS: u64 = 15_000;
--- a/src/coordination/owner.rs
+++ b/src/coordination/owner.rs
@@ -252,6 +252,8 @@
     earlier: BTreeMap<MachineId, VecDeque<(String, u64)>>,
     noted: ImagesRecord,
     noted_at: u64,
+    /// When an attempt was last given room, ms.
+    accepted_at: u64,
     missing: BTreeMap<MachineId, u64>,
     releasing: bool,
     last_tick: u64,
@@ -280,6 +282,7 @@
             earlier: BTreeMap::new(),
             noted: ImagesRecord::default(),
             noted_at: now,
+            accepted_at: now,
             missing: BTreeMap::new(),
             releasing: false,
             last_tick: now,
@@ -445,6 +448,9 @@
         if same {
             return;
         }
+        if matches!(stage, Stage::Accepted { sent: None, seen: false }) {
+            self.accepted_at = now;
+        }
         if let Stage::Ended(standing) = stage {
             info!(attempt = %id, machine = %machine, part = self.part, ?standing, "attempt is over");
             self.note_end(&machine, id, standing);
@@ -1004,7 +1010,8 @@
                 }
             }
             let restart = self.boot_ms.get(&m.kind).copied().unwrap_or(30_000) + m.fetch_ms(self.fetch.get(&m.kind).copied());
-            let keep = (restart as f64 * if m.spot { self.policy.idle_spot } else { self.policy.idle }) as u64;
+            let lull = if now > self.accepted_at + LULL_MS { LULL_KEEP } else { 1.0 };
+            let keep = (restart as f64 * lull * if m.spot { self.policy.idle_spot } else { self.policy.idle }) as u64;
             if m.idle_since.is_some_and(|at| now > at + keep) || (m.quarantined || m.notice) && m.idle_since.is_some() {
                 m.closing = true;
             }
