--- a/src/constants.rs
+++ b/src/constants.rs
@@ -142,6 +142,9 @@
 
 /// ms between two passes of the placer.
 pub const PLACE_GAP_MS: u64 = 50;
+/// ms of the tick while something waits for a short gap to pass: a start goes
+/// through several of them, and each would cost a whole tick.
+pub const SHORT_TICK_MS: u64 = 15;
 /// ms of the core's clock tick.
 pub const TICK_MS: u64 = 100;
 /// ms without any lack of room after which replicas are moved together.
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -512,6 +512,13 @@
         self.mirror.revision.is_some() && self.catalog.is_some()
     }
 
+    /// True if something only waits for one of the short gaps to pass.
+    pub fn hurried(&self, now: u64) -> bool {
+        self.parts
+            .values()
+            .any(|p| p.placer.wants_pass(now) || p.lines.iter().any(|l| l.dirty && !l.busy && l.failures < MAIL_AFTER_FAILURES))
+    }
+
     // ---- the pump ----------------------------------------------------------
 
     /// Does all that is due and returns what the process has to do. Call it
--- a/src/coordination/owner.rs
+++ b/src/coordination/owner.rs
@@ -915,7 +915,8 @@
                 spot: m.spot,
                 up: m.heard.is_some() && self.fresh(m) && m.session > m.dead_session,
                 open: m.open(),
-                leaving: m.notice || m.quarantined,
+                // A machine that fails what it starts may go on with what runs.
+                leaving: m.notice,
                 free: self.free(id),
                 soft: self.soft(id).0,
                 soft_over: self.soft(id).1,
--- a/src/coordination/placer.rs
+++ b/src/coordination/placer.rs
@@ -747,6 +747,9 @@
     /// left in `lacking`.
     pub fn place(&mut self, now: u64) {
         self.place_again = false;
+        for job in self.jobs.values_mut().filter(|j| now >= j.not_before) {
+            job.not_before = 0;
+        }
         let mut fields = self.fields();
         let mut usage = self.usage();
         let mut queues: BTreeMap<&str, Vec<&JobId>> = BTreeMap::new();
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -117,7 +117,8 @@
         for effect in effects {
             carry::carry(&node, effect);
         }
-        within(TICK_MS, requests.recv()).await;
+        let wait = if node.core().hurried(now) { SHORT_TICK_MS } else { TICK_MS };
+        within(wait, requests.recv()).await;
     }
 }
 
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -158,7 +158,7 @@
     pub up: bool,
     /// True if it takes new tasks once up.
     pub open: bool,
-    /// True if the tasks on it should move: the cloud takes it, or it fails.
+    /// True if the tasks on it should move: the cloud takes it.
     pub leaving: bool,
     /// Free room.
     pub free: Room,
