--- a/src/policy.lua
+++ b/src/policy.lua
@@ -4,7 +4,7 @@
   -- of the time that a new one takes to boot and to fetch an image
   idle = 0.75,
   -- the same for a spot machine, which costs less to keep
-  idle_spot = 3.0,
+  idle_spot = 1.5,
   -- seconds without a report after which a spot machine is given back, so that
   -- its work can move with proof; an ordinary one gets its lease and twice this
   silent_s = 9,
