--- a/src/coordination/placer.rs
+++ b/src/coordination/placer.rs
@@ -70,6 +70,8 @@
     /// No task below this one waits.
     cursor: u32,
     failures: u32,
+    /// Some task of it has run.
+    ran: bool,
     not_before: u64,
     avoid: Vec<MachineId>,
     /// Version of the job's key with which writing its end failed.
@@ -94,6 +96,7 @@
             chunks: BTreeMap::new(),
             cursor: 0,
             failures: 0,
+            ran: false,
             not_before: 0,
             avoid: Vec::new(),
             refused_end: None,
@@ -634,6 +637,7 @@
                 debug!(attempt = %a.id, machine = %live.machine, standing = ?a.standing, "attempt moved on");
                 live.standing = Some(a.standing);
             }
+            job.ran |= a.standing == Standing::Running;
             if a.standing.ended() {
                 Self::attempt_over(job, &a.id, a.standing, now);
             }
@@ -1030,7 +1034,8 @@
         let evict = if guaranteed { Evict::LowerAndOver } else { Evict::Lower };
         let soon = self.start_within.get(&spec.class).copied().unwrap_or(f64::MAX);
         let soon = if guaranteed { soon.min(self.guarantee_within) } else { soon };
-        let too_slow = spec.image_gb > soon * self.fetch_gb_per_s;
+        // A replica that was up is down while it fetches.
+        let too_slow = spec.image_gb > soon * self.fetch_gb_per_s || spec.shape == Shape::Service && job.ran;
         // Jobs that ask the same found no room a moment ago.
         let shape_key = format!(
             "{:?}{:?}{:?}{}{}{}{:?}{:?}{guaranteed}",
