--- a/src/constants.rs
+++ b/src/constants.rs
@@ -168,9 +168,6 @@
 pub const LULL_MS: u64 = 40_000;
 /// Share of the usual time that empty machines are then kept.
 pub const LULL_KEEP: f64 = 0.3;
-/// Share of the time for a start that a fetch may take: fetches vary by a
-/// third, and share their rate with others on the machine.
-pub const FETCH_SHARE: f64 = 0.6;
 /// ms that an attempt waits for those pushed out for it; longer than any save
 /// seen in the field, after which the placer tries elsewhere.
 pub const EVICT_WAIT_MS: u64 = 15_000;
--- a/src/coordination/placer.rs
+++ b/src/coordination/placer.rs
@@ -1034,9 +1034,8 @@
         let evict = if guaranteed { Evict::LowerAndOver } else { Evict::Lower };
         let soon = self.start_within.get(&spec.class).copied().unwrap_or(f64::MAX);
         let soon = if guaranteed { soon.min(self.guarantee_within) } else { soon };
-        // Fetches vary and share their rate; and a replica that was up is down
-        // while it fetches.
-        let too_slow = spec.image_gb > soon * FETCH_SHARE * self.fetch_gb_per_s || spec.shape == Shape::Service && job.ran;
+        // A replica that was up is down while it fetches.
+        let too_slow = spec.image_gb > soon * self.fetch_gb_per_s || spec.shape == Shape::Service && job.ran;
         // Jobs that ask the same found no room a moment ago.
         let shape_key = format!(
             "{:?}{:?}{:?}{}{}{}{:?}{:?}{guaranteed}",
