--- a/src/constants.rs
+++ b/src/constants.rs
@@ -3,9 +3,6 @@
 //! Facts about a deployment are not here: they come from the settings file and
 //! from the cloud's catalog.
 
-/// Seconds → milliseconds.
-pub const MS_PER_S: u64 = 1_000;
-
 // ---- protocol limits -------------------------------------------------------
 
 /// Bytes a request body may hold (protocol page).
@@ -29,6 +26,29 @@
 /// our largest records.
 pub const STORE_PAGE: u32 = 400;
 
+// ---- connections -----------------------------------------------------------
+
+/// Idle connections kept per address beyond those in use; calls to one address
+/// rarely overlap more than this.
+pub const IDLE_PER_ADDRESS: usize = 4;
+/// ms that an idle connection of ours is kept: longer than the regular calls
+/// are apart, and short enough that those to machines that are gone don't pile
+/// up.
+pub const IDLE_KEEP_MS: u64 = 10_000;
+/// ms to wait for a connection; within a zone one takes a few.
+pub const CONNECT_MS: u64 = 1_000;
+/// ms that an operator's command waits for its answer, as users do.
+pub const ANSWER_MS: u64 = 5_000;
+
+// ---- operators' policy -----------------------------------------------------
+
+/// Bytes of memory that a policy script may use; it computes a few numbers.
+pub const POLICY_MEMORY_BYTES: usize = 4 * 1024 * 1024;
+/// ms that a policy script may take.
+pub const POLICY_TIME_MS: u64 = 500;
+/// Lua instructions between two looks at the clock.
+pub const POLICY_LOOK_INSTRUCTIONS: u32 = 10_000;
+
 // ---- clocks ----------------------------------------------------------------
 
 /// Parts per thousand by which two steady clocks may differ: twice the 0.05 %
@@ -129,6 +149,8 @@
 
 /// ms after which an unanswered cloud request is given up.
 pub const CLOUD_TIMEOUT_MS: u64 = 5_000;
+/// ms that a machine of unknown type is taken to boot.
+pub const BOOT_UNKNOWN_MS: u64 = 30_000;
 /// ms between two readings of the rental list by one node.
 pub const LIST_EVERY_MS: u64 = 4_000;
 /// ms between two readings of the catalog: spot prices move slowly.
--- a/src/coordination/owner.rs
+++ b/src/coordination/owner.rs
@@ -1003,14 +1003,14 @@
                 dead.push(id.clone());
             }
             if m.heard.is_none() {
-                let patience = (self.boot_ms.get(&m.kind).copied().unwrap_or(30_000) as f64 * self.policy.boot_patience) as u64;
+                let patience = (self.boot_ms.get(&m.kind).copied().unwrap_or(BOOT_UNKNOWN_MS) as f64 * self.policy.boot_patience) as u64;
                 let since = m.booked.max(self.started.saturating_sub(patience)).max(m.since.saturating_sub(patience));
                 if now > since + patience + self.timing.lease_ms {
                     info!(machine = %id, part = self.part, "machine never came up; giving it back");
                     m.release_wanted = true;
                 }
             }
-            let restart = self.boot_ms.get(&m.kind).copied().unwrap_or(30_000) + m.fetch_ms(self.fetch.get(&m.kind).copied());
+            let restart = self.boot_ms.get(&m.kind).copied().unwrap_or(BOOT_UNKNOWN_MS) + m.fetch_ms(self.fetch.get(&m.kind).copied());
             let lull = if now > self.accepted_at + LULL_MS { LULL_KEEP } else { 1.0 };
             let keep = (restart as f64 * lull * if m.spot { self.policy.idle_spot } else { self.policy.idle }) as u64;
             if m.idle_since.is_some_and(|at| now > at + keep) || (m.quarantined || m.notice) && m.idle_since.is_some() {
@@ -1084,11 +1084,6 @@
             }
         }
     }
-
-    /// Machines known, for logs and tests.
-    pub fn machine_count(&self) -> usize {
-        self.machines.len()
-    }
 }
 
 impl Machine {
--- a/src/coordination/placer.rs
+++ b/src/coordination/placer.rs
@@ -1146,18 +1146,6 @@
         let reason = if job.next_waiting().is_some() { job.reason.to_owned() } else { String::new() };
         Some((u64::from(job.done_count), running, reason))
     }
-
-    /// Attempts that were placed longest ago without being acknowledged, for
-    /// logs.
-    pub fn oldest_unacknowledged_ms(&self, now: u64) -> u64 {
-        self.jobs
-            .values()
-            .flat_map(|j| j.live.values())
-            .filter(|l| l.standing.is_none())
-            .map(|l| now.saturating_sub(l.since))
-            .max()
-            .unwrap_or(0)
-    }
 }
 
 /// True if a use is within a guarantee; one that names nothing holds nothing.
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -4,12 +4,10 @@
 use std::path::Path;
 use std::process::ExitCode;
 
+use crate::constants::ANSWER_MS;
 use crate::protocol::{decode, encode};
 use crate::transport::Client;
 
-/// ms to wait for a controller's answer, as users do.
-const ANSWER_MS: u64 = 5_000;
-
 /// Submits the job in a JSON file.
 pub fn submit(node: SocketAddr, file: &Path) -> Result<ExitCode, Vec<String>> {
     let text = std::fs::read_to_string(file).map_err(|e| vec![format!("{}: {e}", file.display())])?;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -6,13 +6,9 @@
 
 use std::time::{Duration, Instant};
 
+use crate::constants::{POLICY_LOOK_INSTRUCTIONS, POLICY_MEMORY_BYTES, POLICY_TIME_MS};
 use mlua::{HookTriggers, Lua, LuaOptions, StdLib, Table, Value, VmState};
 
-/// Memory a policy script may use, bytes.
-const POLICY_MEMORY: usize = 4 * 1024 * 1024;
-/// Time a policy script may take; it only computes a few numbers.
-const POLICY_TIME: Duration = Duration::from_millis(500);
-
 /// The embedded default, which names every setting with its unit.
 pub const DEFAULT_POLICY: &str = include_str!("policy.lua");
 
@@ -43,13 +39,13 @@
     pub fn evaluate(script: &str) -> Result<Self, Vec<String>> {
         let one = |e: mlua::Error| vec![format!("policy: {}", e.to_string().lines().next().unwrap_or_default())];
         let lua = Lua::new_with(StdLib::MATH | StdLib::STRING | StdLib::TABLE, LuaOptions::default()).map_err(one)?;
-        lua.set_memory_limit(POLICY_MEMORY).map_err(one)?;
+        lua.set_memory_limit(POLICY_MEMORY_BYTES).map_err(one)?;
         // The base library is always there; these reach files or code.
         for name in ["dofile", "loadfile", "load", "require", "collectgarbage", "print"] {
             lua.globals().set(name, Value::Nil).map_err(one)?;
         }
-        let deadline = Instant::now() + POLICY_TIME;
-        lua.set_hook(HookTriggers::new().every_nth_instruction(10_000), move |_, _| {
+        let deadline = Instant::now() + Duration::from_millis(POLICY_TIME_MS);
+        lua.set_hook(HookTriggers::new().every_nth_instruction(POLICY_LOOK_INSTRUCTIONS), move |_, _| {
             if Instant::now() > deadline { Err(mlua::Error::runtime("takes too long")) } else { Ok(VmState::Continue) }
         })
         .map_err(one)?;
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -4,12 +4,13 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Mutex;
+use std::time::{Duration, Instant};
 
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::TcpStream;
 
 use super::within;
-use crate::constants::{MAX_HEADERS, MAX_RESPONSE_BYTES};
+use crate::constants::{CONNECT_MS, IDLE_KEEP_MS, IDLE_PER_ADDRESS, MAX_HEADERS, MAX_RESPONSE_BYTES};
 
 /// An answer.
 #[derive(Debug)]
@@ -31,21 +32,27 @@
     Unknown,
 }
 
-/// Connections kept per address beyond those in use.
-const IDLE_PER_ADDRESS: usize = 4;
-/// ms to wait for a connection.
-const CONNECT_MS: u64 = 1_000;
+/// Idle connections with the time since when they are.
+type Idle = HashMap<SocketAddr, Vec<(Instant, TcpStream)>>;
 
 /// A pooled client, shared by all tasks of a process.
 #[derive(Default)]
 pub struct Client {
-    idle: Mutex<HashMap<SocketAddr, Vec<TcpStream>>>,
+    idle: Mutex<Idle>,
 }
 
 impl Client {
     /// Sends a request and waits `timeout_ms` for its answer.
     pub async fn call(&self, addr: SocketAddr, method: &str, path: &str, body: &[u8], timeout_ms: u64) -> Result<Response, CallError> {
-        let pooled = self.lock().get_mut(&addr).and_then(Vec::pop);
+        let pooled = {
+            let mut idle = self.lock();
+            // Connections to machines that are gone must not pile up.
+            idle.retain(|_, list| {
+                list.retain(|(since, _)| since.elapsed() < Duration::from_millis(IDLE_KEEP_MS));
+                !list.is_empty()
+            });
+            idle.get_mut(&addr).and_then(Vec::pop).map(|(_, stream)| stream)
+        };
         let mut stream = match pooled {
             Some(stream) => stream,
             None => connect(addr).await?,
@@ -68,18 +75,13 @@
             let mut idle = self.lock();
             let list = idle.entry(addr).or_default();
             if list.len() < IDLE_PER_ADDRESS {
-                list.push(stream);
+                list.push((Instant::now(), stream));
             }
         }
         Ok(response)
     }
 
-    /// Forgets the idle connections to an address that is no more.
-    pub fn forget(&self, addr: SocketAddr) {
-        self.lock().remove(&addr);
-    }
-
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Vec<TcpStream>>> {
+    fn lock(&self) -> std::sync::MutexGuard<'_, Idle> {
         self.idle.lock().unwrap_or_else(|e| e.into_inner())
     }
 }
