--- a/tests/edges.rs
+++ b/tests/edges.rs
@@ -176,3 +176,27 @@
     assert_eq!(plan.len(), 1, "{plan:?}");
     assert_eq!(plan[0].3, 3);
 }
+
+#[test]
+fn garbage_from_the_cloud_and_the_store_is_refused() {
+    use lemonweir::protocol::cloud::{CatalogReply, Machines, RentalList};
+    use lemonweir::protocol::state::{Changes, Page, from_value};
+    use lemonweir::storage::records::{ChunkRecord, JobRecord, parse_run_key};
+    for body in [&b""[..], b"\xc0", b"\x80", b"<html>", &[0xff; 30]] {
+        assert!(decode::<CatalogReply>(body).is_err());
+        assert!(decode::<Machines>(body).is_err());
+        assert!(decode::<RentalList>(body).is_err());
+        assert!(decode::<Page>(body).is_err());
+        assert!(decode::<Changes>(body).is_err());
+    }
+    assert!(from_value::<ChunkRecord>(&Value::from("x")).is_none());
+    assert!(from_value::<JobRecord>(&Value::Nil).is_none());
+    assert!(parse_run_key("run/0/req-1").is_none());
+    assert!(parse_run_key("run/0/other/3").is_none());
+    // A key that is not understood changes nothing and ends nothing.
+    let mut mirror = Mirror::default();
+    let change = |key: &str| lemonweir::protocol::state::Change { set: Some(key.into()), drop: None, value: Some(Value::Nil), version: 1 };
+    mirror.apply(&[change("w/job/req-1"), change("w/part/x"), change("w/what/ever"), change("w/")], 7);
+    assert!(mirror.jobs.is_empty() && mirror.parts.is_empty());
+    assert_eq!(mirror.revision, Some(7));
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -3,7 +3,9 @@
 mod sim;
 
 use lemonweir::model::{JobId, MachineId, Rank, Shape};
+use lemonweir::protocol::state::{Txn, Write};
 use lemonweir::protocol::users::Phase;
+use lemonweir::storage::records::{EndRecord, end_key};
 use sim::checker::Checker;
 use sim::{Faults, World, job};
 
@@ -166,6 +168,27 @@
     assert!(c.broken.is_empty());
     c.check_time(34_011, &Default::default());
     assert!(first_fault(&c).contains("ran_cancelled"));
+
+    let done = |n| Txn { conditions: Vec::new(), writes: vec![Write::put(end_key(&id(n)), &EndRecord { phase: Phase::Done })] };
+    let mut c = checker();
+    c.task_done("req-000002/0");
+    c.written(&done(2), 5);
+    assert!(first_fault(&c).contains("not_done"), "task 1 is not done");
+
+    let mut c = checker();
+    c.task_done("req-000002/0");
+    c.task_done("req-000002/1");
+    c.withdrawn(&id(2), 4);
+    c.written(&done(2), 5);
+    assert!(first_fault(&c).contains("went_back"));
+
+    let mut c = checker();
+    c.task_done("req-000002/0");
+    c.task_done("req-000002/1");
+    c.written(&done(2), 5);
+    assert!(c.broken.is_empty());
+    c.withdrawn(&id(2), 6);
+    assert!(first_fault(&c).contains("went_back"));
 }
 
 // ---- preemption --------------------------------------------------------------
