--- a/src/constants.rs
+++ b/src/constants.rs
@@ -184,6 +184,9 @@
 pub const ARRIVALS_MS: u64 = 120_000;
 /// ms after taking a part in which what comes is no arrival but a backlog.
 pub const SETTLE_MS: u64 = 10_000;
+/// How many times the usual share room is kept for on spot machines at most,
+/// however little they cost: there are few of them.
+pub const SPARE_DISCOUNT_MOST: f64 = 2.0;
 /// Tasks of one size that room is kept for at most.
 pub const SPARE_MOST: u32 = 4;
 /// ms without a new task after which empty machines are kept for less long.
--- a/src/coordination/placer.rs
+++ b/src/coordination/placer.rs
@@ -12,7 +12,7 @@
 use crate::constants::*;
 use crate::coordination::fleet::Demand;
 use crate::coordination::placement::{Ask, Field};
-use crate::model::{AttemptId, Catalog, JobId, JobSpec, MachineId, Rank, Room, Shape};
+use crate::model::{AttemptId, Catalog, JobId, JobSpec, MachineId, MachineType, Rank, Room, Shape};
 use crate::protocol::peer::{Cause, Evict, JobNote, Rented, Standing, Sync, View, Want};
 use crate::protocol::state::{Condition, Txn, Write};
 use crate::protocol::users::Phase;
@@ -248,6 +248,8 @@
     keep: Vec<MachineId>,
     /// Share of the expected work that room is kept for.
     spare: f64,
+    /// How many times a spot machine an ordinary one costs, within bounds.
+    spot_discount: f64,
     boot_ms: u64,
     started: u64,
     /// Usual fetch rate.
@@ -283,6 +285,7 @@
             arrivals: VecDeque::new(),
             keep: Vec::new(),
             spare,
+            spot_discount: 1.0,
             boot_ms: 0,
             started: now,
             fetch_gb_per_s: f64::MAX,
@@ -304,6 +307,8 @@
     pub fn expect(&mut self, start_within: &HashMap<String, f64>, guarantee_within: f64, catalog: &Catalog) {
         self.start_within.clone_from(start_within);
         self.guarantee_within = guarantee_within;
+        let discount = |t: &MachineType| if t.spot_price > 0.0 { t.price / t.spot_price } else { 1.0 };
+        self.spot_discount = catalog.values().map(discount).fold(1.0, f64::max).min(SPARE_DISCOUNT_MOST);
         self.boot_ms = catalog.values().map(|t| (t.boot_s * 1000.0) as u64).max().unwrap_or(0);
         self.fetch_gb_per_s = catalog.values().map(|t| t.fetch_gb_per_s).fold(0.0, f64::max);
     }
@@ -820,7 +825,9 @@
         for (_, record) in &self.arrivals {
             let spec = &record.spec;
             let restart_ms = self.boot_ms as f64 + spec.image_gb / self.fetch_gb_per_s * 1000.0;
-            let expected = self.awaited(spec) as f64 * restart_ms / seen_ms as f64 * self.spare;
+            // Room that costs less is kept for more.
+            let share = if spec.spot { self.spare * self.spot_discount } else { self.spare };
+            let expected = self.awaited(spec) as f64 * restart_ms / seen_ms as f64 * share;
             groups.entry((spec.need(), spec.spot)).or_insert_with(|| (0.0, record.clone())).0 += expected;
         }
         // The largest first: what is left of whole machines is of no use to them.
