One piece for each twin in owner and placer; stray numbers to the constants

Behaviour is meant to stay as it is. Marking a task done, counting zones, and a job's progress each stood twice; the room that may be pushed out was computed twice for every machine of every view. Removed: fields and a verdict that nobody read, and a machine's cache size kept beside its type's.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -125,6 +125,15 @@
 pub const REFRESH_IDLE_MS: u64 = 200;
 /// Share of the store's request budget left to other nodes' bursts, percent.
 pub const BUDGET_PERCENT: u64 = 90;
+/// Bytes of task records in one transaction: below the 64 KiB that it may
+/// hold, with room for conditions.
+pub const TXN_BYTES: usize = 40_000;
+/// Bytes that a task record takes at most without its tasks.
+pub const RECORD_BYTES: usize = 200;
+/// Bytes that a live attempt takes in a record.
+pub const LIVE_BYTES: usize = 48;
+/// Bytes that a range of done tasks takes in a record.
+pub const RANGE_BYTES: usize = 12;
 /// Tasks in one chunk of a job's task record: a full chunk of live attempts
 /// stays well below the smallest value size that the settings allow.
 pub const CHUNK_TASKS: u32 = 64;
@@ -193,6 +202,20 @@
 pub const LULL_MS: u64 = 40_000;
 /// Share of the usual time that empty machines are then kept.
 pub const LULL_KEEP: f64 = 0.3;
+/// ms that a job waits after a worker refused a start of it, or its gang was
+/// not complete: the next reports show more.
+pub const START_REFUSED_PAUSE_MS: u64 = 500;
+/// Machines that a job avoids at most, those where it failed last.
+pub const AVOID_MOST: usize = 8;
+/// Waiting tasks of one job that are counted as demand at most: more than the
+/// machines of a fleet of this kind hold.
+pub const DEMAND_MOST: usize = 512;
+/// ms without a tick after which this process counts as having stood still.
+pub const STOOD_STILL_MS: u64 = 1_000;
+/// ms added to two report intervals before a machine counts as silent.
+pub const SILENT_SLACK_MS: u64 = 500;
+/// Silent machines up to which each counts as lost for itself.
+pub const MASS_SILENT: usize = 3;
 /// ms that an attempt waits for those pushed out for it; longer than any save
 /// seen in the field, after which the placer tries elsewhere.
 pub const EVICT_WAIT_MS: u64 = 15_000;
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -410,8 +410,8 @@
         }
     }
 
-    /// A transaction ended. Returns keys to read again, or that the part is
-    /// lost.
+    /// A transaction ended; keys of ours that met other versions have been read
+    /// again. Tells whether the part is lost.
     pub fn txn_done(&mut self, lot: Lot, outcome: TxnOutcome) -> TxnVerdict {
         let Some(part) = self.part(lot) else {
             return TxnVerdict::Fine;
--- a/src/coordination/owner.rs
+++ b/src/coordination/owner.rs
@@ -78,7 +78,6 @@
     tasks: BTreeMap<AttemptId, Seen>,
     /// Images with their sizes, most recently used first.
     images: VecDeque<(String, u64)>,
-    cache_mb: u64,
     notice: bool,
     closing: bool,
     quarantined: bool,
@@ -112,7 +111,6 @@
             dead_session: 0,
             tasks: BTreeMap::new(),
             images: VecDeque::new(),
-            cache_mb: u64::MAX,
             notice: false,
             closing: false,
             quarantined: false,
@@ -145,14 +143,13 @@
     /// Notes the use of an image. The worker keeps the most recently used
     /// ones as far as its cache goes; so does this note, since a start on a
     /// machine that has dropped the image waits for a fetch.
-    fn remember_image(&mut self, image: &str, mb: u64) {
+    fn remember_image(&mut self, image: &str, mb: u64, cache_mb: u64) {
         self.images.retain(|(name, _)| name != image);
         self.images.push_front((image.to_owned(), mb));
         let mut sum = 0;
-        let cache = self.cache_mb;
         self.images.retain(|(_, mb)| {
             sum += mb;
-            sum <= cache
+            sum <= cache_mb
         });
         self.images.truncate(IMAGES_REMEMBERED);
     }
@@ -330,6 +327,7 @@
             return None;
         }
         let newer = self.take_report(report, now, true);
+        let base = self.base();
         let m = self.machines.get_mut(&report.machine)?;
         if report.session <= m.dead_session {
             return None;
@@ -337,7 +335,7 @@
         m.answered = Some(now);
         if !newer {
             // A late report: the worker does not wait for this answer any more.
-            return Some(ReportReply { token: (self.token << FENCE_BITS) + m.fence, orders: Vec::new() });
+            return Some(ReportReply { token: base + m.fence, orders: Vec::new() });
         }
         let with_starts = m.ambiguous.is_some() && !m.calling;
         let orders =
@@ -346,7 +344,7 @@
         if orders.iter().any(|o| o.verb == Verb::Launch) {
             m.answered_with_starts = Some(report.seq);
         }
-        Some(ReportReply { token: (self.token << FENCE_BITS) + m.fence, orders })
+        Some(ReportReply { token: base + m.fence, orders })
     }
 
     /// Takes a report of any origin; true if it is the newest known.
@@ -360,12 +358,10 @@
         if (report.session, report.seq) <= (m.session, m.seq) || report.session <= m.dead_session {
             return false;
         }
-        if m.heard.is_none()
-            && let Some(images) = self.earlier.remove(&report.machine)
-        {
-            m.images = images;
-        }
         if m.heard.is_none() {
+            if let Some(images) = self.earlier.remove(&report.machine) {
+                m.images = images;
+            }
             info!(machine = %report.machine, part = self.part, after_ms = now - m.booked, "machine is up");
         }
         if report.session > m.session {
@@ -442,8 +438,8 @@
             m.tasks.get(id).is_some_and(|t| t.cause == Some(Cause::Done) || !matches!(t.phase, TaskPhase::Fetching | TaskPhase::Exited))
         };
         if let Some(m) = self.machines.get_mut(&machine).filter(|m| past_fetch(m)) {
-            m.cache_mb = self.caches.get(&m.kind).copied().unwrap_or(u64::MAX);
-            m.remember_image(&image, mb);
+            let cache_mb = self.caches.get(&m.kind).copied().unwrap_or(u64::MAX);
+            m.remember_image(&image, mb, cache_mb);
         }
         if same {
             return;
@@ -487,12 +483,11 @@
             }
             Stage::Waiting(_) if held.ending().is_some() => Stage::Ended(Standing::Gone),
             Stage::Waiting(since) => {
-                let mut free = self.free(&held.want.machine);
                 if !m.open() || m.session <= m.dead_session || now > since + EVICT_WAIT_MS {
                     return Stage::Ended(Standing::Refused);
                 }
                 // Its own claim is part of what is taken.
-                free = self.room_without(&held.want.machine, id).unwrap_or(free);
+                let free = self.room_without(&held.want.machine, id);
                 if free.covers(&held.want.need) { Stage::Accepted { sent: None, seen: false } } else { held.stage }
             }
             Stage::Accepted { sent: None, .. } if held.ending().is_some() => Stage::Ended(Standing::Gone),
@@ -564,14 +559,14 @@
     }
 
     /// Room not taken by the accepted attempts other than this one.
-    fn room_without(&self, machine: &MachineId, id: &AttemptId) -> Option<Room> {
-        let m = self.machines.get(machine).filter(|m| !self.crowded(m))?;
+    fn room_without(&self, machine: &MachineId, id: &AttemptId) -> Room {
+        let Some(m) = self.machines.get(machine).filter(|m| !self.crowded(m)) else { return Room::default() };
         let taken = self
             .held
             .iter()
             .filter(|(other, h)| *other != id && &h.want.machine == machine && matches!(h.stage, Stage::Accepted { .. }))
             .fold(Room::default(), |sum, (_, h)| sum.plus(&h.want.need));
-        Some(m.room.minus(&taken))
+        m.room.minus(&taken)
     }
 
     /// Room of the attempts that each priority may push out, without and with
@@ -616,12 +611,7 @@
     /// Room not taken by accepted attempts. Tasks that nobody has claimed yet
     /// have unknown needs, so a machine with such a task has no room.
     fn free(&self, machine: &MachineId) -> Room {
-        let Some(m) = self.machines.get(machine) else {
-            return Room::default();
-        };
-        if self.crowded(m) {
-            return Room::default();
-        }
+        let Some(m) = self.machines.get(machine).filter(|m| !self.crowded(m)) else { return Room::default() };
         self.held
             .values()
             .filter(|h| &h.want.machine == machine && matches!(h.stage, Stage::Accepted { .. } | Stage::Waiting(_)))
@@ -887,7 +877,7 @@
             self.judge(&machine, now);
         }
         self.dirty.remove(&sync.from);
-        Ok(self.view(sync.from, sync.seq, now))
+        Ok(self.view(sync.from, sync.seq))
     }
 
     fn expect(&mut self, id: &MachineId, rented: &Rented, renter: u16, now: u64) {
@@ -904,11 +894,12 @@
     }
 
     /// This part's whole state, with the attempts of one asker.
-    pub fn view(&self, asker: u16, seq: u64, now: u64) -> View {
+    pub fn view(&self, asker: u16, seq: u64) -> View {
         let machines = self
             .machines
             .iter()
-            .map(|(id, m)| MachineView {
+            .map(|(id, m)| (id, m, self.soft(id)))
+            .map(|(id, m, (soft, soft_over))| MachineView {
                 id: id.clone(),
                 kind: m.kind.clone(),
                 zone: m.zone.clone(),
@@ -918,13 +909,12 @@
                 // A machine that fails what it starts may go on with what runs.
                 leaving: m.notice,
                 free: self.free(id),
-                soft: self.soft(id).0,
-                soft_over: self.soft(id).1,
+                soft,
+                soft_over,
                 busy: self.busy(id).min(usize::from(u16::MAX)) as u16,
                 lasting: self.lasting(id),
                 images: self.images_of(id, m),
                 renter: m.renter,
-                age_ms: now.saturating_sub(m.booked),
             })
             .collect();
         let attempts = self
@@ -971,12 +961,12 @@
 
     /// Looks for machines whose time has come; call about every tick.
     pub fn tick(&mut self, now: u64) {
-        if now.saturating_sub(self.last_tick) > 1_000 {
+        if now.saturating_sub(self.last_tick) > STOOD_STILL_MS {
             // This process stood still: silence meanwhile proves nothing.
             self.silent_floor = now;
         }
         self.last_tick = now;
-        let (dead_after, silent_ms) = (self.timing.dead_after_ms(), self.policy.silent_ms.max(2 * self.timing.report_ms + 500));
+        let (dead_after, silent_ms) = (self.timing.dead_after_ms(), self.policy.silent_ms.max(2 * self.timing.report_ms + SILENT_SLACK_MS));
         // A spot machine that is silent was mostly taken without notice. An
         // ordinary one mostly lost its network: its tasks go on until their
         // lease ends, and it may come back with its images, so it is only
@@ -988,7 +978,7 @@
             self.machines.values().filter(|m| m.heard.is_some()).fold((0, 0), |(s, u), m| (s + usize::from(silent(m, silent_ms)), u + 1));
         // Many silent machines at once mean that this node is cut off, not
         // that all of them died: giving them back would end all their work.
-        let mass = silent_count > 3 && silent_count * 2 > up_count;
+        let mass = silent_count > MASS_SILENT && silent_count * 2 > up_count;
         let base = self.base();
         let mut dead = Vec::new();
         for (id, m) in &mut self.machines {
@@ -1035,10 +1025,8 @@
                 self.machines.insert(id.clone(), m);
             }
         }
-        let wanted: Vec<MachineId> = self.machines.iter().filter(|(_, m)| m.release_wanted).map(|(id, _)| id.clone()).collect();
-        for id in wanted {
-            self.missing.remove(&id);
-        }
+        let machines = &self.machines;
+        self.missing.retain(|id, _| !machines.get(id).is_some_and(|m| m.release_wanted));
     }
 
     /// Machines to give back now, if no release is under way.
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -64,8 +64,6 @@
     pub id: MachineId,
     /// Its zone.
     pub zone: String,
-    /// Its type.
-    pub kind: String,
     /// Spot or ordinary.
     pub spot: bool,
     /// Free room.
@@ -131,7 +129,6 @@
             field.slots.push(Slot {
                 id: m.id.clone(),
                 zone: m.zone.clone(),
-                kind: m.kind.clone(),
                 spot: m.spot,
                 free: m.free,
                 busy: u32::from(m.busy),
--- a/src/coordination/placer.rs
+++ b/src/coordination/placer.rs
@@ -121,17 +121,37 @@
         self.done.get(task as usize).copied().unwrap_or(false)
     }
 
-    fn mark_done(&mut self, task: u32) {
+    /// Marks a task as done; true if it was not.
+    fn set_done(&mut self, task: u32) -> bool {
         if self.done.len() <= task as usize {
             self.done.resize(task as usize + 1, false);
         }
-        if !self.done[task as usize] {
-            self.done[task as usize] = true;
-            self.done_count += 1;
+        let news = !std::mem::replace(&mut self.done[task as usize], true);
+        self.done_count += u32::from(news);
+        news
+    }
+
+    fn mark_done(&mut self, task: u32) {
+        if self.set_done(task) {
             self.touch(task);
         }
     }
 
+    /// Tasks that run, and why the others wait, if some do.
+    fn progress(&self) -> (u32, String) {
+        let running = self.live.values().filter(|l| l.standing == Some(Standing::Running)).count() as u32;
+        (running, if self.next_waiting().is_some() { self.reason.to_owned() } else { String::new() })
+    }
+
+    /// Attempts in each zone, leaving out one task's.
+    fn per_zone(&self, but: Option<u32>) -> HashMap<String, u32> {
+        let mut counts: HashMap<String, u32> = HashMap::new();
+        for (_, l) in self.live.iter().filter(|(t, _)| Some(**t) != but) {
+            *counts.entry(l.zone.clone()).or_default() += 1;
+        }
+        counts
+    }
+
     /// Notes a change of a task's chunk.
     fn touch(&mut self, task: u32) -> u64 {
         let chunk = self.chunks.entry(task / CHUNK_TASKS).or_default();
@@ -188,8 +208,6 @@
 pub enum TxnVerdict {
     /// Go on.
     Fine,
-    /// These keys of ours must be read again.
-    Reread(Vec<String>),
     /// The part is no longer ours.
     Lost,
 }
@@ -325,13 +343,7 @@
         job.chunks.insert(chunk, Chunk { version, change: 0, saved: 0 });
         for &(a, b) in &record.done {
             for task in a.max(first)..=b.min(end - 1) {
-                if job.done.len() <= task as usize {
-                    job.done.resize(task as usize + 1, false);
-                }
-                if !job.done[task as usize] {
-                    job.done[task as usize] = true;
-                    job.done_count += 1;
-                }
+                job.set_done(task);
             }
         }
         for l in record.live.iter().filter(|l| (first..end).contains(&l.t)) {
@@ -432,7 +444,7 @@
                 continue;
             }
             for (&index, chunk) in job.chunks.iter().filter(|(_, c)| c.saved < c.change) {
-                if txn.writes.len() + 1 > self.txn_ops || bytes > 40_000 {
+                if txn.writes.len() + 1 > self.txn_ops || bytes > TXN_BYTES {
                     break 'jobs;
                 }
                 let record = job.chunk_record(index);
@@ -446,7 +458,7 @@
                 if empty {
                     txn.writes.push(Write::Delete { key });
                 } else {
-                    bytes += 200 + record.live.len() * 48 + record.done.len() * 12;
+                    bytes += RECORD_BYTES + record.live.len() * LIVE_BYTES + record.done.len() * RANGE_BYTES;
                     txn.writes.push(Write::put(key, &record));
                 }
                 pending.chunks.push((id.clone(), index, chunk.change, empty));
@@ -506,7 +518,7 @@
                         job.refused_end = Some(version);
                     }
                 }
-                (TxnVerdict::Reread(keys.into_iter().filter(|k| k.starts_with("run/")).collect()), Vec::new())
+                (TxnVerdict::Fine, Vec::new())
             }
             TxnOutcome::Again => (TxnVerdict::Fine, Vec::new()),
         }
@@ -614,9 +626,8 @@
             .iter()
             .filter(|(_, j)| !j.over)
             .map(|(id, j)| {
-                let running = j.live.values().filter(|l| l.standing == Some(Standing::Running)).count() as u32;
-                let waiting = j.next_waiting().is_some();
-                JobNote { job: id.clone(), done: j.done_count, running, reason: if waiting { j.reason.to_owned() } else { String::new() } }
+                let (running, reason) = j.progress();
+                JobNote { job: id.clone(), done: j.done_count, running, reason }
             })
             .collect()
     }
@@ -695,7 +706,7 @@
                 if !job.avoid.contains(&live.machine) {
                     job.avoid.push(live.machine.clone());
                 }
-                if job.avoid.len() > 8 {
+                if job.avoid.len() > AVOID_MOST {
                     job.avoid.remove(0);
                 }
                 // One failure is mostly the machine's fault; more are the job's.
@@ -706,7 +717,7 @@
                 }
             }
             Standing::Refused => job.not_before = now + REFUSED_PAUSE_MS,
-            Standing::Exited(Cause::NoRoom | Cause::InUse | Cause::Unknown | Cause::Alone) => job.not_before = now + 500,
+            Standing::Exited(Cause::NoRoom | Cause::InUse | Cause::Unknown | Cause::Alone) => job.not_before = now + START_REFUSED_PAUSE_MS,
             _ => {}
         }
         if gang && !job.over {
@@ -907,7 +918,7 @@
                 mine.entry(&l.machine).or_default().push((id, task));
             }
         }
-        let mut candidates: Vec<(u32, f64, &MachineId)> = Vec::new();
+        let mut candidates: Vec<(u32, &MachineId)> = Vec::new();
         for field in &fields {
             for slot in &field.slots {
                 let Some(tasks) = mine.get(&slot.id) else { continue };
@@ -917,12 +928,12 @@
                 }
                 let all_last = tasks.iter().all(|(id, _)| self.jobs[*id].lasting());
                 if tasks.len() as u32 == slot.busy && all_last {
-                    candidates.push((slot.busy, slot.free.gpus as f64, &slot.id));
+                    candidates.push((slot.busy, &slot.id));
                 }
             }
         }
-        candidates.sort_by(|a, b| a.0.cmp(&b.0).then(b.2.cmp(a.2)));
-        let chosen = candidates.into_iter().map(|(_, _, m)| m).find(|m| self.all_fit_elsewhere(m, &mine[*m], &fields)).cloned();
+        candidates.sort_by(|a, b| a.0.cmp(&b.0).then(b.1.cmp(a.1)));
+        let chosen = candidates.into_iter().map(|(_, m)| m).find(|m| self.all_fit_elsewhere(m, &mine[*m], &fields)).cloned();
         let Some(machine) = chosen else { return };
         self.moved_at = now;
         info!(machine = %machine, part = self.part, "moving its replicas together with others");
@@ -943,10 +954,7 @@
         tasks.iter().all(|(id, task)| {
             let job = &self.jobs[*id];
             let Some(spec) = job.spec() else { return false };
-            let mut per_zone: HashMap<String, u32> = HashMap::new();
-            for (_, l) in job.live.iter().filter(|(t, _)| *t != task) {
-                *per_zone.entry(l.zone.clone()).or_default() += 1;
-            }
+            let per_zone = job.per_zone(Some(*task));
             let zones = allowed_zones(spec, None, &per_zone, job.tasks, fields);
             let ask =
                 Ask { need: job.need, types: spec.types.as_deref(), zones, spot: spec.spot, lasting: true, image: &spec.image, avoid: &[] };
@@ -966,7 +974,7 @@
             .iter()
             .filter(|d: &&Demand| d.team == job.team)
             .fold(usage.get(&job.team).copied().unwrap_or_default(), |sum, d| sum.plus(&d.need.times(u64::from(d.count))));
-        let waiting = (job.cursor..job.tasks).filter(|t| !job.is_done(*t) && !job.live.contains_key(t)).take(512).count() as u64;
+        let waiting = (job.cursor..job.tasks).filter(|t| !job.is_done(*t) && !job.live.contains_key(t)).take(DEMAND_MOST).count() as u64;
         let left = limit.minus(&used);
         let ratio = |have: u64, need: u64| have.checked_div(need).unwrap_or(u64::MAX);
         let most = ratio(left.cpus, job.need.cpus).min(ratio(left.gpus, job.need.gpus));
@@ -1074,10 +1082,7 @@
         for zone in zone_sets {
             let mut trial = fields.to_vec();
             let mut chosen = Vec::new();
-            let mut per_zone: HashMap<String, u32> = HashMap::new();
-            for l in job.live.values() {
-                *per_zone.entry(l.zone.clone()).or_default() += 1;
-            }
+            let mut per_zone = job.per_zone(None);
             for &task in &tasks {
                 let zones = allowed_zones(spec, zone.as_deref(), &per_zone, job.tasks, &trial);
                 let ask = Ask {
@@ -1149,9 +1154,8 @@
     /// The counts of one job, if it is this part's.
     pub fn job_note(&self, id: &JobId) -> Option<(u64, u64, String)> {
         let job = self.jobs.get(id).filter(|j| !j.over)?;
-        let running = job.live.values().filter(|l| l.standing == Some(Standing::Running)).count() as u64;
-        let reason = if job.next_waiting().is_some() { job.reason.to_owned() } else { String::new() };
-        Some((u64::from(job.done_count), running, reason))
+        let (running, reason) = job.progress();
+        Some((u64::from(job.done_count), u64::from(running), reason))
     }
 }
 
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -174,8 +174,6 @@
     pub images: Vec<String>,
     /// Part that rented it, if known.
     pub renter: Option<u16>,
-    /// ms since it was rented or first seen.
-    pub age_ms: u64,
 }
 
 /// An attempt as its owner sees it.
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -30,7 +30,6 @@
             lasting,
             images: images.into_iter().map(str::to_owned).collect(),
             renter: None,
-            age_ms: 0,
         })
 }
 
