--- a/src/constants.rs
+++ b/src/constants.rs
@@ -95,7 +95,17 @@
 /// Bytes of a mailbox value left for its other fields and its encoding.
 pub const MAIL_OVERHEAD_BYTES: usize = 512;
 /// Version of the format between controllers.
-pub const PEER_VERSION: u8 = 1;
+pub const PEER_VERSION: u8 = 2;
+/// Bytes of changes in one direct message between controllers: some hundred
+/// machines, so that one message does not hold up reports for long.
+pub const SYNC_BYTES: usize = 128 * 1024;
+/// Bytes that the naming of an attempt or a machine takes in a message.
+pub const ATTEMPT_BYTES: usize = 40;
+/// Bytes that the counts of a job take in a message, with a usual reason.
+pub const NOTE_BYTES: usize = 80;
+/// Bytes of changes in one message through the store: less than a transaction
+/// may hold, once in base64 and with keys. The rest follows in order.
+pub const MAIL_BYTES: usize = 24 * 1024;
 
 // ---- workers ---------------------------------------------------------------
 
@@ -125,6 +135,11 @@
 pub const REFRESH_IDLE_MS: u64 = 200;
 /// Share of the store's request budget left to other nodes' bursts, percent.
 pub const BUDGET_PERCENT: u64 = 90;
+/// Share of a common limit by which a node that waits raises its rate in a
+/// second: it has the whole within some seconds if nobody else wants it.
+pub const BUDGET_RISE: f64 = 0.2;
+/// What a node's rate is cut to, in shares of it, by a refusal.
+pub const BUDGET_FALL: f64 = 0.7;
 /// Bytes of task records in one transaction: below the 64 KiB that it may
 /// hold, with room for conditions.
 pub const TXN_BYTES: usize = 40_000;
@@ -132,6 +147,10 @@
 pub const RECORD_BYTES: usize = 200;
 /// Bytes that a live attempt takes in a record.
 pub const LIVE_BYTES: usize = 48;
+/// ms that a record of ended attempts waits for more of its chunk: a successor
+/// would learn of them from their workers, so it costs nothing to wait, and
+/// with hundreds of tasks ending each minute it halves what is written.
+pub const END_LAG_MS: u64 = 3_000;
 /// Bytes that a range of done tasks takes in a record.
 pub const RANGE_BYTES: usize = 12;
 /// Tasks in one chunk of a job's task record: a full chunk of live attempts
@@ -160,10 +179,16 @@
 pub const CLOUD_TIMEOUT_MS: u64 = 5_000;
 /// ms that a machine of unknown type is taken to boot.
 pub const BOOT_UNKNOWN_MS: u64 = 30_000;
-/// ms between two readings of the rental list by one node.
+/// ms between two readings of the rental list by one node, at least.
 pub const LIST_EVERY_MS: u64 = 4_000;
+/// Share of a node's part of the cloud's limit that readings of the list may
+/// use: a fleet of hundreds takes several pages, and rentals go first.
+pub const LIST_SHARE: f64 = 0.25;
 /// ms between two readings of the catalog: spot prices move slowly.
 pub const CATALOG_EVERY_MS: u64 = 60_000;
+/// Rentals of one part under way at a time: the answers take some tenths of a
+/// second, and a fleet of hundreds rises in requests of at most 50.
+pub const RENTALS_AT_ONCE: usize = 4;
 /// ms for which a kind and zone that had no capacity is not asked again.
 pub const NO_CAPACITY_MS: u64 = 12_000;
 /// ms that a cloud in trouble is left alone.
@@ -183,6 +208,9 @@
 /// ms between two machines whose replicas are moved: each is down for some
 /// tenths of a second, which must not add up in any half minute.
 pub const MOVE_GAP_MS: u64 = 8_000;
+/// Machines looked at for that at a time: the look tries each replica on all
+/// others.
+pub const MOVE_TRIES: usize = 16;
 /// ms that a replica stays where it is before it is moved again.
 pub const STAY_MS: u64 = 60_000;
 /// ms after its start within which a task is stopped only if nothing else will
@@ -198,6 +226,9 @@
 pub const SPARE_DISCOUNT_MOST: f64 = 2.0;
 /// Tasks of one size that room is kept for at most.
 pub const SPARE_MOST: u32 = 4;
+/// ms between two looks at what is expected: it changes as arrivals do, and a
+/// look costs as much as a whole pass.
+pub const SPARE_EVERY_MS: u64 = 1_000;
 /// ms without a new task after which empty machines are kept for less long.
 pub const LULL_MS: u64 = 40_000;
 /// Share of the usual time that empty machines are then kept.
@@ -209,7 +240,7 @@
 pub const AVOID_MOST: usize = 8;
 /// Waiting tasks of one job that are counted as demand at most: more than the
 /// machines of a fleet of this kind hold.
-pub const DEMAND_MOST: usize = 512;
+pub const DEMAND_MOST: u64 = 512;
 /// ms without a tick after which this process counts as having stood still.
 pub const STOOD_STILL_MS: u64 = 1_000;
 /// ms added to two report intervals before a machine counts as silent.
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -78,19 +78,25 @@
             zones.dedup();
             forced = zones.into_iter().max_by_key(|z| (fit(z), std::cmp::Reverse(zones_used.get(*z).copied().unwrap_or(0)))).cloned();
         }
-        for _ in 0..d.count {
-            let allowed = |b: &Bin| {
-                (d.spot || !b.spot)
-                    && d.types.as_ref().is_none_or(|t| t.contains(&b.kind))
-                    && forced.as_ref().is_none_or(|z| z == &b.zone)
-                    && b.free.covers(&d.need)
-            };
-            // Cheap room first for those who may use it.
-            let place = bins.iter().position(|b| b.spot && allowed(b)).or_else(|| bins.iter().position(allowed));
-            if let Some(i) = place {
-                bins[i].free = bins[i].free.minus(&d.need);
+        let mut left = u64::from(d.count);
+        // Cheap room first for those who may use it.
+        for spot in [true, false] {
+            if spot && !d.spot {
                 continue;
             }
+            for b in bins.iter_mut().filter(|b| b.spot == spot && b.free.covers(&d.need)) {
+                if left == 0 {
+                    break;
+                }
+                if forced.as_ref().is_some_and(|z| z != &b.zone) || d.types.as_ref().is_some_and(|t| !t.contains(&b.kind)) {
+                    continue;
+                }
+                let n = tasks_in(&b.free, &d.need).min(left);
+                b.free = b.free.minus(&d.need.times(n));
+                left -= n;
+            }
+        }
+        while left > 0 {
             let mut offers: Vec<(f64, usize, &str, &str, bool, Room)> = Vec::new();
             for t in catalog.values() {
                 if d.types.as_ref().is_some_and(|types| !types.contains(&t.name)) || !t.room.covers(&d.need) {
@@ -118,7 +124,9 @@
                 break;
             };
             *zones_used.entry(zone.to_owned()).or_default() += 1;
-            bins.push(Bin { kind: kind.to_owned(), zone: zone.to_owned(), spot, free: room.minus(&d.need) });
+            let n = tasks_in(&room, &d.need).clamp(1, left);
+            left -= n;
+            bins.push(Bin { kind: kind.to_owned(), zone: zone.to_owned(), spot, free: room.minus(&d.need.times(n)) });
         }
     }
     let mut counts: BTreeMap<(String, String, bool), u32> = BTreeMap::new();
--- /dev/null
+++ b/src/coordination/job.rs
@@ -0,0 +1,262 @@
+//! A job as its placer keeps it: which tasks are done, which have a live
+//! attempt, which wait, and what of that is written.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+
+use crate::constants::*;
+use crate::model::{AttemptId, JobSpec, MachineId, Rank, Room, Shape};
+use crate::protocol::peer::{Evict, Standing};
+use crate::storage::records::{ChunkRecord, JobRecord, LiveRecord};
+
+/// An attempt not proven to be over.
+#[derive(Clone, Debug)]
+pub(super) struct Live {
+    pub(super) attempt: u32,
+    pub(super) machine: MachineId,
+    pub(super) part: u16,
+    pub(super) zone: String,
+    /// Change of its chunk that first holds it.
+    pub(super) change: u64,
+    pub(super) standing: Option<Standing>,
+    pub(super) kill: Option<u32>,
+    pub(super) since: u64,
+    pub(super) evict: Evict,
+    /// Its team runs it beyond its guarantee.
+    pub(super) over: bool,
+}
+
+/// An attempt that is over, kept until that is written.
+#[derive(Clone, Debug)]
+pub(super) struct Ending {
+    pub(super) id: AttemptId,
+    pub(super) machine: MachineId,
+    pub(super) part: u16,
+    pub(super) change: u64,
+}
+
+/// One chunk's place in the store.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Chunk {
+    /// Version in the store; 0: no key.
+    pub(super) version: u64,
+    /// Changes made, and changes written.
+    pub(super) change: u64,
+    pub(super) saved: u64,
+    /// Newest change that records a start: nothing starts before it is written.
+    pub(super) start: u64,
+}
+
+impl Chunk {
+    pub(super) fn unsaved(&self) -> bool {
+        self.saved < self.change
+    }
+}
+
+pub(super) struct Job {
+    pub(super) record: Option<Arc<JobRecord>>,
+    pub(super) version: u64,
+    /// The job is done or withdrawn.
+    pub(super) over: bool,
+    pub(super) team: String,
+    pub(super) need: Room,
+    pub(super) tasks: u32,
+    pub(super) next: u32,
+    done: Vec<bool>,
+    pub(super) done_count: u32,
+    pub(super) live: BTreeMap<u32, Live>,
+    pub(super) ending: Vec<Ending>,
+    pub(super) chunks: BTreeMap<u32, Chunk>,
+    /// No task from here on was ever placed by this placer.
+    cursor: u32,
+    /// Tasks below it that wait again.
+    again: BTreeSet<u32>,
+    pub(super) failures: u32,
+    /// Some task of it has run.
+    pub(super) ran: bool,
+    pub(super) not_before: u64,
+    pub(super) avoid: Vec<MachineId>,
+    /// Version of the job's key with which writing its end failed.
+    pub(super) refused_end: Option<u64>,
+    pub(super) reason: &'static str,
+    /// Team, priority and time under which it is in the placer's queues.
+    pub(super) placed: Option<(String, Rank, u64)>,
+    /// Attempts that the owners are told of, by part.
+    pub(super) told: Vec<(u16, AttemptId)>,
+}
+
+impl Job {
+    pub(super) fn empty() -> Self {
+        Self {
+            record: None,
+            version: 0,
+            over: true,
+            team: String::new(),
+            need: Room::default(),
+            tasks: 0,
+            next: 1,
+            done: Vec::new(),
+            done_count: 0,
+            live: BTreeMap::new(),
+            ending: Vec::new(),
+            chunks: BTreeMap::new(),
+            cursor: 0,
+            again: BTreeSet::new(),
+            failures: 0,
+            ran: false,
+            not_before: 0,
+            avoid: Vec::new(),
+            refused_end: None,
+            reason: "",
+            placed: None,
+            told: Vec::new(),
+        }
+    }
+
+    pub(super) fn spec(&self) -> Option<&JobSpec> {
+        self.record.as_ref().map(|r| &r.spec)
+    }
+
+    pub(super) fn is(&self, shape: Shape) -> bool {
+        self.spec().is_some_and(|s| s.shape == shape)
+    }
+
+    pub(super) fn lasting(&self) -> bool {
+        self.is(Shape::Service)
+    }
+
+    /// Priority; a job that is over only takes room for its stops.
+    pub(super) fn rank(&self) -> Rank {
+        self.spec().map_or(Rank::Low, |s| s.rank)
+    }
+
+    /// Time of day of its submission, ms.
+    pub(super) fn at(&self) -> u64 {
+        self.record.as_ref().map_or(0, |r| r.at)
+    }
+
+    pub(super) fn is_done(&self, task: u32) -> bool {
+        self.done.get(task as usize).copied().unwrap_or(false)
+    }
+
+    /// Marks a task as done; true if it was not.
+    pub(super) fn set_done(&mut self, task: u32) -> bool {
+        if self.done.len() <= task as usize {
+            self.done.resize(task as usize + 1, false);
+        }
+        let news = !std::mem::replace(&mut self.done[task as usize], true);
+        self.done_count += u32::from(news);
+        news
+    }
+
+    pub(super) fn mark_done(&mut self, task: u32) {
+        if self.set_done(task) {
+            self.touch(task);
+        }
+    }
+
+    /// Tasks that run, and why the others wait, if some do.
+    pub(super) fn progress(&self) -> (u32, &'static str) {
+        let running = self.live.values().filter(|l| l.standing == Some(Standing::Running)).count() as u32;
+        (running, if self.waiting() > 0 { self.reason } else { "" })
+    }
+
+    /// Attempts in each zone, leaving out one task's.
+    pub(super) fn per_zone(&self, but: Option<u32>) -> HashMap<String, u32> {
+        let mut counts: HashMap<String, u32> = HashMap::new();
+        for (_, l) in self.live.iter().filter(|(t, _)| Some(**t) != but) {
+            match counts.get_mut(&l.zone) {
+                Some(n) => *n += 1,
+                None => {
+                    counts.insert(l.zone.clone(), 1);
+                }
+            }
+        }
+        counts
+    }
+
+    /// Notes a change of a task's chunk.
+    pub(super) fn touch(&mut self, task: u32) -> u64 {
+        let chunk = self.chunks.entry(task / CHUNK_TASKS).or_default();
+        chunk.change += 1;
+        chunk.change
+    }
+
+    pub(super) fn recorded(&self, task: u32, live: &Live) -> bool {
+        self.chunks.get(&(task / CHUNK_TASKS)).is_some_and(|c| c.saved >= live.change)
+    }
+
+    pub(super) fn chunk_record(&self, chunk: u32) -> ChunkRecord {
+        let (first, end) = (chunk * CHUNK_TASKS, (chunk + 1) * CHUNK_TASKS);
+        let mut done: Vec<(u32, u32)> = Vec::new();
+        for task in (first..end).filter(|&t| self.is_done(t)) {
+            match done.last_mut() {
+                Some(range) if range.1 + 1 == task => range.1 = task,
+                _ => done.push((task, task)),
+            }
+        }
+        let live = self
+            .live
+            .range(first..end)
+            .map(|(&t, l)| LiveRecord { t, a: l.attempt, m: l.machine.clone(), p: l.part, z: l.zone.clone() })
+            .collect();
+        ChunkRecord { team: self.team.clone(), need: self.need, next: self.next, done, live }
+    }
+
+    /// How many tasks neither run nor are done. The tasks of a gang that is
+    /// done may be both for a moment.
+    pub(super) fn waiting(&self) -> u32 {
+        self.tasks.saturating_sub(self.done_count).saturating_sub(self.live.len() as u32)
+    }
+
+    /// Notes that a task that was placed may wait again.
+    pub(super) fn wait_again(&mut self, task: u32) {
+        if task < self.cursor {
+            self.again.insert(task);
+        }
+    }
+
+    fn waits(&self, task: u32) -> bool {
+        !self.is_done(task) && !self.live.contains_key(&task)
+    }
+
+    /// The first task that neither runs nor is done. Each task is passed once
+    /// until it waits again.
+    pub(super) fn next_waiting(&mut self) -> Option<u32> {
+        while let Some(&task) = self.again.first() {
+            if self.waits(task) {
+                return Some(task);
+            }
+            self.again.pop_first();
+        }
+        while self.cursor < self.tasks && !self.waits(self.cursor) {
+            self.cursor += 1;
+        }
+        (self.cursor < self.tasks).then_some(self.cursor)
+    }
+
+    pub(super) fn complete(&self) -> bool {
+        self.record.is_some() && self.done_count >= self.tasks && !self.lasting()
+    }
+
+    /// True if nothing of it is left anywhere.
+    pub(super) fn vanished(&self) -> bool {
+        self.over && self.live.is_empty() && self.ending.is_empty() && self.chunks.values().all(|c| c.version == 0)
+    }
+
+    /// True if some task of it can be placed now.
+    pub(super) fn placeable(&self) -> bool {
+        !self.over && self.waiting() > 0 && (self.live.is_empty() || !self.is(Shape::Gang))
+    }
+
+    /// Chunks of a job that is over are removed once nothing is live there.
+    pub(super) fn clear_chunks(&mut self) {
+        let live = &self.live;
+        for (&index, c) in self.chunks.iter_mut().filter(|(_, c)| c.version > 0 && !c.unsaved()) {
+            let (first, end) = (index * CHUNK_TASKS, (index + 1) * CHUNK_TASKS);
+            if live.range(first..end).next().is_none() {
+                c.change += 1;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/machine.rs
@@ -0,0 +1,147 @@
+//! A machine as its owner knows it, and the times that bound what follows from
+//! its silence.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+
+use crate::constants::*;
+use crate::model::{AttemptId, JobId, Room};
+use crate::protocol::peer::Cause;
+use crate::protocol::worker::TaskPhase;
+
+/// Times that bound the owner's proofs, from the settings.
+#[derive(Clone, Copy, Debug)]
+pub struct Timing {
+    /// Lease of a worker, ms.
+    pub lease_ms: u64,
+    /// Time between reports, ms.
+    pub report_ms: u64,
+}
+
+impl Timing {
+    /// ms after our last answer from which on a lease has surely run out,
+    /// whatever the drift of the clocks.
+    pub fn dead_after_ms(&self) -> u64 {
+        self.lease_ms + self.lease_ms * DRIFT_PER_MILLE / 1000 + LEASE_MARGIN_MS
+    }
+}
+
+/// A task seen on a machine.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct Seen {
+    pub(super) phase: TaskPhase,
+    pub(super) cause: Option<Cause>,
+}
+
+/// A machine of this part.
+#[derive(Debug)]
+pub(super) struct Machine {
+    pub(super) addr: Option<SocketAddr>,
+    pub(super) kind: String,
+    pub(super) zone: String,
+    pub(super) spot: bool,
+    pub(super) room: Room,
+    pub(super) session: u64,
+    pub(super) seq: u64,
+    /// Highest token that the worker has shown.
+    pub(super) token_seen: u64,
+    /// Our counter below the part's token; raised to fence orders whose fate
+    /// is unknown.
+    pub(super) fence: u64,
+    /// Token of the newest order whose fate is unknown.
+    pub(super) ambiguous: Option<u64>,
+    /// Starts that went out in the answer to this report; settled by the next.
+    pub(super) answered_with_starts: Option<u64>,
+    /// A `/commands` call is under way.
+    pub(super) calling: bool,
+    pub(super) call_after: u64,
+    /// When we last answered a report, ms.
+    pub(super) answered: Option<u64>,
+    /// When the worker was last heard in any way, ms.
+    pub(super) heard: Option<u64>,
+    /// Sessions up to this one have surely ended.
+    pub(super) dead_session: u64,
+    pub(super) tasks: BTreeMap<AttemptId, Seen>,
+    /// Images with their sizes, most recently used first.
+    pub(super) images: VecDeque<(String, u64)>,
+    pub(super) notice: bool,
+    pub(super) closing: bool,
+    pub(super) quarantined: bool,
+    pub(super) releasing: bool,
+    pub(super) release_wanted: bool,
+    pub(super) failures: BTreeSet<JobId>,
+    pub(super) renter: Option<u16>,
+    pub(super) since: u64,
+    pub(super) booked: u64,
+    pub(super) idle_since: Option<u64>,
+}
+
+impl Machine {
+    pub(super) fn new(kind: &str, zone: &str, spot: bool, room: Room, now: u64) -> Self {
+        Self {
+            addr: None,
+            kind: kind.to_owned(),
+            zone: zone.to_owned(),
+            spot,
+            room,
+            session: 0,
+            seq: 0,
+            token_seen: 0,
+            fence: 0,
+            ambiguous: None,
+            answered_with_starts: None,
+            calling: false,
+            call_after: 0,
+            answered: None,
+            heard: None,
+            dead_session: 0,
+            tasks: BTreeMap::new(),
+            images: VecDeque::new(),
+            notice: false,
+            closing: false,
+            quarantined: false,
+            releasing: false,
+            release_wanted: false,
+            failures: BTreeSet::new(),
+            renter: None,
+            since: now,
+            booked: now,
+            idle_since: None,
+        }
+    }
+
+    pub(super) fn open(&self) -> bool {
+        !(self.notice || self.closing || self.quarantined || self.release_wanted)
+    }
+
+    /// No order that could start something is of unknown fate.
+    pub(super) fn settled(&self) -> bool {
+        self.ambiguous.is_none() && self.answered_with_starts.is_none() && !self.calling
+    }
+
+    /// ms that a usual image of this machine takes to fetch.
+    pub(super) fn fetch_ms(&self, gb_per_s: Option<f64>) -> u64 {
+        let sum: u64 = self.images.iter().map(|(_, mb)| mb).sum();
+        let usual = sum as f64 / self.images.len().max(1) as f64;
+        gb_per_s.filter(|r| *r > 0.0).map_or(0, |r| (usual / r) as u64)
+    }
+
+    /// Notes the use of an image. The worker keeps the most recently used
+    /// ones as far as its cache goes; so does this note, since a start on a
+    /// machine that has dropped the image waits for a fetch.
+    pub(super) fn remember_image(&mut self, image: &str, mb: u64, cache_mb: u64) {
+        self.images.retain(|(name, _)| name != image);
+        self.images.push_front((image.to_owned(), mb));
+        let mut sum = 0;
+        self.images.retain(|(_, mb)| {
+            sum += mb;
+            sum <= cache_mb
+        });
+        self.images.truncate(IMAGES_REMEMBERED);
+    }
+
+    /// True if the lease has surely run out since we last answered.
+    pub(super) fn dead(&self, now: u64, timing: &Timing) -> bool {
+        self.answered.is_some_and(|at| now > at + timing.dead_after_ms())
+    }
+}
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -4,7 +4,10 @@
 //! A node holds one [`Part`] by right and others while their home is away.
 //! Each part has an owner's side ([`owner`]) and a placer's side ([`placer`]).
 
+pub mod changes;
 pub mod fleet;
+mod job;
+mod machine;
 pub mod owner;
 pub mod placement;
 pub mod placer;
@@ -99,9 +102,11 @@
     placer: Placer,
     lines: Vec<Line>,
     last_place: u64,
-    renting: Option<Rental>,
-    rent_busy: bool,
+    /// Rentals under way or to be asked for again, and whether a call is out.
+    rentals: Vec<(Rental, bool)>,
     rent_after: u64,
+    /// Pass of the placer that the last plan was made for.
+    planned: u64,
     bookings: u64,
     shortage: Shortage,
     nudged: BTreeMap<u16, u64>,
@@ -136,6 +141,8 @@
     pub wall_offset_ms: u64,
     /// Changes a transaction may hold.
     pub txn_ops: usize,
+    /// Bytes of changes that a message through the store may hold.
+    pub mail_bytes: usize,
 }
 
 impl Config {
@@ -146,6 +153,8 @@
         let w = &settings.cluster.workers;
         let ms = |s: f64| (s * 1000.0) as u64;
         let objectives = &settings.cluster.objectives;
+        let value_bytes = (settings.cluster.state.value_kb * 1024.0) as usize;
+        let txn_ops = settings.cluster.state.txn_ops;
         let mut teams: Vec<String> = settings.cluster.teams.iter().map(|t| t.name.clone()).collect();
         teams.sort_unstable();
         Self {
@@ -160,9 +169,12 @@
             // from the store must still be carried out in time: whatever we
             // keep alive until then ends with its lease.
             blind_ms: ms(w.cancel_s - w.lease_s).saturating_sub(BLIND_MARGIN_MS),
-            value_bytes: (settings.cluster.state.value_kb * 1024.0) as usize,
+            value_bytes,
             wall_offset_ms: 0,
-            txn_ops: settings.cluster.state.txn_ops,
+            txn_ops,
+            // Half of what would just fit: the other fields of a message take
+            // some, and one change may be larger than another.
+            mail_bytes: MAIL_BYTES.min(mail_piece_bytes(value_bytes) * txn_ops / 2),
             members,
             me,
         }
@@ -185,6 +197,12 @@
     }
 }
 
+/// Bytes of a peer message that fit one value of the store: base64 makes four
+/// bytes of three.
+pub fn mail_piece_bytes(value_bytes: usize) -> usize {
+    value_bytes.saturating_sub(MAIL_OVERHEAD_BYTES).max(MAIL_OVERHEAD_BYTES) / 4 * 3
+}
+
 /// One node's decisions.
 pub struct Core {
     /// Facts.
@@ -244,15 +262,25 @@
                 placer,
                 lines: vec![Line::default(); usize::from(parts)],
                 last_place: 0,
-                renting: None,
-                rent_busy: false,
+                rentals: Vec::new(),
                 rent_after: 0,
+                planned: 0,
                 bookings: 0,
                 shortage: Shortage::default(),
                 nudged: BTreeMap::new(),
             },
         );
-        self.jobs_changed(now);
+        // All jobs of its teams, and those of its records that are over.
+        let (mirror, config) = (&self.mirror, &self.config);
+        if let Some(part) = self.parts.get_mut(&lot.part) {
+            let known: Vec<JobId> = part.placer.known().cloned().collect();
+            for id in known.iter().filter(|id| !mirror.jobs.contains_key(*id)) {
+                part.placer.set_job(id, None, now);
+            }
+            for (id, job) in mirror.jobs.iter().filter(|(_, j)| Self::team_part(mirror, config, &j.record.spec.team) == lot.part) {
+                part.placer.set_job(id, Some(job), now);
+            }
+        }
     }
 
     /// Gives a part up.
@@ -299,15 +327,24 @@
     }
 
     fn jobs_changed(&mut self, now: u64) {
+        let touched = self.mirror.take_touched();
         let (mirror, config) = (&self.mirror, &self.config);
-        for part in self.parts.values_mut() {
-            let index = part.lot.part;
-            part.placer.set_jobs(mirror.jobs.iter().filter(|(_, j)| Self::team_part(mirror, config, &j.record.spec.team) == index), now);
-            for line in &mut part.lines {
-                line.dirty = true;
+        for id in touched {
+            match mirror.jobs.get(&id) {
+                Some(job) => {
+                    let index = Self::team_part(mirror, config, &job.record.spec.team);
+                    if let Some(part) = self.parts.get_mut(&index) {
+                        part.placer.set_job(&id, Some(job), now);
+                    }
+                }
+                None => {
+                    self.notes.remove(&id);
+                    for part in self.parts.values_mut() {
+                        part.placer.set_job(&id, None, now);
+                    }
+                }
             }
         }
-        self.notes.retain(|id, _| mirror.jobs.contains_key(id));
     }
 
     /// Phase and counts of an unfinished job, as far as this node knows.
@@ -351,8 +388,12 @@
                 self.notes.insert(note.job.clone(), note.clone());
             }
         }
+        self.sync_to(sync, SYNC_BYTES, now)
+    }
+
+    fn sync_to(&mut self, sync: &Sync, room: usize, now: u64) -> Result<View, SyncRefusal> {
         let part = self.parts.get_mut(&sync.to).ok_or(SyncRefusal::Token)?;
-        part.owner.sync(sync, now)
+        part.owner.sync(sync, room, now)
     }
 
     /// An owner on another node answered, or did not.
@@ -366,6 +407,7 @@
                     part.placer.take_view(view, now);
                 }
                 None => {
+                    part.placer.lost(to);
                     line.failures += 1;
                     if line.failures == MAIL_AFTER_FAILURES {
                         info!(part = lot.part, to, "no direct way to the owner; syncing through the store");
@@ -386,7 +428,7 @@
             }
             match line.kind {
                 MailKind::Sync => match peer::read::<Sync>(&bytes) {
-                    Ok(sync) if sync.to == line.to => match self.sync_in(&sync, now) {
+                    Ok(sync) if sync.to == line.to => match self.sync_to(&sync, self.config.mail_bytes, now) {
                         Ok(view) => effects.push(Effect::MailView(sync.from, view)),
                         Err(refusal) => debug!(from = sync.from, to = sync.to, %refusal, "mailed sync not taken"),
                     },
@@ -412,14 +454,11 @@
 
     /// A transaction ended; keys of ours that met other versions have been read
     /// again. Tells whether the part is lost.
-    pub fn txn_done(&mut self, lot: Lot, outcome: TxnOutcome) -> TxnVerdict {
+    pub fn txn_done(&mut self, lot: Lot, outcome: TxnOutcome, now: u64) -> TxnVerdict {
         let Some(part) = self.part(lot) else {
             return TxnVerdict::Fine;
         };
-        let (verdict, ends) = part.placer.txn_done(outcome);
-        for line in &mut part.lines {
-            line.dirty = true;
-        }
+        let (verdict, ends) = part.placer.txn_done(outcome, now);
         for id in ends {
             self.mirror.settle(&id, Phase::Done);
         }
@@ -457,7 +496,13 @@
             _ => Vec::new(),
         };
         let Some(part) = self.part(lot) else { return };
-        part.rent_busy = false;
+        let under_way = part.rentals.iter().position(|(r, _)| r.booking == rental.booking);
+        if let Some(i) = under_way {
+            match &result {
+                RentResult::Again => part.rentals[i].1 = false,
+                _ => drop(part.rentals.remove(i)),
+            }
+        }
         match result {
             RentResult::Rented(machines) => {
                 info!(
@@ -472,7 +517,6 @@
                 if (machines.len() as u32) < rental.count {
                     part.shortage.note(rental, now);
                 }
-                part.renting = None;
                 for p in promises {
                     part.lines[usize::from(p.part)].dirty = true;
                     part.placer.promises.push(p);
@@ -481,7 +525,6 @@
             RentResult::NoCapacity => {
                 info!(part = lot.part, kind = rental.kind, zone = rental.zone, spot = rental.spot, "no capacity");
                 part.shortage.note(rental, now);
-                part.renting = None;
             }
             RentResult::Again => part.rent_after = now + CLOUD_TROUBLE_MS,
         }
@@ -576,7 +619,7 @@
                 part.placer.place(now);
             }
             part.placer.consolidate(now, now + self.config.wall_offset_ms);
-            if let Some(txn) = part.placer.next_txn() {
+            if let Some(txn) = part.placer.next_txn(now) {
                 effects.push(Effect::Txn(lot, txn));
             }
             self.pump_rent(index, now, effects);
@@ -595,7 +638,9 @@
             let Some(part) = self.parts.get_mut(&index) else {
                 return again;
             };
+            let token = local.unwrap_or(holder.token);
             let line = &mut part.lines[usize::from(to)];
+            line.dirty |= part.placer.unsent(to, token);
             let mail = local.is_none() && line.failures >= MAIL_AFTER_FAILURES;
             let gap = if mail { MAIL_GAP_MS } else { SYNC_GAP_MS };
             let due = now >= line.last + COPY_REFRESH_MS || line.dirty && now >= line.last + gap;
@@ -605,8 +650,11 @@
             }
             line.last = now;
             line.dirty = false;
-            let token = local.unwrap_or(holder.token);
-            let sync = part.placer.sync_for(to, token, now);
+            let by_mail = local.is_none() && !direct;
+            let room = if by_mail { self.config.mail_bytes } else { SYNC_BYTES };
+            // Notes are for answers of other nodes; what is told anyway carries
+            // them, and the regular refresh.
+            let sync = part.placer.sync_for(to, token, room, local.is_none() && !by_mail, now);
             if local.is_none() {
                 if direct {
                     line.busy = true;
@@ -617,7 +665,7 @@
                 }
                 continue;
             }
-            let view = self.parts.get_mut(&to).and_then(|p| p.owner.sync(&sync, now).ok());
+            let view = self.parts.get_mut(&to).and_then(|p| p.owner.sync(&sync, SYNC_BYTES, now).ok());
             if let (Some(view), Some(part)) = (view, self.parts.get_mut(&index)) {
                 again |= part.placer.take_view(view, now);
             }
@@ -630,42 +678,55 @@
         let Some(part) = self.parts.get_mut(&index) else {
             return;
         };
-        if part.rent_busy || now < part.rent_after {
+        if now < part.rent_after {
             return;
         }
-        if part.renting.is_none() {
-            if part.placer.lacking.is_empty() {
-                return;
+        if part.planned < part.placer.passes && part.rentals.len() < RENTALS_AT_ONCE {
+            part.planned = part.placer.passes;
+            for (kind, zone, spot, count) in part.plan(index, catalog, now) {
+                let same = |r: &Rental| r.kind == kind && r.zone == zone && r.spot == spot;
+                if part.rentals.len() >= RENTALS_AT_ONCE || part.rentals.iter().any(|(r, _)| same(r)) {
+                    continue;
+                }
+                part.bookings += 1;
+                // The part's token never comes again, so the name is never reused.
+                let booking = format!("r-{}-{}-{}", index, part.lot.token, part.bookings);
+                part.rentals.push((Rental { booking, kind, zone, spot, count }, false));
             }
-            let room = |kind: &str| catalog.get(kind).map(|t| t.room).unwrap_or_default();
-            let mut bins: Vec<Bin> = part
-                .placer
-                .machines()
-                .filter(|m| !m.up && m.open && m.renter.is_none_or(|r| r == index))
-                .map(|m| Bin { kind: m.kind.clone(), zone: m.zone.clone(), spot: m.spot, free: room(&m.kind) })
-                .collect();
-            bins.extend(part.placer.promises.iter().map(|p| Bin {
-                kind: p.rented.kind.clone(),
-                zone: p.rented.zone.clone(),
-                spot: p.rented.spot,
-                free: room(&p.rented.kind),
-            }));
-            let mut zones: BTreeMap<String, usize> = BTreeMap::new();
-            for m in part.placer.machines() {
-                *zones.entry(m.zone.clone()).or_default() += 1;
+        }
+        for (rental, busy) in part.rentals.iter_mut().filter(|(_, busy)| !busy) {
+            *busy = true;
+            effects.push(Effect::Rent(part.lot, rental.clone()));
+        }
+    }
+}
+
+impl Part {
+    /// What to rent for what the placer lacks, beyond what boots already or is
+    /// asked for.
+    fn plan(&self, index: u16, catalog: &Catalog, now: u64) -> Vec<(String, String, bool, u32)> {
+        if self.placer.lacking.is_empty() {
+            return Vec::new();
+        }
+        let bin = |kind: &str, zone: &str, spot: bool| {
+            let free = catalog.get(kind).map(|t| t.room).unwrap_or_default();
+            Bin { kind: kind.to_owned(), zone: zone.to_owned(), spot, free }
+        };
+        let mut zones: BTreeMap<String, usize> = BTreeMap::new();
+        let mut bins: Vec<Bin> = Vec::new();
+        for m in self.placer.machines() {
+            match zones.get_mut(&m.zone) {
+                Some(n) => *n += 1,
+                None => drop(zones.insert(m.zone.clone(), 1)),
+            }
+            if !m.up && m.open && m.renter.is_none_or(|r| r == index) {
+                bins.push(bin(&m.kind, &m.zone, m.spot));
             }
-            let Some((kind, zone, spot, count)) =
-                plan(&part.placer.lacking, &bins, &zones, catalog, &part.shortage, now).into_iter().next()
-            else {
-                return;
-            };
-            part.bookings += 1;
-            // The part's token never comes again, so the name is never reused.
-            part.renting = Some(Rental { booking: format!("r-{}-{}-{}", index, part.lot.token, part.bookings), kind, zone, spot, count });
         }
-        if let Some(rental) = part.renting.clone() {
-            part.rent_busy = true;
-            effects.push(Effect::Rent(part.lot, rental));
+        bins.extend(self.placer.promises.iter().map(|p| bin(&p.rented.kind, &p.rented.zone, p.rented.spot)));
+        for (r, _) in &self.rentals {
+            bins.extend((0..r.count).map(|_| bin(&r.kind, &r.zone, r.spot)));
         }
+        plan(&self.placer.lacking, &bins, &zones, catalog, &self.shortage, now)
     }
 }
--- a/src/coordination/owner.rs
+++ b/src/coordination/owner.rs
@@ -10,151 +10,22 @@
 //! * the lease has surely run out since this owner, and nobody after it, last
 //!   answered the machine.
 
-use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 
 use tracing::{info, warn};
 
 use crate::constants::*;
-use crate::model::{AttemptId, JobId, MachineId, Rank, Room};
+use crate::coordination::changes::ChangeLog;
+pub use crate::coordination::machine::Timing;
+use crate::coordination::machine::{Machine, Seen};
+use crate::model::{AttemptId, MachineId, Rank, Room};
 use crate::policy::Policy;
 use crate::protocol::cloud::RentalEntry;
-use crate::protocol::peer::{AttemptView, Cause, MachineView, Rented, Standing, Sync, View, Want};
+use crate::protocol::peer::{AttemptView, Cause, Follow, MachineView, Rented, Standing, Sync, View, Want, written};
 use crate::protocol::worker::{Commands, Order, Report, ReportReply, TaskPhase, Verb};
 use crate::storage::records::ImagesRecord;
 
-/// Times that bound the owner's proofs, from the settings.
-#[derive(Clone, Copy, Debug)]
-pub struct Timing {
-    /// Lease of a worker, ms.
-    pub lease_ms: u64,
-    /// Time between reports, ms.
-    pub report_ms: u64,
-}
-
-impl Timing {
-    /// ms after our last answer from which on a lease has surely run out,
-    /// whatever the drift of the clocks.
-    pub fn dead_after_ms(&self) -> u64 {
-        self.lease_ms + self.lease_ms * DRIFT_PER_MILLE / 1000 + LEASE_MARGIN_MS
-    }
-}
-
-/// A task seen on a machine.
-#[derive(Clone, Copy, Debug, PartialEq)]
-struct Seen {
-    phase: TaskPhase,
-    cause: Option<Cause>,
-}
-
-/// A machine of this part.
-#[derive(Debug)]
-struct Machine {
-    addr: Option<SocketAddr>,
-    kind: String,
-    zone: String,
-    spot: bool,
-    room: Room,
-    session: u64,
-    seq: u64,
-    /// Highest token that the worker has shown.
-    token_seen: u64,
-    /// Our counter below the part's token; raised to fence orders whose fate
-    /// is unknown.
-    fence: u64,
-    /// Token of the newest order whose fate is unknown.
-    ambiguous: Option<u64>,
-    /// Starts that went out in the answer to this report; settled by the next.
-    answered_with_starts: Option<u64>,
-    /// A `/commands` call is under way.
-    calling: bool,
-    call_after: u64,
-    /// When we last answered a report, ms.
-    answered: Option<u64>,
-    /// When the worker was last heard in any way, ms.
-    heard: Option<u64>,
-    /// Sessions up to this one have surely ended.
-    dead_session: u64,
-    tasks: BTreeMap<AttemptId, Seen>,
-    /// Images with their sizes, most recently used first.
-    images: VecDeque<(String, u64)>,
-    notice: bool,
-    closing: bool,
-    quarantined: bool,
-    releasing: bool,
-    release_wanted: bool,
-    failures: BTreeSet<JobId>,
-    renter: Option<u16>,
-    since: u64,
-    booked: u64,
-    idle_since: Option<u64>,
-}
-
-impl Machine {
-    fn new(kind: &str, zone: &str, spot: bool, room: Room, now: u64) -> Self {
-        Self {
-            addr: None,
-            kind: kind.to_owned(),
-            zone: zone.to_owned(),
-            spot,
-            room,
-            session: 0,
-            seq: 0,
-            token_seen: 0,
-            fence: 0,
-            ambiguous: None,
-            answered_with_starts: None,
-            calling: false,
-            call_after: 0,
-            answered: None,
-            heard: None,
-            dead_session: 0,
-            tasks: BTreeMap::new(),
-            images: VecDeque::new(),
-            notice: false,
-            closing: false,
-            quarantined: false,
-            releasing: false,
-            release_wanted: false,
-            failures: BTreeSet::new(),
-            renter: None,
-            since: now,
-            booked: now,
-            idle_since: None,
-        }
-    }
-
-    fn open(&self) -> bool {
-        !(self.notice || self.closing || self.quarantined || self.release_wanted)
-    }
-
-    /// No order that could start something is of unknown fate.
-    fn settled(&self) -> bool {
-        self.ambiguous.is_none() && self.answered_with_starts.is_none() && !self.calling
-    }
-
-    /// ms that a usual image of this machine takes to fetch.
-    fn fetch_ms(&self, gb_per_s: Option<f64>) -> u64 {
-        let sum: u64 = self.images.iter().map(|(_, mb)| mb).sum();
-        let usual = sum as f64 / self.images.len().max(1) as f64;
-        gb_per_s.filter(|r| *r > 0.0).map_or(0, |r| (usual / r) as u64)
-    }
-
-    /// Notes the use of an image. The worker keeps the most recently used
-    /// ones as far as its cache goes; so does this note, since a start on a
-    /// machine that has dropped the image waits for a fetch.
-    fn remember_image(&mut self, image: &str, mb: u64, cache_mb: u64) {
-        self.images.retain(|(name, _)| name != image);
-        self.images.push_front((image.to_owned(), mb));
-        let mut sum = 0;
-        self.images.retain(|(_, mb)| {
-            sum += mb;
-            sum <= cache_mb
-        });
-        self.images.truncate(IMAGES_REMEMBERED);
-    }
-}
-
 /// How far an attempt has come here.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Stage {
@@ -187,10 +58,21 @@
     }
 }
 
-#[derive(Default, Debug)]
+/// What a placer has told us, and what it is told.
+#[derive(Default)]
 struct Asker {
     token: u64,
     seq: u64,
+    /// State of its wants that we have.
+    at: u64,
+    /// True once its whole state was told.
+    complete: bool,
+    /// State of the machines that it has.
+    have: u64,
+    /// Attempts that a state told anew has not named yet.
+    unnamed: HashSet<AttemptId>,
+    /// How its attempts stand.
+    told: ChangeLog<AttemptId, Standing>,
 }
 
 /// A call to a worker that the process has to make.
@@ -223,6 +105,9 @@
     /// Meant for another owner of this part, or from a past owner of its own.
     #[error("token out of date")]
     Token,
+    /// Of a part that there is not.
+    #[error("no such part")]
+    Part,
     /// Older than one already taken.
     #[error("late message")]
     Late,
@@ -242,8 +127,16 @@
     /// Image fetch, GB/s, by type.
     fetch: BTreeMap<String, f64>,
     machines: BTreeMap<MachineId, Machine>,
-    held: BTreeMap<AttemptId, Held>,
+    held: HashMap<AttemptId, Held>,
+    /// Attempts held on each machine, so that nothing walks all of them.
+    on: HashMap<MachineId, BTreeSet<AttemptId>>,
     askers: BTreeMap<u16, Asker>,
+    /// What is told of the machines.
+    views: ChangeLog<MachineId, MachineView>,
+    /// Machines that may have to be told anew.
+    stale: BTreeSet<MachineId>,
+    /// Machines that may need a call.
+    attention: BTreeSet<MachineId>,
     gone: HashSet<MachineId>,
     /// Images that an earlier owner noted.
     earlier: BTreeMap<MachineId, VecDeque<(String, u64)>>,
@@ -252,7 +145,11 @@
     /// When an attempt was last given room, ms.
     accepted_at: u64,
     missing: BTreeMap<MachineId, u64>,
+    /// Empty machines whose time is over.
+    to_close: BTreeSet<MachineId>,
     releasing: bool,
+    /// Tick for which releases were looked for.
+    released_tick: u64,
     last_tick: u64,
     silent_floor: u64,
     dirty: BTreeSet<u16>,
@@ -273,15 +170,21 @@
             caches: BTreeMap::new(),
             fetch: BTreeMap::new(),
             machines: BTreeMap::new(),
-            held: BTreeMap::new(),
+            held: HashMap::new(),
+            on: HashMap::new(),
             askers: BTreeMap::new(),
+            views: ChangeLog::default(),
+            stale: BTreeSet::new(),
+            attention: BTreeSet::new(),
             gone: HashSet::new(),
             earlier: BTreeMap::new(),
             noted: ImagesRecord::default(),
             noted_at: now,
             accepted_at: now,
             missing: BTreeMap::new(),
+            to_close: BTreeSet::new(),
             releasing: false,
+            released_tick: now,
             last_tick: now,
             silent_floor: now,
             dirty: BTreeSet::new(),
@@ -299,6 +202,34 @@
         for m in self.machines.values_mut() {
             m.room = self.rooms.get(&m.kind).copied().unwrap_or_default();
         }
+        self.stale.extend(self.machines.keys().cloned());
+    }
+
+    /// Attempts held on a machine.
+    fn here(&self, machine: &MachineId) -> impl Iterator<Item = (&AttemptId, &Held)> {
+        self.on.get(machine).into_iter().flatten().filter_map(|id| self.held.get(id).map(|h| (id, h)))
+    }
+
+    /// Notes that a machine may look different from outside, or need a call.
+    fn touch(&mut self, machine: &MachineId) {
+        self.stale.insert(machine.clone());
+        self.attention.insert(machine.clone());
+    }
+
+    /// Lets an attempt go that its placer no longer wants; tells its machine.
+    fn let_go(&mut self, id: &AttemptId) -> Option<MachineId> {
+        let held = self.held.remove(id)?;
+        let machine = held.want.machine;
+        if let Some(here) = self.on.get_mut(&machine) {
+            here.remove(id);
+            if here.is_empty() {
+                self.on.remove(&machine);
+            }
+        }
+        if let Some(asker) = self.askers.get_mut(&held.from) {
+            asker.told.erase(id);
+        }
+        Some(machine)
     }
 
     fn base(&self) -> u64 {
@@ -405,7 +336,8 @@
 
     /// Re-judges all attempts of a machine.
     fn judge(&mut self, machine: &MachineId, now: u64) {
-        let ids: Vec<AttemptId> = self.held.iter().filter(|(_, h)| &h.want.machine == machine).map(|(id, _)| id.clone()).collect();
+        self.touch(machine);
+        let ids: Vec<AttemptId> = self.on.get(machine).into_iter().flatten().cloned().collect();
         for id in &ids {
             self.judge_one(id, now);
         }
@@ -512,25 +444,19 @@
         if self.crowded(m) {
             return false;
         }
-        let here = |h: &&Held| h.want.machine == want.machine;
         // Those who leave already make room for those who wait already.
         let claimed = self
-            .held
-            .values()
-            .filter(here)
-            .filter(|h| matches!(h.stage, Stage::Waiting(_)))
-            .fold(Room::default(), |s, h| s.plus(&h.want.need));
+            .here(&want.machine)
+            .filter(|(_, h)| matches!(h.stage, Stage::Waiting(_)))
+            .fold(Room::default(), |s, (_, h)| s.plus(&h.want.need));
         let staying = self
-            .held
-            .values()
-            .filter(here)
-            .filter(|h| matches!(h.stage, Stage::Accepted { .. }) && h.ending().is_none())
-            .fold(Room::default(), |s, h| s.plus(&h.want.need));
+            .here(&want.machine)
+            .filter(|(_, h)| matches!(h.stage, Stage::Accepted { .. }) && h.ending().is_none())
+            .fold(Room::default(), |s, (_, h)| s.plus(&h.want.need));
         let mut free = m.room.minus(&claimed.plus(&staying));
         let mut candidates: Vec<(bool, Rank, bool, u64, AttemptId, Room)> = self
-            .held
-            .iter()
-            .filter(|(_, h)| here(h) && matches!(h.stage, Stage::Accepted { .. }) && h.ending().is_none())
+            .here(&want.machine)
+            .filter(|(_, h)| matches!(h.stage, Stage::Accepted { .. }) && h.ending().is_none())
             .filter(|(_, h)| want.evict.allows(&want.team, want.rank, &h.want))
             .map(|(id, h)| (h.want.over, h.want.rank, now > h.since + FRESH_START_MS, h.since, id.clone(), h.want.need))
             .collect();
@@ -562,9 +488,8 @@
     fn room_without(&self, machine: &MachineId, id: &AttemptId) -> Room {
         let Some(m) = self.machines.get(machine).filter(|m| !self.crowded(m)) else { return Room::default() };
         let taken = self
-            .held
-            .iter()
-            .filter(|(other, h)| *other != id && &h.want.machine == machine && matches!(h.stage, Stage::Accepted { .. }))
+            .here(machine)
+            .filter(|(other, h)| *other != id && matches!(h.stage, Stage::Accepted { .. }))
             .fold(Room::default(), |sum, (_, h)| sum.plus(&h.want.need));
         m.room.minus(&taken)
     }
@@ -573,9 +498,7 @@
     /// what teams run beyond their guarantees.
     fn soft(&self, machine: &MachineId) -> ([Room; 3], [Room; 3]) {
         let (mut lower, mut over) = ([Room::default(); 3], [Room::default(); 3]);
-        for h in
-            self.held.values().filter(|h| &h.want.machine == machine && matches!(h.stage, Stage::Accepted { .. }) && h.ending().is_none())
-        {
+        for (_, h) in self.here(machine).filter(|(_, h)| matches!(h.stage, Stage::Accepted { .. }) && h.ending().is_none()) {
             for rank in 0..3 {
                 let below = h.want.rank.index() > rank;
                 if below && h.want.over {
@@ -612,14 +535,13 @@
     /// have unknown needs, so a machine with such a task has no room.
     fn free(&self, machine: &MachineId) -> Room {
         let Some(m) = self.machines.get(machine).filter(|m| !self.crowded(m)) else { return Room::default() };
-        self.held
-            .values()
-            .filter(|h| &h.want.machine == machine && matches!(h.stage, Stage::Accepted { .. } | Stage::Waiting(_)))
-            .fold(m.room, |free, h| free.minus(&h.want.need))
+        self.here(machine)
+            .filter(|(_, h)| matches!(h.stage, Stage::Accepted { .. } | Stage::Waiting(_)))
+            .fold(m.room, |free, (_, h)| free.minus(&h.want.need))
     }
 
     fn busy(&self, machine: &MachineId) -> usize {
-        let held = self.held.values().filter(|h| &h.want.machine == machine && !matches!(h.stage, Stage::Ended(_))).count();
+        let held = self.here(machine).filter(|(_, h)| !matches!(h.stage, Stage::Ended(_))).count();
         let unclaimed = self
             .machines
             .get(machine)
@@ -630,7 +552,7 @@
     /// Images that a machine has or fetches.
     fn images_of(&self, id: &MachineId, m: &Machine) -> Vec<String> {
         let mut names: Vec<String> = m.images.iter().map(|(name, _)| name.clone()).collect();
-        for h in self.held.values().filter(|h| &h.want.machine == id && matches!(h.stage, Stage::Accepted { .. }) && h.ending().is_none()) {
+        for (_, h) in self.here(id).filter(|(_, h)| matches!(h.stage, Stage::Accepted { .. }) && h.ending().is_none()) {
             if !names.contains(&h.want.image) {
                 names.push(h.want.image.clone());
             }
@@ -668,8 +590,7 @@
     }
 
     fn lasting(&self, machine: &MachineId) -> u16 {
-        let count =
-            self.held.values().filter(|h| &h.want.machine == machine && h.want.lasting && !matches!(h.stage, Stage::Ended(_))).count();
+        let count = self.here(machine).filter(|(_, h)| h.want.lasting && !matches!(h.stage, Stage::Ended(_))).count();
         count.min(usize::from(u16::MAX)) as u16
     }
 
@@ -684,7 +605,7 @@
 
     /// True once every part has said what it wants of this owner.
     fn all_heard(&self) -> bool {
-        self.askers.len() >= usize::from(self.parts)
+        self.askers.values().filter(|a| a.complete).count() >= usize::from(self.parts)
     }
 
     /// The orders that a machine needs now.
@@ -723,7 +644,7 @@
             }
         }
         if starts {
-            for (id, h) in self.held.iter().filter(|(_, h)| &h.want.machine == machine) {
+            for (id, h) in self.here(machine) {
                 if h.want.go && h.ending().is_none() && matches!(h.stage, Stage::Accepted { seen: false, .. }) && !m.tasks.contains_key(id)
                 {
                     orders.push(order(Verb::Launch, id, None));
@@ -745,24 +666,31 @@
         orders
     }
 
-    /// Calls to workers that are due.
+    /// Calls to workers that are due: only machines that something happened to
+    /// are looked at, and those that a call is still owed to.
     pub fn calls(&mut self, now: u64) -> Vec<CommandCall> {
-        let ids: Vec<MachineId> = self
-            .machines
-            .iter()
-            .filter(|(_, m)| m.heard.is_some() && !m.calling && now >= m.call_after && !m.releasing)
-            .map(|(id, _)| id.clone())
-            .collect();
         let mut calls = Vec::new();
-        for id in ids {
-            let m = &self.machines[&id];
-            if m.session <= m.dead_session || m.answered_with_starts.is_some() {
+        for id in std::mem::take(&mut self.attention) {
+            let Some(m) = self.machines.get(&id) else { continue };
+            if m.heard.is_none() || m.releasing || m.session <= m.dead_session || m.answered_with_starts.is_some() {
+                // The next report brings it back.
+                continue;
+            }
+            if m.calling {
+                // So does the end of the call.
+                continue;
+            }
+            if now < m.call_after {
+                self.attention.insert(id);
                 continue;
             }
             let Some(addr) = m.addr else { continue };
             let fresh = self.fresh(m);
             let orders = if fresh { self.orders(&id, now, true, false) } else { Vec::new() };
             if fresh && orders.is_empty() {
+                if self.stops_pending(&id) {
+                    self.attention.insert(id);
+                }
                 continue;
             }
             let base = self.base();
@@ -775,6 +703,14 @@
         calls
     }
 
+    /// True if a task on the machine shall end and has not: it is told again
+    /// after a while.
+    fn stops_pending(&self, machine: &MachineId) -> bool {
+        self.machines.get(machine).is_some_and(|m| {
+            m.tasks.iter().any(|(id, seen)| seen.phase != TaskPhase::Exited && self.held.get(id).is_none_or(|h| h.ending().is_some()))
+        })
+    }
+
     /// A call to a worker ended.
     pub fn call_done(&mut self, call: &CommandCall, result: CommandResult, now: u64) {
         let base = self.base();
@@ -825,11 +761,15 @@
 
     // ---- placers -----------------------------------------------------------
 
-    /// A placer says what it wants; the answer is this part's whole state.
-    pub fn sync(&mut self, sync: &Sync, now: u64) -> Result<View, SyncRefusal> {
+    /// A placer says what it wants; the answer is what it lacks of this part's
+    /// state, in `room` bytes.
+    pub fn sync(&mut self, sync: &Sync, room: usize, now: u64) -> Result<View, SyncRefusal> {
         if sync.to_token != self.token {
             return Err(SyncRefusal::Token);
         }
+        if sync.from >= self.parts {
+            return Err(SyncRefusal::Part);
+        }
         let asker = self.askers.entry(sync.from).or_default();
         if sync.from_token < asker.token {
             return Err(SyncRefusal::Token);
@@ -839,7 +779,15 @@
         if sync.from_token == asker.token && sync.seq <= asker.seq {
             return Err(SyncRefusal::Late);
         }
-        *asker = Asker { token: sync.from_token, seq: sync.seq };
+        if sync.from_token > asker.token {
+            // Guards against going on from what an earlier placer of that part
+            // had told: only a state told from nothing counts for this one.
+            asker.at = 0;
+            asker.complete = false;
+        }
+        asker.token = sync.from_token;
+        asker.seq = sync.seq;
+        asker.have = sync.have.machines;
         for r in &sync.rented {
             self.expect(&r.machine, r, sync.from, now);
         }
@@ -848,27 +796,59 @@
                 m.idle_since = m.idle_since.map(|_| now);
             }
         }
+        let wants_at = self.take_wants(sync, now);
+        self.dirty.remove(&sync.from);
+        let mut view = self.view(sync, room);
+        view.wants_at = wants_at;
+        Ok(view)
+    }
+
+    /// Takes the changes of a placer's wants; tells the state that we now have
+    /// of them, 0 if something is missing between.
+    fn take_wants(&mut self, sync: &Sync, now: u64) -> u64 {
+        let Some(asker) = self.askers.get_mut(&sync.from) else { return 0 };
+        match sync.span.follows(asker.at) {
+            Some(Follow::Anew) => {
+                asker.at = 0;
+                asker.complete = false;
+                asker.unnamed = asker_attempts(&self.held, sync.from);
+            }
+            Some(Follow::On) => {}
+            None => return 0,
+        }
+        asker.at = asker.at.max(sync.span.upto);
+        for w in &sync.wants {
+            asker.unnamed.remove(&w.id);
+        }
+        let mut over: Vec<AttemptId> = sync.dropped.clone();
+        if sync.span.last {
+            asker.complete = true;
+            over.extend(std::mem::take(&mut asker.unnamed));
+        }
+        let at = asker.at;
         let mut touched = BTreeSet::new();
-        let listed: HashSet<&AttemptId> = sync.wants.iter().map(|w| &w.id).collect();
-        self.held.retain(|id, h| {
-            let keep = h.from != sync.from || listed.contains(id);
-            if !keep {
-                touched.insert(h.want.machine.clone());
+        for id in over {
+            // Another part's attempts are none of its business.
+            if self.held.get(&id).is_some_and(|h| h.from == sync.from) {
+                touched.extend(self.let_go(&id));
             }
-            keep
-        });
+        }
         for w in &sync.wants {
-            let held = self.held.entry(w.id.clone()).or_insert_with(|| {
-                touched.insert(w.machine.clone());
-                Held { from: sync.from, want: w.clone(), evicted: None, killed_at: None, since: now, stage: Stage::Unjudged }
-            });
-            if held.want.go != w.go || held.want.kill != w.kill {
+            if self.held.get(&w.id).is_some_and(|h| h.want.machine != w.machine || h.from != sync.from) {
+                warn!(attempt = %w.id, from = sync.from, "an attempt can't change its machine or its part; not taken");
+                continue;
+            }
+            if !self.held.contains_key(&w.id) {
+                self.on.entry(w.machine.clone()).or_default().insert(w.id.clone());
+                let held = Held { from: sync.from, want: w.clone(), evicted: None, killed_at: None, since: now, stage: Stage::Unjudged };
+                self.held.insert(w.id.clone(), held);
+            } else if let Some(held) = self.held.get_mut(&w.id) {
                 if held.want.kill != w.kill {
                     held.killed_at = None;
                 }
-                touched.insert(w.machine.clone());
+                held.want = w.clone();
             }
-            held.want = w.clone();
+            touched.insert(w.machine.clone());
             if !self.machines.contains_key(&w.machine) && !self.gone.contains(&w.machine) {
                 self.missing.entry(w.machine.clone()).or_insert(now);
             }
@@ -876,8 +856,7 @@
         for machine in touched {
             self.judge(&machine, now);
         }
-        self.dirty.remove(&sync.from);
-        Ok(self.view(sync.from, sync.seq))
+        at
     }
 
     fn expect(&mut self, id: &MachineId, rented: &Rented, renter: u16, now: u64) {
@@ -891,51 +870,93 @@
             m
         });
         m.renter = Some(renter);
+        self.stale.insert(id.clone());
     }
 
-    /// This part's whole state, with the attempts of one asker.
-    pub fn view(&self, asker: u16, seq: u64) -> View {
-        let machines = self
-            .machines
-            .iter()
-            .map(|(id, m)| (id, m, self.soft(id)))
-            .map(|(id, m, (soft, soft_over))| MachineView {
-                id: id.clone(),
-                kind: m.kind.clone(),
-                zone: m.zone.clone(),
-                spot: m.spot,
-                up: m.heard.is_some() && self.fresh(m) && m.session > m.dead_session,
-                open: m.open(),
-                // A machine that fails what it starts may go on with what runs.
-                leaving: m.notice,
-                free: self.free(id),
-                soft,
-                soft_over,
-                busy: self.busy(id).min(usize::from(u16::MAX)) as u16,
-                lasting: self.lasting(id),
-                images: self.images_of(id, m),
-                renter: m.renter,
-            })
-            .collect();
-        let attempts = self
-            .held
-            .iter()
-            .filter(|(_, h)| h.from == asker)
-            .filter_map(|(id, h)| {
-                let standing = match h.stage {
-                    Stage::Unjudged => return None,
-                    Stage::Ended(standing) => standing,
-                    Stage::Waiting(_) => Standing::Accepted,
-                    Stage::Accepted { .. } => match self.machines.get(&h.want.machine).and_then(|m| m.tasks.get(id)).map(|s| s.phase) {
-                        Some(TaskPhase::Running | TaskPhase::Saving) => Standing::Running,
-                        Some(_) => Standing::Preparing,
-                        None => Standing::Accepted,
-                    },
-                };
-                Some(AttemptView { id: id.clone(), standing })
-            })
-            .collect();
-        View { version: PEER_VERSION, part: self.part, token: self.token, seq, machines, attempts }
+    /// Brings what is told up to date.
+    fn refresh(&mut self) {
+        for id in std::mem::take(&mut self.stale) {
+            match self.machines.get(&id) {
+                Some(m) => {
+                    let view = self.machine_view(&id, m);
+                    self.views.put(&id, view);
+                }
+                None => self.views.remove(&id),
+            }
+            for attempt in self.on.get(&id).into_iter().flatten() {
+                let Some(held) = self.held.get(attempt) else { continue };
+                if let (Some(standing), Some(asker)) = (self.standing(attempt, held), self.askers.get_mut(&held.from)) {
+                    asker.told.put(attempt, standing);
+                }
+            }
+        }
+    }
+
+    fn machine_view(&self, id: &MachineId, m: &Machine) -> MachineView {
+        let (soft, soft_over) = self.soft(id);
+        MachineView {
+            id: id.clone(),
+            kind: m.kind.clone(),
+            zone: m.zone.clone(),
+            spot: m.spot,
+            up: m.heard.is_some() && self.fresh(m) && m.session > m.dead_session,
+            open: m.open(),
+            // A machine that fails what it starts may go on with what runs.
+            leaving: m.notice,
+            free: self.free(id),
+            soft,
+            soft_over,
+            busy: self.busy(id).min(usize::from(u16::MAX)) as u16,
+            lasting: self.lasting(id),
+            images: self.images_of(id, m),
+            renter: m.renter,
+        }
+    }
+
+    fn standing(&self, id: &AttemptId, held: &Held) -> Option<Standing> {
+        Some(match held.stage {
+            Stage::Unjudged => return None,
+            Stage::Ended(standing) => standing,
+            Stage::Waiting(_) => Standing::Accepted,
+            Stage::Accepted { .. } => match self.machines.get(&held.want.machine).and_then(|m| m.tasks.get(id)).map(|s| s.phase) {
+                Some(TaskPhase::Running | TaskPhase::Saving) => Standing::Running,
+                Some(_) => Standing::Preparing,
+                None => Standing::Accepted,
+            },
+        })
+    }
+
+    /// What an asker lacks of this part's state. Ends and grants go first: they
+    /// are what its tasks wait for.
+    fn view(&mut self, sync: &Sync, mut room: usize) -> View {
+        self.refresh();
+        if self.askers.len() >= usize::from(self.parts) {
+            // A placer that comes anew is told all from nothing.
+            self.views.forget(self.askers.values().map(|a| a.have).min().unwrap_or(0));
+        }
+        let told = self.askers.entry(sync.from).or_default();
+        let (attempts_span, attempts) = told.told.since(sync.have.attempts, &mut room, |_, _| ATTEMPT_BYTES);
+        let attempts = attempts.into_iter().filter_map(|(id, s)| s.map(|&standing| AttemptView { id: id.clone(), standing })).collect();
+        let (machines_span, changes) = self.views.since(sync.have.machines, &mut room, |_, m| m.map_or(ATTEMPT_BYTES, written));
+        let (mut machines, mut gone) = (Vec::new(), Vec::new());
+        for (id, m) in changes {
+            match m {
+                Some(m) => machines.push(m.clone()),
+                None => gone.push(id.clone()),
+            }
+        }
+        View {
+            version: PEER_VERSION,
+            part: self.part,
+            token: self.token,
+            seq: sync.seq,
+            wants_at: 0,
+            machines_span,
+            machines,
+            gone,
+            attempts_span,
+            attempts,
+        }
     }
 
     // ---- cloud -------------------------------------------------------------
@@ -947,20 +968,27 @@
                 continue;
             }
             let room = self.rooms.get(&e.kind).copied().unwrap_or_default();
-            let m = self.machines.entry(e.id.clone()).or_insert_with(|| {
+            if !self.machines.contains_key(&e.id) {
                 let mut m = Machine::new(&e.kind, &e.zone, e.spot, room, now);
                 m.booked = now.saturating_sub((e.age_s * 1000.0) as u64);
-                m
-            });
+                self.machines.insert(e.id.clone(), m);
+                self.stale.insert(e.id.clone());
+            }
             self.missing.remove(&e.id);
-            if e.phase == "failed" {
+            if e.phase == "failed"
+                && let Some(m) = self.machines.get_mut(&e.id)
+            {
                 m.release_wanted = true;
+                self.stale.insert(e.id.clone());
             }
         }
     }
 
     /// Looks for machines whose time has come; call about every tick.
     pub fn tick(&mut self, now: u64) {
+        if now < self.last_tick + TICK_MS {
+            return;
+        }
         if now.saturating_sub(self.last_tick) > STOOD_STILL_MS {
             // This process stood still: silence meanwhile proves nothing.
             self.silent_floor = now;
@@ -988,6 +1016,7 @@
             if silent(m, patience(m)) && !mass {
                 info!(machine = %id, part = self.part, "machine is silent; giving it back");
                 m.release_wanted = true;
+                self.stale.insert(id.clone());
             }
             if m.dead(now, &self.timing) && m.token_seen >= base && m.dead_session < m.session {
                 dead.push(id.clone());
@@ -998,6 +1027,7 @@
                 if now > since + patience + self.timing.lease_ms {
                     info!(machine = %id, part = self.part, "machine never came up; giving it back");
                     m.release_wanted = true;
+                    self.stale.insert(id.clone());
                 }
             }
             let restart = self.boot_ms.get(&m.kind).copied().unwrap_or(BOOT_UNKNOWN_MS) + m.fetch_ms(self.fetch.get(&m.kind).copied());
@@ -1005,6 +1035,8 @@
             let keep = (restart as f64 * lull * if m.spot { self.policy.idle_spot } else { self.policy.idle }) as u64;
             if m.idle_since.is_some_and(|at| now > at + keep) || (m.quarantined || m.notice) && m.idle_since.is_some() {
                 m.closing = true;
+                self.to_close.insert(id.clone());
+                self.stale.insert(id.clone());
             }
         }
         for id in dead {
@@ -1031,14 +1063,14 @@
 
     /// Machines to give back now, if no release is under way.
     pub fn releases(&mut self) -> Vec<MachineId> {
-        if self.releasing {
+        if self.releasing || self.last_tick == self.released_tick {
             return Vec::new();
         }
+        self.released_tick = self.last_tick;
         let mut names = Vec::new();
-        let closing: Vec<MachineId> =
-            self.machines.iter().filter(|(_, m)| m.closing && !m.release_wanted).map(|(id, _)| id.clone()).collect();
-        for id in closing {
+        for id in std::mem::take(&mut self.to_close) {
             let empty = self.busy(&id) == 0;
+            self.stale.insert(id.clone());
             if let Some(m) = self.machines.get_mut(&id) {
                 if empty {
                     info!(machine = %id, part = self.part, "machine is idle; giving it back");
@@ -1074,9 +1106,7 @@
     }
 }
 
-impl Machine {
-    /// True if the lease has surely run out since we last answered.
-    fn dead(&self, now: u64, timing: &Timing) -> bool {
-        self.answered.is_some_and(|at| now > at + timing.dead_after_ms())
-    }
+/// Attempts of one placer.
+fn asker_attempts(held: &HashMap<AttemptId, Held>, from: u16) -> HashSet<AttemptId> {
+    held.iter().filter(|(_, h)| h.from == from).map(|(id, _)| id.clone()).collect()
 }
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -23,16 +23,26 @@
     }
 
     fn set(&mut self, i: usize) {
+        if self.0.len() <= i / 64 {
+            self.0.resize(i / 64 + 1, 0);
+        }
         self.0[i / 64] |= 1 << (i % 64);
     }
 
     fn clear(&mut self, i: usize) {
-        self.0[i / 64] &= !(1 << (i % 64));
+        if let Some(word) = self.0.get_mut(i / 64) {
+            *word &= !(1 << (i % 64));
+        }
     }
 
+    fn has(&self, i: usize) -> bool {
+        self.0.get(i / 64).is_some_and(|word| word >> (i % 64) & 1 == 1)
+    }
+
+    /// A row that ends early is empty from there on.
     fn and(&mut self, other: &Bits) {
-        for (a, b) in self.0.iter_mut().zip(&other.0) {
-            *a &= b;
+        for (i, a) in self.0.iter_mut().enumerate() {
+            *a &= other.0.get(i).copied().unwrap_or(0);
         }
     }
 
@@ -78,6 +88,21 @@
     pub soft_over: [Room; 3],
 }
 
+impl Slot {
+    fn of(m: &MachineView) -> Self {
+        Self {
+            id: m.id.clone(),
+            zone: m.zone.clone(),
+            spot: m.spot,
+            free: m.free,
+            busy: u32::from(m.busy),
+            lasting: u32::from(m.lasting),
+            soft: m.soft,
+            soft_over: m.soft_over,
+        }
+    }
+}
+
 /// What a task asks of a machine.
 #[derive(Clone, Debug)]
 pub struct Ask<'a> {
@@ -97,11 +122,17 @@
     pub avoid: &'a [MachineId],
 }
 
-/// The machines of one part, ready for walks.
+/// The machines of one part, ready for walks. It is kept from walk to walk:
+/// what an owner tells anew replaces one machine's bits, and what a placer
+/// takes stays taken until the machine is told anew or restored.
 #[derive(Clone, Debug, Default)]
 pub struct Field {
-    /// The machines in the order of the walk.
+    /// The machines in the order of the walk; places of machines that are gone
+    /// are never ready, and are used again.
     pub slots: Vec<Slot>,
+    told: Vec<Option<MachineView>>,
+    index: HashMap<MachineId, usize>,
+    vacant: Vec<usize>,
     ready: Bits,
     spot: Bits,
     types: HashMap<String, Bits>,
@@ -109,37 +140,96 @@
     images: HashMap<String, Bits>,
 }
 
+fn mark(rows: &mut HashMap<String, Bits>, name: &str, i: usize) {
+    match rows.get_mut(name) {
+        Some(row) => row.set(i),
+        None => {
+            let mut row = Bits::default();
+            row.set(i);
+            rows.insert(name.to_owned(), row);
+        }
+    }
+}
+
 impl Field {
-    /// Builds the rows from an owner's view.
+    /// A field of these machines.
     pub fn new(machines: &[MachineView]) -> Self {
-        let n = machines.len();
-        let mut field = Self { ready: Bits::zeros(n), spot: Bits::zeros(n), ..Self::default() };
-        for (i, m) in machines.iter().enumerate() {
-            if m.up && m.open {
-                field.ready.set(i);
-            }
-            if m.spot {
-                field.spot.set(i);
-            }
-            field.types.entry(m.kind.clone()).or_insert_with(|| Bits::zeros(n)).set(i);
-            field.zones.entry(m.zone.clone()).or_insert_with(|| Bits::zeros(n)).set(i);
-            for image in &m.images {
-                field.images.entry(image.clone()).or_insert_with(|| Bits::zeros(n)).set(i);
-            }
-            field.slots.push(Slot {
-                id: m.id.clone(),
-                zone: m.zone.clone(),
-                spot: m.spot,
-                free: m.free,
-                busy: u32::from(m.busy),
-                lasting: u32::from(m.lasting),
-                soft: m.soft,
-                soft_over: m.soft_over,
-            });
+        let mut field = Self::default();
+        for m in machines {
+            field.set(m.clone());
         }
         field
     }
 
+    /// Takes what an owner tells of a machine.
+    pub fn set(&mut self, m: MachineView) {
+        let i = match self.index.get(&m.id) {
+            Some(&i) => i,
+            None => {
+                let i = self.vacant.pop().unwrap_or(self.slots.len());
+                self.index.insert(m.id.clone(), i);
+                if i == self.slots.len() {
+                    self.slots.push(Slot::of(&m));
+                    self.told.push(None);
+                }
+                i
+            }
+        };
+        self.wipe(i);
+        if m.up && m.open {
+            self.ready.set(i);
+        }
+        if m.spot {
+            self.spot.set(i);
+        }
+        mark(&mut self.types, &m.kind, i);
+        mark(&mut self.zones, &m.zone, i);
+        for image in &m.images {
+            mark(&mut self.images, image, i);
+        }
+        self.slots[i] = Slot::of(&m);
+        self.told[i] = Some(m);
+    }
+
+    fn wipe(&mut self, i: usize) {
+        self.ready.clear(i);
+        self.spot.clear(i);
+        for row in self.types.values_mut().chain(self.zones.values_mut()).chain(self.images.values_mut()) {
+            row.clear(i);
+        }
+    }
+
+    /// Takes a machine out.
+    pub fn remove(&mut self, id: &MachineId) {
+        if let Some(i) = self.index.remove(id) {
+            self.wipe(i);
+            self.told[i] = None;
+            self.vacant.push(i);
+        }
+    }
+
+    /// Undoes what was taken on a machine since it was told.
+    pub fn restore(&mut self, i: usize) {
+        let Some(m) = self.told.get(i).and_then(Option::as_ref) else { return };
+        self.slots[i] = Slot::of(m);
+        for row in self.images.values_mut() {
+            row.clear(i);
+        }
+        for image in &m.images {
+            mark(&mut self.images, image, i);
+        }
+    }
+
+    /// The machines as they were told.
+    pub fn machines(&self) -> impl Iterator<Item = &MachineView> {
+        self.told.iter().flatten()
+    }
+
+    /// The zones in which there ever was a machine.
+    pub fn zones(&self) -> impl Iterator<Item = &str> {
+        self.zones.keys().map(String::as_str)
+    }
+
     fn allowed(&self, ask: &Ask<'_>) -> Bits {
         let mut bits = self.ready.clone();
         let mut any_of = |rows: &HashMap<String, Bits>, names: &mut dyn Iterator<Item = &str>| {
@@ -163,10 +253,8 @@
             }
         }
         if !ask.avoid.is_empty() {
-            for (i, slot) in self.slots.iter().enumerate() {
-                if ask.avoid.contains(&slot.id) {
-                    bits.clear(i);
-                }
+            for i in ask.avoid.iter().filter_map(|id| self.find(id)) {
+                bits.clear(i);
             }
         }
         bits
@@ -195,7 +283,7 @@
     pub fn evict_fit(&self, ask: &Ask<'_>, rank: Rank, over: bool, with_image: bool) -> Option<usize> {
         let rank = rank.index();
         let image = self.images.get(ask.image);
-        let has_image = |i: usize| image.is_some_and(|row| row.0[i / 64] >> (i % 64) & 1 == 1);
+        let has_image = |i: usize| image.is_some_and(|row| row.has(i));
         self.allowed(ask)
             .ones()
             .filter(|&i| !with_image || has_image(i))
@@ -217,7 +305,6 @@
 
     /// Takes room on a machine.
     pub fn take(&mut self, i: usize, need: &Room, image: &str) {
-        let n = self.slots.len();
         let slot = &mut self.slots[i];
         let pushed = need.minus(&slot.free);
         for room in slot.soft.iter_mut().chain(&mut slot.soft_over) {
@@ -225,11 +312,11 @@
         }
         slot.free = slot.free.minus(need);
         slot.busy += 1;
-        self.images.entry(image.to_owned()).or_insert_with(|| Bits::zeros(n)).set(i);
+        mark(&mut self.images, image, i);
     }
 
     /// The position of a machine.
     pub fn find(&self, id: &MachineId) -> Option<usize> {
-        self.slots.iter().position(|s| &s.id == id)
+        self.index.get(id).copied()
     }
 }
--- a/src/coordination/placer.rs
+++ b/src/coordination/placer.rs
@@ -5,196 +5,43 @@
 //! and stays in what this placer wants until its end has been written too.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 
 use tracing::{debug, info, warn};
 
 use crate::constants::*;
+use crate::coordination::changes::ChangeLog;
 use crate::coordination::fleet::Demand;
+use crate::coordination::job::{Chunk, Ending, Job, Live};
 use crate::coordination::placement::{Ask, Field};
 use crate::model::{AttemptId, Catalog, JobId, JobSpec, MachineId, MachineType, Rank, Room, Shape};
-use crate::protocol::peer::{Cause, Evict, JobNote, Rented, Standing, Sync, View, Want};
+use crate::protocol::peer::{Cause, Evict, Follow, Have, JobNote, Rented, Standing, Sync, View, Want, written};
 use crate::protocol::state::{Condition, Txn, Write};
 use crate::protocol::users::Phase;
 use crate::storage::mirror::MirroredJob;
-use crate::storage::records::{ChunkRecord, EndRecord, JobRecord, LiveRecord, end_key, job_key, part_key, run_key};
+use crate::storage::records::{ChunkRecord, EndRecord, JobRecord, end_key, job_key, part_key, run_key};
 
-/// An attempt not proven to be over.
-#[derive(Clone, Debug)]
-struct Live {
-    attempt: u32,
-    machine: MachineId,
-    part: u16,
-    zone: String,
-    /// Change of its chunk that first holds it.
-    change: u64,
-    standing: Option<Standing>,
-    kill: Option<u32>,
-    since: u64,
-    evict: Evict,
-}
-
-/// An attempt that is over, kept until that is written.
-#[derive(Clone, Debug)]
-struct Ending {
-    id: AttemptId,
-    machine: MachineId,
-    part: u16,
-    change: u64,
-}
-
-/// One chunk's place in the store.
-#[derive(Clone, Debug, Default)]
-struct Chunk {
-    /// Version in the store; 0: no key.
-    version: u64,
-    /// Changes made, and changes written.
-    change: u64,
-    saved: u64,
-}
-
-struct Job {
-    record: Option<Arc<JobRecord>>,
-    version: u64,
-    /// The job is done or withdrawn.
-    over: bool,
-    team: String,
-    need: Room,
-    tasks: u32,
-    next: u32,
-    done: Vec<bool>,
-    done_count: u32,
-    live: BTreeMap<u32, Live>,
-    ending: Vec<Ending>,
-    chunks: BTreeMap<u32, Chunk>,
-    /// No task below this one waits.
-    cursor: u32,
-    failures: u32,
-    /// Some task of it has run.
-    ran: bool,
-    not_before: u64,
-    avoid: Vec<MachineId>,
-    /// Version of the job's key with which writing its end failed.
-    refused_end: Option<u64>,
-    reason: &'static str,
-}
-
-impl Job {
-    fn empty() -> Self {
-        Self {
-            record: None,
-            version: 0,
-            over: true,
-            team: String::new(),
-            need: Room::default(),
-            tasks: 0,
-            next: 1,
-            done: Vec::new(),
-            done_count: 0,
-            live: BTreeMap::new(),
-            ending: Vec::new(),
-            chunks: BTreeMap::new(),
-            cursor: 0,
-            failures: 0,
-            ran: false,
-            not_before: 0,
-            avoid: Vec::new(),
-            refused_end: None,
-            reason: "",
-        }
-    }
-
-    fn spec(&self) -> Option<&JobSpec> {
-        self.record.as_ref().map(|r| &r.spec)
-    }
-
-    fn lasting(&self) -> bool {
-        self.spec().is_some_and(|s| s.shape == Shape::Service)
-    }
-
-    /// Priority; a job that is over only takes room for its stops.
-    fn rank(&self) -> Rank {
-        self.spec().map_or(Rank::Low, |s| s.rank)
-    }
-
-    fn is_done(&self, task: u32) -> bool {
-        self.done.get(task as usize).copied().unwrap_or(false)
-    }
-
-    /// Marks a task as done; true if it was not.
-    fn set_done(&mut self, task: u32) -> bool {
-        if self.done.len() <= task as usize {
-            self.done.resize(task as usize + 1, false);
-        }
-        let news = !std::mem::replace(&mut self.done[task as usize], true);
-        self.done_count += u32::from(news);
-        news
-    }
-
-    fn mark_done(&mut self, task: u32) {
-        if self.set_done(task) {
-            self.touch(task);
-        }
-    }
-
-    /// Tasks that run, and why the others wait, if some do.
-    fn progress(&self) -> (u32, String) {
-        let running = self.live.values().filter(|l| l.standing == Some(Standing::Running)).count() as u32;
-        (running, if self.next_waiting().is_some() { self.reason.to_owned() } else { String::new() })
-    }
-
-    /// Attempts in each zone, leaving out one task's.
-    fn per_zone(&self, but: Option<u32>) -> HashMap<String, u32> {
-        let mut counts: HashMap<String, u32> = HashMap::new();
-        for (_, l) in self.live.iter().filter(|(t, _)| Some(**t) != but) {
-            *counts.entry(l.zone.clone()).or_default() += 1;
-        }
-        counts
-    }
-
-    /// Notes a change of a task's chunk.
-    fn touch(&mut self, task: u32) -> u64 {
-        let chunk = self.chunks.entry(task / CHUNK_TASKS).or_default();
-        chunk.change += 1;
-        chunk.change
-    }
-
-    fn recorded(&self, task: u32, live: &Live) -> bool {
-        self.chunks.get(&(task / CHUNK_TASKS)).is_some_and(|c| c.saved >= live.change)
-    }
-
-    fn chunk_record(&self, chunk: u32) -> ChunkRecord {
-        let (first, end) = (chunk * CHUNK_TASKS, (chunk + 1) * CHUNK_TASKS);
-        let mut done: Vec<(u32, u32)> = Vec::new();
-        for task in (first..end).filter(|&t| self.is_done(t)) {
-            match done.last_mut() {
-                Some(range) if range.1 + 1 == task => range.1 = task,
-                _ => done.push((task, task)),
-            }
-        }
-        let live = self
-            .live
-            .range(first..end)
-            .map(|(&t, l)| LiveRecord { t, a: l.attempt, m: l.machine.clone(), p: l.part, z: l.zone.clone() })
-            .collect();
-        ChunkRecord { team: self.team.clone(), need: self.need, next: self.next, done, live }
-    }
-
-    /// Tasks that neither run nor are done, from the cursor on.
-    fn next_waiting(&self) -> Option<u32> {
-        (self.cursor..self.tasks).find(|t| !self.is_done(*t) && !self.live.contains_key(t))
-    }
-
-    fn complete(&self) -> bool {
-        self.record.is_some() && self.done_count >= self.tasks && self.spec().is_some_and(|s| s.shape != Shape::Service)
-    }
-}
-
-/// A copy of another part.
+/// What passes between this placer and one owner.
 #[derive(Default)]
-struct PartCopy {
-    view: Option<View>,
+struct Link {
+    /// Token of the owner that `wants` are told to.
+    to_token: u64,
+    /// Number of the last message.
     seq: u64,
+    /// Every recorded attempt on the owner's machines.
+    wants: ChangeLog<AttemptId, Want>,
+    /// State of the wants that was sent, and that the owner has.
+    sent: u64,
+    acked: u64,
+    /// State of the notes that was sent, and that the owner's node has.
+    notes_sent: u64,
+    notes_acked: u64,
+    /// Token of the owner that told us its state, the number of the newest
+    /// answer, and the states that we have.
+    token: u64,
+    got: u64,
+    have: Have,
 }
 
 /// A transaction under way, with what it writes.
@@ -248,12 +95,34 @@
     pub spare: f64,
 }
 
+/// Where a job stands in its team's queue: priority, then age.
+type Place = (Rank, u64, JobId);
+
 /// The placer of a part.
 pub struct Placer {
     part: u16,
     token: u64,
     jobs: BTreeMap<JobId, Job>,
-    copies: Vec<PartCopy>,
+    links: Vec<Link>,
+    /// The machines of all parts, as far as their owners told.
+    fields: Vec<Field>,
+    /// Live attempts on each machine, and those that no view has shown yet.
+    on: HashMap<MachineId, BTreeSet<(JobId, u32)>>,
+    unseen: HashMap<MachineId, BTreeSet<(JobId, u32)>>,
+    /// What each team's attempts take.
+    usage: HashMap<String, Room>,
+    /// Jobs with a task to place, and with a live attempt, by team.
+    queues: BTreeMap<String, BTreeSet<Place>>,
+    running: BTreeMap<String, BTreeSet<Place>>,
+    /// Jobs that wait for a time.
+    asleep: BTreeSet<(u64, JobId)>,
+    /// Jobs whose wants or notes may have changed.
+    changed: BTreeSet<JobId>,
+    /// Teams whose use of their guarantee may have changed.
+    regauge: BTreeSet<String>,
+    /// Jobs with something to write, and since when.
+    unsaved: BTreeMap<JobId, u64>,
+    notes: ChangeLog<JobId, (u32, u32, &'static str)>,
     limits: HashMap<String, Room>,
     guarantees: HashMap<String, Room>,
     /// Seconds within which tasks of a class should start.
@@ -264,6 +133,9 @@
     arrivals: VecDeque<(u64, Arc<JobRecord>)>,
     /// Empty machines that work to come would take.
     keep: Vec<MachineId>,
+    /// What that work lacks, and when that was last looked at.
+    spare_lacking: Vec<Demand>,
+    spare_at: u64,
     /// Share of the expected work that room is kept for.
     spare: f64,
     /// How many times a spot machine an ordinary one costs, within bounds.
@@ -278,6 +150,8 @@
     pub promises: Vec<Promise>,
     /// What found no room in the last pass.
     pub lacking: Vec<Demand>,
+    /// Passes made: what lacks is worth a new plan after one.
+    pub passes: u64,
     txn_ops: usize,
     zones: Vec<String>,
     place_again: bool,
@@ -295,13 +169,26 @@
             part,
             token,
             jobs: BTreeMap::new(),
-            copies: (0..parts).map(|_| PartCopy::default()).collect(),
+            links: (0..parts).map(|_| Link::default()).collect(),
+            fields: (0..parts).map(|_| Field::default()).collect(),
+            on: HashMap::new(),
+            unseen: HashMap::new(),
+            usage: HashMap::new(),
+            queues: BTreeMap::new(),
+            running: BTreeMap::new(),
+            asleep: BTreeSet::new(),
+            changed: BTreeSet::new(),
+            regauge: BTreeSet::new(),
+            unsaved: BTreeMap::new(),
+            notes: ChangeLog::default(),
             limits,
             guarantees,
             start_within: HashMap::new(),
             guarantee_within: f64::MAX,
             arrivals: VecDeque::new(),
             keep: Vec::new(),
+            spare_lacking: Vec::new(),
+            spare_at: 0,
             spare,
             spot_discount: 1.0,
             boot_ms: 0,
@@ -311,6 +198,7 @@
             pending: None,
             promises: Vec::new(),
             lacking: Vec::new(),
+            passes: 0,
             txn_ops,
             zones,
             place_again: false,
@@ -340,98 +228,213 @@
         job.need = record.need;
         job.next = job.next.max(record.next);
         let (first, end) = (chunk * CHUNK_TASKS, (chunk + 1) * CHUNK_TASKS);
-        job.chunks.insert(chunk, Chunk { version, change: 0, saved: 0 });
+        job.chunks.insert(chunk, Chunk { version, ..Chunk::default() });
         for &(a, b) in &record.done {
             for task in a.max(first)..=b.min(end - 1) {
                 job.set_done(task);
             }
         }
-        for l in record.live.iter().filter(|l| (first..end).contains(&l.t)) {
-            job.live.insert(
-                l.t,
-                Live {
-                    attempt: l.a,
-                    machine: l.m.clone(),
-                    part: l.p,
-                    zone: l.z.clone(),
-                    change: 0,
-                    standing: None,
-                    kill: None,
-                    evict: Evict::Nobody,
-                    since: 0,
-                },
-            );
+        let parts = self.links.len();
+        for l in record.live.iter().filter(|l| (first..end).contains(&l.t) && usize::from(l.p) < parts) {
+            let live = Live {
+                attempt: l.a,
+                machine: l.m.clone(),
+                part: l.p,
+                zone: l.z.clone(),
+                change: 0,
+                standing: None,
+                kill: None,
+                evict: Evict::Nobody,
+                since: 0,
+                over: true,
+            };
+            self.enter(id, l.t, live);
         }
+        self.settle(id, 0);
     }
 
-    /// A key of ours was read again after a conflict.
-    pub fn reread(&mut self, id: &JobId, chunk: u32, version: u64) {
-        if let Some(c) = self.jobs.get_mut(id).and_then(|j| j.chunks.get_mut(&chunk)) {
-            c.version = version;
+    // ---- indexes -----------------------------------------------------------
+
+    /// Notes a live attempt wherever it counts.
+    fn enter(&mut self, id: &JobId, task: u32, live: Live) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        let sum = self.usage.entry(job.team.clone()).or_default();
+        *sum = sum.plus(&job.need);
+        self.on.entry(live.machine.clone()).or_default().insert((id.clone(), task));
+        self.unseen.entry(live.machine.clone()).or_default().insert((id.clone(), task));
+        self.regauge.insert(job.team.clone());
+        job.live.insert(task, live);
+    }
+
+    /// Takes a live attempt out.
+    fn leave(&mut self, id: &JobId, task: u32) -> Option<Live> {
+        let job = self.jobs.get_mut(id)?;
+        let live = job.live.remove(&task)?;
+        let sum = self.usage.entry(job.team.clone()).or_default();
+        *sum = sum.minus(&job.need);
+        self.regauge.insert(job.team.clone());
+        if let Some(here) = self.on.get_mut(&live.machine) {
+            here.remove(&(id.clone(), task));
+            if here.is_empty() {
+                self.on.remove(&live.machine);
+            }
         }
+        self.saw(&live.machine, live.part, id, task);
+        Some(live)
     }
 
-    /// Takes the unfinished jobs of this part's teams.
-    pub fn set_jobs<'a>(&mut self, mine: impl Iterator<Item = (&'a JobId, &'a MirroredJob)>, now: u64) {
-        let mut present: HashSet<&JobId> = HashSet::new();
-        for (id, m) in mine {
-            present.insert(id);
-            let job = self.jobs.entry(id.clone()).or_insert_with(Job::empty);
-            if job.record.is_some() && job.version == m.version {
-                continue;
+    /// A view has shown an attempt: from now on the machine's own figures
+    /// count it.
+    fn saw(&mut self, machine: &MachineId, part: u16, id: &JobId, task: u32) {
+        let Some(here) = self.unseen.get_mut(machine) else { return };
+        if here.remove(&(id.clone(), task)) {
+            if here.is_empty() {
+                self.unseen.remove(machine);
             }
-            let spec = &m.record.spec;
-            let news = job.record.is_none() && job.chunks.is_empty() && now > self.started + SETTLE_MS;
-            let guaranteed = self.guarantee_within < f64::MAX && within(&spec.need(), self.guarantees.get(&spec.team));
-            if news && (self.start_within.contains_key(&spec.class) || guaranteed) {
-                self.arrivals.push_back((now, m.record.clone()));
+            self.retake(machine, part);
+        }
+    }
+
+    /// What a machine's owner told, less what no view has shown yet.
+    fn retake(&mut self, machine: &MachineId, part: u16) {
+        let Some(field) = self.fields.get_mut(usize::from(part)) else { return };
+        let Some(i) = field.find(machine) else { return };
+        field.restore(i);
+        for (id, _) in self.unseen.get(machine).into_iter().flatten() {
+            if let Some(job) = self.jobs.get(id) {
+                field.take(i, &job.need, job.spec().map_or("", |s| s.image.as_str()));
             }
-            job.team = spec.team.clone();
-            job.need = spec.need();
-            job.tasks = spec.tasks.min(u64::from(u32::MAX)) as u32;
-            job.version = m.version;
-            job.record = Some(m.record.clone());
-            job.over = false;
-            job.reason = "not looked at yet";
-            self.place_again = true;
-        }
-        let mut emptied = Vec::new();
-        for (id, job) in &mut self.jobs {
-            if present.contains(id) {
-                continue;
+        }
+    }
+
+    /// Brings the indexes up to date after a job changed.
+    fn settle(&mut self, id: &JobId, now: u64) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        if job.over {
+            job.clear_chunks();
+        }
+        self.changed.insert(id.clone());
+        let place: Place = (job.rank(), job.at(), id.clone());
+        if let Some((queue, rank, at)) = job.placed.take() {
+            let old: Place = (rank, at, id.clone());
+            if queue != job.team || old != place {
+                for index in [&mut self.queues, &mut self.running] {
+                    drop_place(index, &queue, &old);
+                }
             }
-            if !job.over {
-                info!(job = %id, part = self.part, live = job.live.len(), "job is over");
-                job.over = true;
+        }
+        if job.placeable() && job.not_before == 0 {
+            self.queues.entry(job.team.clone()).or_default().insert(place.clone());
+        } else {
+            drop_place(&mut self.queues, &job.team, &place);
+        }
+        if job.live.is_empty() {
+            drop_place(&mut self.running, &job.team, &place);
+        } else {
+            self.running.entry(job.team.clone()).or_default().insert(place);
+        }
+        job.placed = Some((job.team.clone(), job.rank(), job.at()));
+        if job.not_before > 0 {
+            self.asleep.insert((job.not_before, id.clone()));
+        }
+        let to_write = job.chunks.values().any(Chunk::unsaved) || job.complete() && !job.over && job.refused_end != Some(job.version);
+        if to_write {
+            self.unsaved.entry(id.clone()).or_insert(now);
+        } else {
+            self.unsaved.remove(id);
+        }
+        if job.vanished() {
+            drop_place(&mut self.queues, &job.team, &(job.rank(), job.at(), id.clone()));
+            drop_place(&mut self.running, &job.team, &(job.rank(), job.at(), id.clone()));
+            self.unsaved.remove(id);
+            self.changed.remove(id);
+            for (part, attempt) in std::mem::take(&mut job.told) {
+                self.links[usize::from(part)].wants.remove(&attempt);
             }
-            // Chunks of a job that is over are removed once nothing is live.
-            let stale: Vec<u32> = job.chunks.iter().filter(|(_, c)| c.version > 0 && c.saved == c.change).map(|(&i, _)| i).collect();
-            for chunk in stale {
-                let (first, end) = (chunk * CHUNK_TASKS, (chunk + 1) * CHUNK_TASKS);
-                if job.live.range(first..end).next().is_none()
-                    && let Some(c) = job.chunks.get_mut(&chunk)
-                {
-                    c.change += 1;
+            self.notes.erase(id);
+            self.jobs.remove(id);
+        }
+    }
+
+    /// A key of ours was read again after a conflict.
+    pub fn reread(&mut self, id: &JobId, chunk: u32, version: u64) {
+        if let Some(c) = self.jobs.get_mut(id).and_then(|j| j.chunks.get_mut(&chunk)) {
+            c.version = version;
+        }
+    }
+
+    /// Jobs that this placer knows.
+    pub fn known(&self) -> impl Iterator<Item = &JobId> {
+        self.jobs.keys()
+    }
+
+    /// Takes what the followed keys say of a job of this part's teams; `None`:
+    /// it is over.
+    pub fn set_job(&mut self, id: &JobId, mirrored: Option<&MirroredJob>, now: u64) {
+        match mirrored {
+            Some(m) => {
+                let job = self.jobs.entry(id.clone()).or_insert_with(Job::empty);
+                if job.record.is_some() && job.version == m.version {
+                    return;
+                }
+                let spec = &m.record.spec;
+                let news = job.record.is_none() && job.chunks.is_empty() && now > self.started + SETTLE_MS;
+                let guaranteed = self.guarantee_within < f64::MAX && within(&spec.need(), self.guarantees.get(&spec.team));
+                if news && (self.start_within.contains_key(&spec.class) || guaranteed) {
+                    self.arrivals.push_back((now, m.record.clone()));
                 }
+                job.team = spec.team.clone();
+                job.need = spec.need();
+                job.tasks = spec.tasks.min(u64::from(u32::MAX)) as u32;
+                job.version = m.version;
+                job.record = Some(m.record.clone());
+                job.over = false;
+                job.reason = "not looked at yet";
+                self.regauge.insert(spec.team.clone());
+                self.place_again = true;
             }
-            if job.live.is_empty() && job.ending.is_empty() && job.chunks.values().all(|c| c.version == 0) {
-                emptied.push(id.clone());
+            None => {
+                let Some(job) = self.jobs.get_mut(id) else { return };
+                if !job.over {
+                    info!(job = %id, part = self.part, live = job.live.len(), "job is over");
+                    job.over = true;
+                }
             }
         }
-        for id in emptied {
-            self.jobs.remove(&id);
-        }
+        self.settle(id, now);
     }
 
-    /// The next transaction, if none is under way and something changed.
-    pub fn next_txn(&mut self) -> Option<Txn> {
-        if self.pending.is_some() {
+    /// The next transaction, if none is under way and something is due. Starts
+    /// go first, by priority, then ends of jobs; what only records that
+    /// attempts ended waits for company, so that one writing of a chunk tells
+    /// of many: nothing depends on it but a successor's start.
+    pub fn next_txn(&mut self, now: u64) -> Option<Txn> {
+        if self.pending.is_some() || self.unsaved.is_empty() {
             return None;
         }
+        let mut due: Vec<(u8, Rank, u64, &JobId)> = Vec::new();
+        for (id, &since) in &self.unsaved {
+            let Some(job) = self.jobs.get(id) else { continue };
+            let class = if !job.over && job.chunks.values().any(|c| c.saved < c.start) {
+                0
+            } else if job.complete() && !job.over {
+                1
+            } else if now >= since + END_LAG_MS {
+                2
+            } else {
+                continue;
+            };
+            due.push((class, job.rank(), since, id));
+        }
+        if due.is_empty() {
+            return None;
+        }
+        due.sort_unstable();
         let mut txn = Txn { conditions: vec![Condition { key: part_key(self.part), version: self.token }], writes: Vec::new() };
         let mut pending = Pending { chunks: Vec::new(), ends: Vec::new() };
         let mut bytes = 0;
-        'jobs: for (id, job) in &self.jobs {
+        'jobs: for (_, _, _, id) in due {
+            let Some(job) = self.jobs.get(id) else { continue };
             if job.complete() && !job.over && job.refused_end != Some(job.version) {
                 if txn.writes.len() + 2 > self.txn_ops {
                     break;
@@ -443,7 +446,7 @@
                 // Its chunks go once the job is over; no need to write them.
                 continue;
             }
-            for (&index, chunk) in job.chunks.iter().filter(|(_, c)| c.saved < c.change) {
+            for (&index, chunk) in job.chunks.iter().filter(|(_, c)| c.unsaved()) {
                 if txn.writes.len() + 1 > self.txn_ops || bytes > TXN_BYTES {
                     break 'jobs;
                 }
@@ -466,14 +469,14 @@
         }
         if txn.writes.is_empty() {
             // Nothing to write: what was to be removed was never there.
-            self.apply_saved(&pending, 0);
+            self.apply_saved(&pending, 0, now);
             return None;
         }
         self.pending = Some(pending);
         Some(txn)
     }
 
-    fn apply_saved(&mut self, pending: &Pending, revision: u64) {
+    fn apply_saved(&mut self, pending: &Pending, revision: u64, now: u64) {
         for (id, index, change, removed) in &pending.chunks {
             let Some(job) = self.jobs.get_mut(id) else {
                 continue;
@@ -484,18 +487,19 @@
             }
             let chunks = &job.chunks;
             job.ending.retain(|e| chunks.get(&(e.id.task / CHUNK_TASKS)).is_some_and(|c| c.saved < e.change));
+            self.unsaved.remove(id);
+            self.settle(id, now);
         }
     }
 
     /// A transaction ended. Returns the jobs whose end is now written.
-    pub fn txn_done(&mut self, outcome: TxnOutcome) -> (TxnVerdict, Vec<JobId>) {
+    pub fn txn_done(&mut self, outcome: TxnOutcome, now: u64) -> (TxnVerdict, Vec<JobId>) {
         let Some(pending) = self.pending.take() else {
             return (TxnVerdict::Fine, Vec::new());
         };
         match outcome {
             TxnOutcome::Done(revision) => {
-                self.apply_saved(&pending, revision);
-                self.place_again = true;
+                self.apply_saved(&pending, revision, now);
                 let ends: Vec<JobId> = pending.ends.into_iter().map(|(id, _)| id).collect();
                 for id in &ends {
                     if let Some(job) = self.jobs.get_mut(id) {
@@ -506,16 +510,19 @@
                             job.touch(index * CHUNK_TASKS);
                         }
                     }
+                    self.unsaved.remove(id);
+                    self.settle(id, now);
                 }
                 (TxnVerdict::Fine, ends)
             }
             TxnOutcome::Conflict(keys) if keys.contains(&part_key(self.part)) => (TxnVerdict::Lost, Vec::new()),
             TxnOutcome::Conflict(keys) => {
                 for (id, version) in pending.ends {
-                    if keys.contains(&job_key(&id))
-                        && let Some(job) = self.jobs.get_mut(&id)
-                    {
-                        job.refused_end = Some(version);
+                    if keys.contains(&job_key(&id)) {
+                        if let Some(job) = self.jobs.get_mut(&id) {
+                            job.refused_end = Some(version);
+                        }
+                        self.settle(&id, now);
                     }
                 }
                 (TxnVerdict::Fine, Vec::new())
@@ -526,167 +533,226 @@
 
     // ---- owners ------------------------------------------------------------
 
-    /// Everything wanted of a part.
-    pub fn sync_for(&mut self, to: u16, to_token: u64, now: u64) -> Sync {
-        let over = self.over();
-        let seq = self.copies[usize::from(to)].seq + 1;
-        let mut wants = Vec::new();
-        for (id, job) in &self.jobs {
-            let image = job.spec().map(|s| s.image.clone()).unwrap_or_default();
-            let grace = job.spec().map(JobSpec::grace_s).unwrap_or(0);
-            let image_mb = job.spec().map_or(0, |s| (s.image_gb * 1000.0).ceil() as u64);
-            let gang = job.spec().is_some_and(|s| s.shape == Shape::Gang);
-            let granted = !gang
-                || (job.live.len() as u32 == job.tasks - job.done_count.min(job.tasks) && job.live.values().all(|l| l.standing.is_some()));
-            for (&task, l) in job.live.iter().filter(|(_, l)| l.part == to) {
-                if !job.recorded(task, l) {
-                    continue;
+    /// Notes what changed in what the owners are told.
+    fn flush(&mut self) {
+        for team in std::mem::take(&mut self.regauge) {
+            self.gauge(&team);
+        }
+        for id in std::mem::take(&mut self.changed) {
+            let Some(job) = self.jobs.get_mut(&id) else { continue };
+            let wants = wants_of(&id, job);
+            let told: HashSet<&AttemptId> = wants.iter().map(|(_, w)| &w.id).collect();
+            for (part, attempt) in &job.told {
+                if !told.contains(attempt) {
+                    self.links[usize::from(*part)].wants.remove(attempt);
                 }
-                let go = !gang || granted || job.tasks == 1;
-                let kill = if job.over { Some(0) } else { l.kill };
-                wants.push(Want {
-                    team: job.team.clone(),
-                    rank: job.rank(),
-                    over: over.contains(&(id, task)),
-                    grace,
-                    lasting: job.lasting(),
-                    evict: l.evict,
-                    id: AttemptId { job: id.clone(), task, attempt: l.attempt },
-                    machine: l.machine.clone(),
-                    need: job.need,
-                    image: image.clone(),
-                    image_mb,
-                    go,
-                    kill,
-                });
             }
-            for e in job.ending.iter().filter(|e| e.part == to) {
-                wants.push(Want {
-                    id: e.id.clone(),
-                    machine: e.machine.clone(),
-                    need: job.need,
-                    image: image.clone(),
-                    image_mb,
-                    go: false,
-                    kill: Some(0),
-                    team: job.team.clone(),
-                    rank: job.rank(),
-                    over: true,
-                    grace: 0,
-                    lasting: false,
-                    evict: Evict::Nobody,
-                });
+            job.told = wants.iter().map(|(part, w)| (*part, w.id.clone())).collect();
+            for (part, want) in wants {
+                self.links[usize::from(part)].wants.put(&want.id.clone(), want);
+            }
+            if job.over {
+                self.notes.erase(&id);
+            } else {
+                let (running, reason) = job.progress();
+                self.notes.put(&id, (job.done_count, running, reason));
             }
         }
-        self.copies[usize::from(to)].seq = seq;
+    }
+
+    /// Marks what a team runs beyond its guarantee: the guarantee goes to the
+    /// highest priority first, then to the oldest.
+    fn gauge(&mut self, team: &str) {
+        let guarantee = self.guarantees.get(team);
+        let mut sum = Room::default();
+        for (_, _, id) in self.running.get(team).into_iter().flatten() {
+            let Some(job) = self.jobs.get_mut(id) else { continue };
+            for live in job.live.values_mut() {
+                sum = sum.plus(&job.need);
+                let over = !within(&sum, guarantee);
+                if live.over != over {
+                    live.over = over;
+                    self.changed.insert(id.clone());
+                }
+            }
+        }
+    }
+
+    /// True if an owner with this token has not been sent all that is wanted.
+    pub fn unsent(&mut self, to: u16, to_token: u64) -> bool {
+        self.flush();
+        let link = &self.links[usize::from(to)];
+        link.to_token != to_token || link.wants.last() > link.sent
+    }
+
+    /// Notes that the last message to an owner was lost.
+    pub fn lost(&mut self, to: u16) {
+        let link = &mut self.links[usize::from(to)];
+        link.sent = link.acked;
+        link.notes_sent = link.notes_acked;
+    }
+
+    /// What an owner has to be told, in `room` bytes. Notes are for answers at
+    /// other nodes only, and go where there is room for them.
+    pub fn sync_for(&mut self, to: u16, to_token: u64, mut room: usize, notes: bool, now: u64) -> Sync {
+        self.flush();
+        let link = &mut self.links[usize::from(to)];
+        if link.to_token != to_token {
+            (link.to_token, link.acked, link.notes_acked) = (to_token, 0, 0);
+        }
+        link.seq += 1;
+        let (span, changes) = link.wants.since(link.acked, &mut room, |_, w| w.map_or(ATTEMPT_BYTES, written));
+        link.sent = span.upto;
+        let (mut wants, mut dropped) = (Vec::new(), Vec::new());
+        for (id, want) in changes {
+            match want {
+                Some(want) => wants.push(want.clone()),
+                None => dropped.push(id.clone()),
+            }
+        }
+        let mut told = Vec::new();
+        if notes {
+            let (span, changes) = self.notes.since(link.notes_acked, &mut room, |_, _| NOTE_BYTES);
+            link.notes_sent = span.upto;
+            told = changes
+                .into_iter()
+                .filter_map(|(job, note)| {
+                    note.map(|&(done, running, reason)| JobNote { job: job.clone(), done, running, reason: reason.to_owned() })
+                })
+                .collect();
+        }
         let rented = self
             .promises
             .iter()
             .filter(|p| p.part == to)
             .map(|p| Rented { age_ms: now.saturating_sub(p.at), ..p.rented.clone() })
             .collect();
+        let field = &self.fields[usize::from(to)];
         Sync {
-            keep: self.keep.clone(),
             version: PEER_VERSION,
             from: self.part,
             from_token: self.token,
             to,
             to_token,
-            seq,
+            seq: link.seq,
+            span,
             wants,
+            dropped,
+            have: if link.token == to_token { link.have } else { Have::default() },
             rented,
-            notes: self.notes(),
-        }
-    }
-
-    /// Attempts that their teams run beyond their guarantees: the guarantee
-    /// goes to the highest priority first, then to the oldest.
-    fn over(&self) -> HashSet<(&JobId, u32)> {
-        let mut all: Vec<(&str, Rank, u64, &JobId, u32, Room)> = Vec::new();
-        for (id, job) in &self.jobs {
-            let at = job.record.as_ref().map_or(0, |r| r.at);
-            all.extend(job.live.keys().map(|&t| (job.team.as_str(), job.rank(), at, id, t, job.need)));
-        }
-        all.sort_unstable();
-        let mut used: HashMap<&str, Room> = HashMap::new();
-        let mut over = HashSet::new();
-        for (team, _, _, id, task, need) in all {
-            let sum = used.entry(team).or_default();
-            *sum = sum.plus(&need);
-            if !within(sum, self.guarantees.get(team)) {
-                over.insert((id, task));
-            }
+            keep: self.keep.iter().filter(|m| field.find(m).is_some()).cloned().collect(),
+            notes: told,
         }
-        over
-    }
-
-    /// Counts of the unfinished jobs.
-    pub fn notes(&self) -> Vec<JobNote> {
-        self.jobs
-            .iter()
-            .filter(|(_, j)| !j.over)
-            .map(|(id, j)| {
-                let (running, reason) = j.progress();
-                JobNote { job: id.clone(), done: j.done_count, running, reason }
-            })
-            .collect()
     }
 
     /// An owner answered; true if something changed that placing should see.
     pub fn take_view(&mut self, view: View, now: u64) -> bool {
-        let Some(copy) = self.copies.get_mut(usize::from(view.part)) else {
+        let Some(link) = self.links.get_mut(usize::from(view.part)) else {
             return false;
         };
-        if copy.view.as_ref().is_some_and(|v| v.token > view.token || (v.token == view.token && v.seq >= view.seq)) {
+        if view.token < link.token || view.token == link.token && view.seq <= link.got {
             return false;
         }
-        self.promises.retain(|p| p.part != view.part || !view.machines.iter().any(|m| m.id == p.rented.machine));
-        let leaving: HashSet<&MachineId> = view.machines.iter().filter(|m| m.leaving).map(|m| &m.id).collect();
-        for a in &view.attempts {
-            let Some(job) = self.jobs.get_mut(&a.id.job) else {
-                continue;
-            };
-            let Some(live) = job.live.get_mut(&a.id.task).filter(|l| l.attempt == a.id.attempt) else {
-                continue;
-            };
-            if live.standing != Some(a.standing) {
-                debug!(attempt = %a.id, machine = %live.machine, standing = ?a.standing, "attempt moved on");
-                live.standing = Some(a.standing);
+        if view.seq > link.seq || view.token == link.to_token && view.wants_at > link.wants.last() {
+            warn!(part = self.part, from = view.part, "a view with numbers that were never given; not taken");
+            return false;
+        }
+        if view.token > link.token {
+            (link.token, link.have) = (view.token, Have::default());
+        }
+        link.got = view.seq;
+        if view.token == link.to_token {
+            // An owner that has less than it once said starts from nothing.
+            link.acked = if view.wants_at < link.acked { 0 } else { view.wants_at };
+            link.wants.forget(link.acked);
+            link.notes_acked = link.notes_acked.max(link.notes_sent);
+            if link.acked == 0 {
+                link.sent = 0;
             }
-            job.ran |= a.standing == Standing::Running;
-            if a.standing.ended() {
-                Self::attempt_over(job, &a.id, a.standing, now);
+        }
+        let machines = view.machines_span.follows(link.have.machines);
+        let attempts = view.attempts_span.follows(link.have.attempts);
+        if attempts.is_some() {
+            link.have.attempts = view.attempts_span.upto;
+        }
+        if machines.is_some() {
+            link.have.machines = view.machines_span.upto;
+        }
+        if attempts.is_some() {
+            for a in &view.attempts {
+                self.moved_on(&a.id, a.standing, view.part, now);
             }
         }
-        for job in self.jobs.values_mut().filter(|j| !j.over) {
-            let Some(grace) = job.spec().map(JobSpec::grace_s) else {
-                continue;
-            };
-            // The tasks of a machine that leaves are moved, with a save.
-            let hit = job.live.values().any(|l| l.part == view.part && leaving.contains(&l.machine));
-            let gang = job.spec().is_some_and(|s| s.shape == Shape::Gang);
-            if hit {
-                for l in job.live.values_mut() {
-                    if l.kill.is_none() && (gang || (l.part == view.part && leaving.contains(&l.machine))) {
-                        l.kill = Some(grace);
-                    }
-                }
+        let part = view.part;
+        let news = !view.machines.is_empty() || !view.gone.is_empty() || !view.attempts.is_empty();
+        match machines {
+            Some(Follow::Anew) => self.fields[usize::from(part)] = Field::default(),
+            Some(Follow::On) => {}
+            None => return news,
+        }
+        for id in &view.gone {
+            self.fields[usize::from(part)].remove(id);
+        }
+        for m in view.machines {
+            let (id, leaving) = (m.id.clone(), m.leaving);
+            self.fields[usize::from(part)].set(m);
+            self.retake(&id, part);
+            if leaving {
+                self.empty(&id, part, now);
             }
         }
-        copy.view = Some(view);
-        self.place_again = true;
-        true
+        let field = &self.fields[usize::from(part)];
+        self.promises.retain(|p| p.part != part || field.find(&p.rented.machine).is_none());
+        self.place_again |= news;
+        news
     }
 
-    fn attempt_over(job: &mut Job, id: &AttemptId, standing: Standing, now: u64) {
-        let Some(live) = job.live.remove(&id.task) else {
+    /// An attempt stands differently.
+    fn moved_on(&mut self, id: &AttemptId, standing: Standing, part: u16, now: u64) {
+        let Some(job) = self.jobs.get_mut(&id.job) else { return };
+        let Some(live) = job.live.get_mut(&id.task).filter(|l| l.attempt == id.attempt && l.part == part) else { return };
+        if live.standing == Some(standing) {
             return;
-        };
+        }
+        debug!(attempt = %id, machine = %live.machine, ?standing, "attempt moved on");
+        let first = live.standing.is_none();
+        live.standing = Some(standing);
+        let machine = live.machine.clone();
+        job.ran |= standing == Standing::Running;
+        if standing.ended() {
+            self.attempt_over(id, standing, now);
+            self.settle(&id.job, now);
+        } else {
+            if first {
+                self.saw(&machine, part, &id.job, id.task);
+            }
+            self.changed.insert(id.job.clone());
+        }
+    }
+
+    /// The tasks of a machine that leaves are moved, with a save; the tasks of
+    /// a gang all of them.
+    fn empty(&mut self, machine: &MachineId, part: u16, now: u64) {
+        let ids: BTreeSet<JobId> = self.on.get(machine).into_iter().flatten().map(|(id, _)| id.clone()).collect();
+        for id in ids {
+            let Some(job) = self.jobs.get_mut(&id).filter(|j| !j.over) else { continue };
+            let Some(grace) = job.spec().map(JobSpec::grace_s) else { continue };
+            let gang = job.is(Shape::Gang);
+            for l in job.live.values_mut().filter(|l| gang || l.part == part && &l.machine == machine) {
+                l.kill.get_or_insert(grace);
+            }
+            self.settle(&id, now);
+        }
+    }
+
+    fn attempt_over(&mut self, id: &AttemptId, standing: Standing, now: u64) {
+        let Some(live) = self.leave(&id.job, id.task) else { return };
+        let Some(job) = self.jobs.get_mut(&id.job) else { return };
         let change = job.touch(id.task);
         job.ending.push(Ending { id: id.clone(), machine: live.machine.clone(), part: live.part, change });
-        job.cursor = job.cursor.min(id.task);
-        let gang = job.spec().is_some_and(|s| s.shape == Shape::Gang);
-        let service = job.spec().is_some_and(|s| s.shape == Shape::Service);
+        job.wait_again(id.task);
+        let gang = job.is(Shape::Gang);
+        let service = job.lasting();
         match standing {
             Standing::Exited(Cause::Done) if !service => {
                 job.failures = 0;
@@ -734,70 +800,35 @@
 
     /// True if a placing pass may find something to do.
     pub fn wants_pass(&self, now: u64) -> bool {
-        self.place_again || self.jobs.values().any(|j| !j.over && j.not_before > 0 && now >= j.not_before && j.next_waiting().is_some())
-    }
-
-    fn usage(&self) -> HashMap<String, Room> {
-        let mut usage: HashMap<String, Room> = HashMap::new();
-        for job in self.jobs.values() {
-            let sum = usage.entry(job.team.clone()).or_default();
-            *sum = sum.plus(&job.need.times(job.live.len() as u64));
-        }
-        usage
-    }
-
-    /// The fields of all parts, less what was placed and is not in their
-    /// views yet.
-    fn fields(&self) -> Vec<Field> {
-        let mut fields: Vec<Field> =
-            self.copies.iter().map(|c| c.view.as_ref().map(|v| Field::new(&v.machines)).unwrap_or_default()).collect();
-        for job in self.jobs.values() {
-            let image = job.spec().map(|s| s.image.as_str()).unwrap_or_default();
-            for l in job.live.values().filter(|l| l.standing.is_none()) {
-                let field = &mut fields[usize::from(l.part)];
-                if let Some(i) = field.find(&l.machine) {
-                    field.take(i, &job.need, image);
-                }
-            }
-        }
-        fields
+        self.place_again || self.asleep.first().is_some_and(|(at, _)| now >= *at)
     }
 
     /// Walks the team queues in turn and places what fits; what does not is
     /// left in `lacking`.
     pub fn place(&mut self, now: u64) {
         self.place_again = false;
-        for job in self.jobs.values_mut().filter(|j| now >= j.not_before) {
-            job.not_before = 0;
-        }
-        let mut fields = self.fields();
-        let mut usage = self.usage();
-        let mut queues: BTreeMap<&str, Vec<&JobId>> = BTreeMap::new();
-        for (id, job) in &self.jobs {
-            if job.over || now < job.not_before || job.next_waiting().is_none() {
-                continue;
-            }
-            let gang_busy = job.spec().is_some_and(|s| s.shape == Shape::Gang) && !job.live.is_empty();
-            if !gang_busy {
-                queues.entry(&job.team).or_default().push(id);
+        self.passes += 1;
+        while let Some((at, id)) = self.asleep.first().filter(|(at, _)| now >= *at).cloned() {
+            self.asleep.remove(&(at, id.clone()));
+            if let Some(job) = self.jobs.get_mut(&id).filter(|j| now >= j.not_before) {
+                job.not_before = 0;
+                self.settle(&id, now);
             }
         }
-        for queue in queues.values_mut() {
-            queue.sort_by_key(|id| self.jobs[*id].record.as_ref().map(|r| (r.spec.rank, r.at)));
-        }
         let mut queues: Vec<std::vec::IntoIter<JobId>> =
-            queues.into_values().map(|q| q.into_iter().cloned().collect::<Vec<_>>().into_iter()).collect();
+            self.queues.values().map(|q| q.iter().map(|(_, _, id)| id.clone()).collect::<Vec<_>>().into_iter()).collect();
         let mut lacking = Vec::new();
-        let mut failed: BTreeSet<String> = BTreeSet::new();
+        let mut asked: HashMap<String, Room> = HashMap::new();
+        let mut failed: HashSet<u64> = HashSet::new();
         let mut current: Vec<Option<JobId>> = queues.iter_mut().map(Iterator::next).collect();
         let n = queues.len();
         let mut at = if n > 0 { self.turn % n } else { 0 };
         self.turn = self.turn.wrapping_add(1);
         while current.iter().any(Option::is_some) {
             if let Some(id) = current[at].clone() {
-                let placed = self.place_next(&id, &mut fields, &mut usage, &mut failed, now);
+                let placed = self.place_next(&id, &mut failed, now);
                 if !placed {
-                    self.note_lack(&id, &usage, &mut lacking);
+                    self.note_lack(&id, &mut asked, &mut lacking);
                     current[at] = queues[at].next();
                 }
             }
@@ -806,7 +837,11 @@
         if !lacking.is_empty() {
             self.lacked_at = now;
         }
-        self.add_spare(&mut fields, &mut lacking, now);
+        if now >= self.spare_at + SPARE_EVERY_MS {
+            self.spare_at = now;
+            self.spare_lacking = self.add_spare(now);
+        }
+        lacking.extend(self.spare_lacking.iter().cloned());
         self.lacking = lacking;
     }
 
@@ -823,15 +858,17 @@
     /// Counts the work that is expected to come while a machine boots, for
     /// classes whose starts are awaited: empty machines that it would take are
     /// kept, and what finds no room is asked for like waiting work.
-    fn add_spare(&mut self, fields: &mut [Field], lacking: &mut Vec<Demand>, now: u64) {
+    fn add_spare(&mut self, now: u64) -> Vec<Demand> {
+        let mut lacking = Vec::new();
         while self.arrivals.front().is_some_and(|(at, _)| now > at + ARRIVALS_MS) {
             self.arrivals.pop_front();
         }
         self.keep.clear();
         let seen_ms = now.saturating_sub(self.started + SETTLE_MS).clamp(1, ARRIVALS_MS);
         if self.spare <= 0.0 || seen_ms < ARRIVALS_MS / 3 {
-            return;
+            return lacking;
         }
+        let mut taken: Vec<(MachineId, u16)> = Vec::new();
         let mut groups: BTreeMap<(Room, bool), (f64, Arc<JobRecord>)> = BTreeMap::new();
         for (_, record) in &self.arrivals {
             let spec = &record.spec;
@@ -856,18 +893,20 @@
                     image: &spec.image,
                     avoid: &[],
                 };
-                let found = (0..fields.len()).find_map(|p| {
-                    let fit = fields[p].first_fit(&ask, false).or_else(|| fields[p].evict_fit(&ask, spec.rank, false, false));
+                let found = self.fields.iter().enumerate().find_map(|(p, field)| {
+                    let fit = field.first_fit(&ask, false).or_else(|| field.evict_fit(&ask, spec.rank, false, false));
                     fit.map(|i| (p, i))
                 });
                 let Some((p, i)) = found else {
                     count += 1;
                     continue;
                 };
-                if fields[p].slots[i].busy == 0 {
-                    self.keep.push(fields[p].slots[i].id.clone());
+                let field = &mut self.fields[p];
+                if field.slots[i].busy == 0 {
+                    self.keep.push(field.slots[i].id.clone());
                 }
-                fields[p].take(i, &need, &spec.image);
+                field.take(i, &need, &spec.image);
+                taken.push((field.slots[i].id.clone(), p as u16));
             }
             if count > 0 {
                 let zone = spec.zone.clone();
@@ -883,6 +922,11 @@
                 });
             }
         }
+        // Only counted, not taken.
+        for (machine, part) in taken {
+            self.retake(&machine, part);
+        }
+        lacking
     }
 
     /// Moves the replicas of one machine to others in use, if all of them fit
@@ -893,7 +937,7 @@
     /// Placers take turns by the time of day, so that two of them don't count
     /// on the same room: a replica that then finds none waits for an image.
     pub fn consolidate(&mut self, now: u64, time_of_day: u64) {
-        let turn = time_of_day / MOVE_GAP_MS % self.copies.len() as u64;
+        let turn = time_of_day / MOVE_GAP_MS % self.links.len() as u64;
         let settled = time_of_day % MOVE_GAP_MS < MOVE_GAP_MS / 2;
         if turn != u64::from(self.part)
             || !settled
@@ -904,77 +948,85 @@
         }
         // Look again soon, but not at every event: the look walks everything.
         self.moved_at = (now + COPY_REFRESH_MS).saturating_sub(MOVE_GAP_MS);
-        let fields = self.fields();
-        let mut mine: BTreeMap<&MachineId, Vec<(&JobId, u32)>> = BTreeMap::new();
-        for (id, job) in &self.jobs {
-            for (&task, l) in &job.live {
-                if job.over || l.kill.is_some() || l.standing != Some(Standing::Running) {
-                    // Something is on the move already.
-                    if job.lasting() && !job.over {
-                        return;
-                    }
-                    continue;
-                }
-                mine.entry(&l.machine).or_default().push((id, task));
-            }
+        let moving =
+            |job: &Job| job.lasting() && !job.over && job.live.values().any(|l| l.kill.is_some() || l.standing != Some(Standing::Running));
+        if self.jobs.values().any(moving) {
+            return;
         }
-        let mut candidates: Vec<(u32, &MachineId)> = Vec::new();
-        for field in &fields {
-            for slot in &field.slots {
-                let Some(tasks) = mine.get(&slot.id) else { continue };
-                let fresh = tasks.iter().any(|(id, t)| self.jobs[*id].live.get(t).is_some_and(|l| now < l.since + STAY_MS));
-                if fresh {
-                    continue;
-                }
-                let all_last = tasks.iter().all(|(id, _)| self.jobs[*id].lasting());
-                if tasks.len() as u32 == slot.busy && all_last {
-                    candidates.push((slot.busy, &slot.id));
-                }
+        let mut candidates: Vec<(u32, MachineId)> = Vec::new();
+        for slot in self.fields.iter().flat_map(|f| &f.slots) {
+            let Some(tasks) = self.on.get(&slot.id) else { continue };
+            let settled = tasks.iter().all(|(id, t)| {
+                let Some(job) = self.jobs.get(id) else { return false };
+                job.lasting() && !job.over && job.live.get(t).is_some_and(|l| now >= l.since + STAY_MS)
+            });
+            if settled && tasks.len() as u32 == slot.busy {
+                candidates.push((slot.busy, slot.id.clone()));
             }
         }
-        candidates.sort_by(|a, b| a.0.cmp(&b.0).then(b.1.cmp(a.1)));
-        let chosen = candidates.into_iter().map(|(_, m)| m).find(|m| self.all_fit_elsewhere(m, &mine[*m], &fields)).cloned();
+        candidates.sort_by(|a, b| a.0.cmp(&b.0).then(b.1.cmp(&a.1)));
+        // Those with most tasks are the least likely to fit elsewhere.
+        candidates.truncate(MOVE_TRIES);
+        let chosen = candidates.into_iter().map(|(_, m)| m).find(|m| self.all_fit_elsewhere(m));
         let Some(machine) = chosen else { return };
         self.moved_at = now;
         info!(machine = %machine, part = self.part, "moving its replicas together with others");
-        for job in self.jobs.values_mut().filter(|j| !j.over) {
-            let mut hit = false;
-            for l in job.live.values_mut().filter(|l| l.machine == machine) {
-                l.kill = Some(0);
-                hit = true;
-            }
-            if hit && !job.avoid.contains(&machine) {
-                job.avoid.push(machine.clone());
+        let tasks = self.on.get(&machine).cloned().unwrap_or_default();
+        for (id, task) in tasks {
+            if let Some(job) = self.jobs.get_mut(&id) {
+                if let Some(l) = job.live.get_mut(&task) {
+                    l.kill = Some(0);
+                }
+                if !job.avoid.contains(&machine) {
+                    job.avoid.push(machine.clone());
+                }
             }
+            self.settle(&id, now);
         }
     }
 
-    fn all_fit_elsewhere(&self, machine: &MachineId, tasks: &[(&JobId, u32)], fields: &[Field]) -> bool {
-        let mut trial = fields.to_vec();
-        tasks.iter().all(|(id, task)| {
-            let job = &self.jobs[*id];
-            let Some(spec) = job.spec() else { return false };
-            let per_zone = job.per_zone(Some(*task));
-            let zones = allowed_zones(spec, None, &per_zone, job.tasks, fields);
+    fn all_fit_elsewhere(&mut self, machine: &MachineId) -> bool {
+        let tasks = self.on.get(machine).cloned().unwrap_or_default();
+        let mut taken: Vec<(MachineId, u16)> = Vec::new();
+        let mut fits = true;
+        for (id, task) in tasks {
+            let Some((job, spec)) = self.jobs.get(&id).and_then(|j| j.spec().map(|s| (j, s))) else { return false };
+            let per_zone = job.per_zone(Some(task));
+            let zones = allowed_zones(spec, None, &per_zone, job.tasks, &self.fields);
             let ask =
                 Ask { need: job.need, types: spec.types.as_deref(), zones, spot: spec.spot, lasting: true, image: &spec.image, avoid: &[] };
-            let Some((p, i)) = (0..trial.len()).find_map(|p| trial[p].fit_elsewhere(&ask, machine).map(|i| (p, i))) else { return false };
-            trial[p].take(i, &job.need, &spec.image);
+            let found = self.fields.iter().enumerate().find_map(|(p, f)| f.fit_elsewhere(&ask, machine).map(|i| (p, i)));
+            let Some((p, i)) = found else {
+                fits = false;
+                break;
+            };
+            let (need, image) = (job.need, spec.image.clone());
+            self.fields[p].take(i, &need, &image);
+            taken.push((self.fields[p].slots[i].id.clone(), p as u16));
             // Guards against others taking that room meanwhile: one more must
             // be left, or the replica would wait for a fetch.
-            trial.iter().any(|f| f.fit_elsewhere(&ask, machine).is_some())
-        })
+            let Some(spec) = self.jobs.get(&id).and_then(Job::spec) else { return false };
+            let zones = allowed_zones(spec, None, &per_zone, spec.tasks as u32, &self.fields);
+            let ask = Ask { need, types: spec.types.as_deref(), zones, spot: spec.spot, lasting: true, image: &image, avoid: &[] };
+            if !self.fields.iter().any(|f| f.fit_elsewhere(&ask, machine).is_some()) {
+                fits = false;
+                break;
+            }
+        }
+        for (machine, part) in taken {
+            self.retake(&machine, part);
+        }
+        fits
     }
 
-    fn note_lack(&self, id: &JobId, usage: &HashMap<String, Room>, lacking: &mut Vec<Demand>) {
+    /// Notes what a job lacks, within what its team may still take.
+    fn note_lack(&self, id: &JobId, asked: &mut HashMap<String, Room>, lacking: &mut Vec<Demand>) {
         let Some(job) = self.jobs.get(id) else { return };
         let Some(spec) = job.spec() else { return };
-        let limit = self.limits.get(&job.team).copied().unwrap_or(Room { cpus: u64::MAX, gpus: u64::MAX, memory: u64::MAX });
-        let used = lacking
-            .iter()
-            .filter(|d: &&Demand| d.team == job.team)
-            .fold(usage.get(&job.team).copied().unwrap_or_default(), |sum, d| sum.plus(&d.need.times(u64::from(d.count))));
-        let waiting = (job.cursor..job.tasks).filter(|t| !job.is_done(*t) && !job.live.contains_key(t)).take(DEMAND_MOST).count() as u64;
+        let limit = self.limits.get(&job.team).copied().unwrap_or(NO_LIMIT);
+        let already = asked.get(&job.team).copied().unwrap_or_default();
+        let used = self.usage.get(&job.team).copied().unwrap_or_default().plus(&already);
+        let waiting = u64::from(job.waiting()).min(DEMAND_MOST);
         let left = limit.minus(&used);
         let ratio = |have: u64, need: u64| have.checked_div(need).unwrap_or(u64::MAX);
         let most = ratio(left.cpus, job.need.cpus).min(ratio(left.gpus, job.need.gpus));
@@ -988,6 +1040,7 @@
         if count == 0 {
             return;
         }
+        asked.insert(job.team.clone(), already.plus(&job.need.times(count)));
         let demand = Demand {
             team: job.team.clone(),
             need: job.need,
@@ -1017,14 +1070,7 @@
     }
 
     /// Places the next unit of a job: a task, or a whole gang.
-    fn place_next(
-        &mut self,
-        id: &JobId,
-        fields: &mut [Field],
-        usage: &mut HashMap<String, Room>,
-        failed: &mut BTreeSet<String>,
-        now: u64,
-    ) -> bool {
+    fn place_next(&mut self, id: &JobId, failed: &mut HashSet<u64>, now: u64) -> bool {
         let Some(job) = self.jobs.get_mut(id) else {
             return false;
         };
@@ -1035,11 +1081,10 @@
         let Some(first) = job.next_waiting() else {
             return false;
         };
-        job.cursor = first;
         let tasks: Vec<u32> =
             if spec.shape == Shape::Gang { (first..job.tasks).filter(|t| !job.is_done(*t)).collect() } else { vec![first] };
-        let limit = self.limits.get(&job.team).copied().unwrap_or(Room { cpus: u64::MAX, gpus: u64::MAX, memory: u64::MAX });
-        let used = usage.entry(job.team.clone()).or_default();
+        let limit = self.limits.get(&job.team).copied().unwrap_or(NO_LIMIT);
+        let used = self.usage.get(&job.team).copied().unwrap_or_default();
         let after = used.plus(&job.need.times(tasks.len() as u64));
         if !limit.covers(&Room { memory: 0, ..after }) {
             job.reason = "its team is at its limit";
@@ -1052,23 +1097,18 @@
         // A replica that was up is down while it fetches.
         let too_slow = spec.image_gb > soon * self.fetch_gb_per_s || spec.shape == Shape::Service && job.ran;
         // Jobs that ask the same found no room a moment ago.
-        let shape_key = format!(
-            "{:?}{:?}{:?}{}{}{}{:?}{:?}{guaranteed}",
-            job.need,
-            spec.types,
-            spec.zone,
-            spec.spot,
-            spec.spread && job.tasks > 1,
-            tasks.len(),
-            job.avoid,
-            spec.rank
-        );
-        if failed.contains(&shape_key) {
+        let shape = {
+            let mut hasher = DefaultHasher::new();
+            (job.need, &spec.types, &spec.zone, spec.spot, spec.spread && job.tasks > 1, tasks.len()).hash(&mut hasher);
+            (&job.avoid, spec.rank as u8, guaranteed, spec.one_zone && tasks.len() > 1).hash(&mut hasher);
+            hasher.finish()
+        };
+        if failed.contains(&shape) {
             job.reason = "no machine has room; more are asked for";
             return false;
         }
         let order: Vec<usize> = {
-            let n = fields.len() as u16;
+            let n = self.fields.len() as u16;
             let mut order = vec![usize::from(self.part)];
             order.extend((1..=n).map(|k| usize::from((self.others_turn + k) % n)).filter(|&p| p != usize::from(self.part)));
             order
@@ -1076,89 +1116,148 @@
         let mut zone_sets: Vec<Option<String>> = vec![None];
         if spec.one_zone && tasks.len() + job.live.len() > 1 {
             let present: BTreeSet<String> = job.live.values().map(|l| l.zone.clone()).collect();
-            let all: BTreeSet<String> = fields.iter().flat_map(|f| f.slots.iter().map(|s| s.zone.clone())).collect();
+            let all: BTreeSet<String> = self.fields.iter().flat_map(Field::zones).map(str::to_owned).collect();
             zone_sets = if present.is_empty() { all.into_iter().map(Some).collect() } else { present.into_iter().map(Some).collect() };
         }
+        let job_tasks = job.tasks;
+        let (need, avoid) = (job.need, job.avoid.clone());
+        let counts = if spec.spread { job.per_zone(None) } else { HashMap::new() };
         for zone in zone_sets {
-            let mut trial = fields.to_vec();
-            let mut chosen = Vec::new();
-            let mut per_zone = job.per_zone(None);
+            let mut chosen: Vec<(u32, usize, usize, Evict)> = Vec::new();
+            let mut per_zone = counts.clone();
             for &task in &tasks {
-                let zones = allowed_zones(spec, zone.as_deref(), &per_zone, job.tasks, &trial);
+                let zones = allowed_zones(spec, zone.as_deref(), &per_zone, job_tasks, &self.fields);
                 let ask = Ask {
-                    need: job.need,
+                    need,
                     types: spec.types.as_deref(),
                     zones,
                     spot: spec.spot,
                     lasting: spec.shape == Shape::Service,
                     image: &spec.image,
-                    avoid: &job.avoid,
+                    avoid: &avoid,
                 };
                 // Fairness has no work while room exists; without room, lower
                 // priorities make way, and what others run beyond their
                 // guarantee does for a team within its own. Room without the
                 // image counts as none if the fetch alone takes too long.
-                let room = |with_image| order.iter().find_map(|&p| trial[p].first_fit(&ask, with_image).map(|i| (p, i, Evict::Nobody)));
+                let fields = &self.fields;
+                let room = |with_image| order.iter().find_map(|&p| fields[p].first_fit(&ask, with_image).map(|i| (p, i, Evict::Nobody)));
                 let pushed = |with_image| {
-                    order.iter().find_map(|&p| trial[p].evict_fit(&ask, spec.rank, guaranteed, with_image).map(|i| (p, i, evict)))
+                    order.iter().find_map(|&p| fields[p].evict_fit(&ask, spec.rank, guaranteed, with_image).map(|i| (p, i, evict)))
                 };
                 let found =
                     room(true).or_else(|| if too_slow { pushed(true) } else { None }).or_else(|| room(false)).or_else(|| pushed(false));
                 let Some((p, i, evict)) = found else { break };
-                trial[p].take(i, &job.need, &spec.image);
-                *per_zone.entry(trial[p].slots[i].zone.clone()).or_default() += 1;
+                let field = &mut self.fields[p];
+                field.take(i, &need, &spec.image);
+                if spec.spread {
+                    *per_zone.entry(field.slots[i].zone.clone()).or_default() += 1;
+                }
                 chosen.push((task, p, i, evict));
             }
             if chosen.len() < tasks.len() {
+                for (_, p, i, _) in chosen {
+                    let machine = self.fields[p].slots[i].id.clone();
+                    self.retake(&machine, p as u16);
+                }
                 continue;
             }
+            let Some(job) = self.jobs.get_mut(id) else { return false };
             let attempt = job.next;
             job.next += 1;
             for (task, p, i, evict) in chosen {
-                let slot = &trial[p].slots[i];
+                let slot = &self.fields[p].slots[i];
                 if p != usize::from(self.part) {
                     self.others_turn = p as u16;
                 }
+                let Some(job) = self.jobs.get_mut(id) else { return false };
                 let change = job.touch(task);
+                if let Some(chunk) = job.chunks.get_mut(&(task / CHUNK_TASKS)) {
+                    chunk.start = change;
+                }
                 info!(job = %id, task, attempt, machine = %slot.id, part = p, "placed");
-                job.live.insert(
-                    task,
-                    Live {
-                        attempt,
-                        machine: slot.id.clone(),
-                        part: p as u16,
-                        zone: slot.zone.clone(),
-                        change,
-                        standing: None,
-                        kill: None,
-                        evict,
-                        since: now,
-                    },
-                );
+                let live = Live {
+                    attempt,
+                    machine: slot.id.clone(),
+                    part: p as u16,
+                    zone: slot.zone.clone(),
+                    change,
+                    standing: None,
+                    kill: None,
+                    evict,
+                    since: now,
+                    over: true,
+                };
+                self.enter(id, task, live);
             }
-            *used = after;
             self.placed_at = now;
-            fields.clone_from_slice(&trial);
+            self.settle(id, now);
             return true;
         }
+        let Some(job) = self.jobs.get_mut(id) else { return false };
         job.reason = "no machine has room; more are asked for";
-        failed.insert(shape_key);
+        failed.insert(shape);
         false
     }
 
-    /// Machines of all copies, with their part.
+    /// Machines of all parts, as they were told.
     pub fn machines(&self) -> impl Iterator<Item = &crate::protocol::peer::MachineView> {
-        self.copies.iter().filter_map(|c| c.view.as_ref()).flat_map(|v| v.machines.iter())
+        self.fields.iter().flat_map(Field::machines)
     }
 
     /// The counts of one job, if it is this part's.
     pub fn job_note(&self, id: &JobId) -> Option<(u64, u64, String)> {
         let job = self.jobs.get(id).filter(|j| !j.over)?;
         let (running, reason) = job.progress();
-        Some((u64::from(job.done_count), u64::from(running), reason))
+        Some((u64::from(job.done_count), u64::from(running), reason.to_owned()))
     }
 }
 
+fn drop_place(index: &mut BTreeMap<String, BTreeSet<Place>>, team: &str, place: &Place) {
+    if let Some(queue) = index.get_mut(team) {
+        queue.remove(place);
+        if queue.is_empty() {
+            index.remove(team);
+        }
+    }
+}
+
+/// What the owners are told of a job, with the part that each is for.
+fn wants_of(id: &JobId, job: &Job) -> Vec<(u16, Want)> {
+    let image = job.spec().map(|s| s.image.clone()).unwrap_or_default();
+    let grace = job.spec().map_or(0, JobSpec::grace_s);
+    let image_mb = job.spec().map_or(0, |s| (s.image_gb * 1000.0).ceil() as u64);
+    let gang = job.is(Shape::Gang) && job.tasks > 1;
+    let go = !gang || job.live.len() as u32 == job.tasks - job.done_count.min(job.tasks) && job.live.values().all(|l| l.standing.is_some());
+    let want = |id: AttemptId, machine: &MachineId| Want {
+        id,
+        machine: machine.clone(),
+        need: job.need,
+        image: image.clone(),
+        image_mb,
+        go: false,
+        kill: Some(0),
+        team: job.team.clone(),
+        rank: job.rank(),
+        over: true,
+        grace: 0,
+        lasting: false,
+        evict: Evict::Nobody,
+    };
+    let mut wants = Vec::new();
+    for (&task, l) in job.live.iter().filter(|(t, l)| job.recorded(**t, l)) {
+        let id = AttemptId { job: id.clone(), task, attempt: l.attempt };
+        let kill = if job.over { Some(0) } else { l.kill };
+        let want = Want { go, kill, over: l.over, grace, lasting: job.lasting(), evict: l.evict, ..want(id, &l.machine) };
+        wants.push((l.part, want));
+    }
+    wants.extend(job.ending.iter().map(|e| (e.part, want(e.id.clone(), &e.machine))));
+    wants
+}
+
+/// What a team that has no limit may take.
+const NO_LIMIT: Room = Room { cpus: u64::MAX, gpus: u64::MAX, memory: u64::MAX };
+
 /// True if a use is within a guarantee; one that names nothing holds nothing.
 fn within(used: &Room, guarantee: Option<&Room>) -> bool {
     let Some(g) = guarantee.filter(|g| g.cpus > 0 || g.gpus > 0) else { return false };
@@ -1181,7 +1280,7 @@
     };
     if spec.spread && tasks > 1 {
         let most = tasks.div_ceil(2);
-        let all: BTreeSet<&str> = fields.iter().flat_map(|f| f.slots.iter().map(|s| s.zone.as_str())).collect();
+        let all: BTreeSet<&str> = fields.iter().flat_map(Field::zones).collect();
         let open: Vec<&str> = all.into_iter().filter(|z| per_zone.get(*z).copied().unwrap_or(0) < most).collect();
         zones = Some(match zones {
             Some(z) => z.into_iter().filter(|z| open.contains(z)).collect(),
--- a/src/node/carry.rs
+++ b/src/node/carry.rs
@@ -6,9 +6,9 @@
 use tracing::{debug, error, info};
 
 use crate::constants::*;
-use crate::coordination::Effect;
 use crate::coordination::owner::{CommandCall, CommandResult};
 use crate::coordination::placer::{TxnOutcome, TxnVerdict};
+use crate::coordination::{Effect, mail_piece_bytes};
 use crate::node::{Node, peer_address};
 use crate::protocol::peer::{self, Sync, View};
 use crate::protocol::state::{Txn, Write, to_value};
@@ -104,9 +104,12 @@
                 }
             }
             info!(part = lot.part, ?keys, "transaction met other versions");
-            core.txn_done(lot, outcome)
+            core.txn_done(lot, outcome, node.now())
+        }
+        outcome => {
+            let now = node.now();
+            node.core().txn_done(lot, outcome, now)
         }
-        outcome => node.core().txn_done(lot, outcome),
     };
     if verdict == TxnVerdict::Lost {
         node.fresh().await;
@@ -151,9 +154,7 @@
         0 => return,
         hold => hold,
     };
-    let value_bytes = (node.settings.cluster.state.value_kb * 1024.0) as usize;
-    // Base64 makes four bytes of three.
-    let piece_bytes = value_bytes.saturating_sub(MAIL_OVERHEAD_BYTES).max(MAIL_OVERHEAD_BYTES) / 4 * 3;
+    let piece_bytes = mail_piece_bytes((node.settings.cluster.state.value_kb * 1024.0) as usize);
     let pieces: Vec<&[u8]> = bytes.chunks(piece_bytes).collect();
     if pieces.len() > node.settings.cluster.state.txn_ops {
         error!(bytes = bytes.len(), "message too large for the store");
--- a/src/node/cloud.rs
+++ b/src/node/cloud.rs
@@ -21,12 +21,15 @@
     http: Rc<Client>,
     addr: SocketAddr,
     budget: RefCell<Bucket>,
+    /// Time that a page of the list is worth.
+    list_gap: Duration,
 }
 
 impl CloudClient {
-    /// A client with this many requests a second.
-    pub fn new(http: Rc<Client>, addr: SocketAddr, per_s: f64) -> Self {
-        Self { http, addr, budget: RefCell::new(Bucket::new(per_s)) }
+    /// A client that shares this many requests a second with the other nodes.
+    pub fn new(http: Rc<Client>, addr: SocketAddr, per_s: f64, nodes: usize) -> Self {
+        let list_gap = Duration::from_secs_f64(nodes as f64 / per_s.max(f64::MIN_POSITIVE) / LIST_SHARE);
+        Self { http, addr, budget: RefCell::new(Bucket::new(per_s, nodes)), list_gap }
     }
 
     async fn call(&self, method: &str, path: &str, body: &[u8]) -> Option<(u16, Vec<u8>)> {
@@ -35,6 +38,9 @@
             smol::Timer::after(wait).await;
         }
         let response = self.http.call(self.addr, method, path, body, CLOUD_TIMEOUT_MS).await.ok()?;
+        if response.status == 429 {
+            self.budget.borrow_mut().refused();
+        }
         Some((response.status, response.body))
     }
 
@@ -108,10 +114,12 @@
 /// Reads the rental list.
 pub async fn list(node: Rc<Node>) {
     loop {
+        let mut pages = 1;
         if let Some(entries) = node.cloud.list().await {
             let now = node.now();
             node.core().listed(&entries, now);
+            pages = entries.len() as u32 / LIST_PAGE + 1;
         }
-        smol::Timer::after(Duration::from_millis(LIST_EVERY_MS)).await;
+        smol::Timer::after(Duration::from_millis(LIST_EVERY_MS).max(node.cloud.list_gap * pages)).await;
     }
 }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -80,7 +80,7 @@
         config.wall_offset_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO).as_millis() as u64;
         let nodes = config.members.len();
         let state = StateClient::new(http.clone(), settings.services.state, &settings.cluster.state, nodes);
-        let cloud = cloud::CloudClient::new(http.clone(), settings.services.cloud, settings.cluster.cloud.rps / nodes as f64);
+        let cloud = cloud::CloudClient::new(http.clone(), settings.services.cloud, settings.cluster.cloud.rps, nodes);
         let (fresh_wanted, fresh_requests) = unbounded();
         let (pump_wanted, pump_requests) = bounded(1);
         info!(host = settings.host_name, zone = settings.zone, listen = %settings.listen, "starting");
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -1,16 +1,52 @@
 //! Controllers among themselves.
 //!
-//! There is one exchange. A part's placer says all that it wants of another
-//! part ([`Sync`]); that part's owner answers with all that it has ([`View`]).
-//! Both are whole states, so a repeated message changes nothing and a late one
-//! is recognised by its number. The same bytes travel over HTTP or, when two
-//! controllers can't reach each other, through the store.
+//! There is one exchange. A part's placer says what it wants of another part
+//! ([`Sync`]); that part's owner answers with what it has ([`View`]). Both say
+//! what changed since the state that the other side acknowledged, as a
+//! [`Span`] of numbers; one that begins at 0 starts from nothing, which is how
+//! a whole state is told. A change carries the newest value, so a repeated one
+//! changes nothing, and a late message is recognised by its number. The same
+//! bytes travel over HTTP or, when two controllers can't reach each other,
+//! through the store.
 
 use borsh::{BorshDeserialize, BorshSerialize};
 
 use crate::constants::PEER_VERSION;
 use crate::model::{AttemptId, JobId, MachineId, Rank, Room};
 
+/// Which of a sender's numbered changes a message holds: those after `since`,
+/// up to `upto`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct Span {
+    /// The state that the changes build on; 0: nothing.
+    pub since: u64,
+    /// The state that they lead to.
+    pub upto: u64,
+    /// True if there was nothing newer.
+    pub last: bool,
+}
+
+impl Span {
+    /// What a receiver at state `at` can do with it: `None` if something is
+    /// missing between, or if the numbers make no sense.
+    pub fn follows(&self, at: u64) -> Option<Follow> {
+        match self.since {
+            0 => Some(Follow::Anew),
+            since if since <= at && since <= self.upto => Some(Follow::On),
+            _ => None,
+        }
+    }
+}
+
+/// How a span goes on from what its receiver has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Follow {
+    /// From nothing: what it and its successors don't name is no more.
+    Anew,
+    /// From what there is.
+    On,
+}
+
 /// What a placer wants of an owner.
 #[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
 pub struct Sync {
@@ -26,16 +62,31 @@
     pub to_token: u64,
     /// Grows with every message of this pair of tokens.
     pub seq: u64,
-    /// Every recorded attempt on the owner's machines.
+    /// Which changes of the recorded attempts on the owner's machines follow.
+    pub span: Span,
+    /// Attempts that are new or wanted differently.
     pub wants: Vec<Want>,
+    /// Attempts that are no longer wanted, since their end is written.
+    pub dropped: Vec<AttemptId>,
+    /// States of the owner's machines and of its attempts that the placer has.
+    pub have: Have,
     /// Machines rented by the placer that belong to the owner.
     pub rented: Vec<Rented>,
     /// Empty machines that the placer counts on for work to come.
     pub keep: Vec<MachineId>,
-    /// Counts of the placer's jobs, for answers at any node.
+    /// Counts of the placer's jobs that changed, for answers at any node.
     pub notes: Vec<JobNote>,
 }
 
+/// How much of an owner's state a placer has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct Have {
+    /// Number of its machines' state.
+    pub machines: u64,
+    /// Number of the attempts' state.
+    pub attempts: u64,
+}
+
 /// One attempt that shall run, or shall end.
 #[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
 pub struct Want {
@@ -126,7 +177,7 @@
     pub reason: String,
 }
 
-/// All that an owner has.
+/// What an owner has.
 #[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
 pub struct View {
     /// Format.
@@ -137,9 +188,17 @@
     pub token: u64,
     /// Number of the message that this answers.
     pub seq: u64,
-    /// Its machines.
+    /// State of the asker's wants that the owner has; 0: it needs all.
+    pub wants_at: u64,
+    /// Which changes of machines follow.
+    pub machines_span: Span,
+    /// Machines that are new or changed.
     pub machines: Vec<MachineView>,
-    /// The asker's attempts.
+    /// Machines that are no more.
+    pub gone: Vec<MachineId>,
+    /// Which changes of attempts follow.
+    pub attempts_span: Span,
+    /// The asker's attempts that moved on.
     pub attempts: Vec<AttemptView>,
 }
 
@@ -255,6 +314,11 @@
     }
 }
 
+/// Bytes that something takes in a message.
+pub fn written<T: BorshSerialize>(item: &T) -> usize {
+    borsh::object_length(item).unwrap_or(usize::MAX)
+}
+
 /// Writes a message.
 pub fn write<T: BorshSerialize>(message: &T) -> Vec<u8> {
     // Writing into memory can't fail; an empty message is refused by `read`.
--- a/src/storage/client.rs
+++ b/src/storage/client.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use crate::constants::{BUDGET_PERCENT, STATE_TIMEOUT_MS, STORE_PAGE};
+use crate::constants::{BUDGET_FALL, BUDGET_PERCENT, BUDGET_RISE, STATE_TIMEOUT_MS, STORE_PAGE};
 use crate::protocol::state::{Changes, Entry, HoldReply, HoldRequest, Page, Txn, TxnReply};
 use crate::protocol::{decode, encode};
 use crate::settings::StateLimits;
@@ -42,26 +42,47 @@
 }
 
 /// Tokens that refill with time; callers wait for theirs.
+///
+/// The limit is all nodes' together. Each may always use its equal share; one
+/// that waits for tokens takes more, up to the whole, and falls back when the
+/// other side refuses: one placer may do nearly all the writing while the
+/// others only read.
 pub(crate) struct Bucket {
+    share: f64,
+    whole: f64,
     per_s: f64,
-    burst: f64,
     tokens: f64,
     at: Instant,
 }
 
 impl Bucket {
-    pub(crate) fn new(per_s: f64) -> Self {
-        Self { per_s, burst: per_s.max(1.0), tokens: per_s.max(1.0), at: Instant::now() }
+    /// A bucket for one of `nodes` that share `whole` a second.
+    pub(crate) fn new(whole: f64, nodes: usize) -> Self {
+        let share = whole / nodes as f64;
+        Self { share, whole, per_s: share, tokens: share.max(1.0), at: Instant::now() }
     }
 
     /// Takes `n` tokens, going into debt; returns how long to wait for them.
     pub(crate) fn take(&mut self, n: f64) -> Duration {
         let now = Instant::now();
-        self.tokens = (self.tokens + now.duration_since(self.at).as_secs_f64() * self.per_s).min(self.burst);
+        let past_s = now.duration_since(self.at).as_secs_f64();
+        if self.tokens < 0.0 {
+            self.per_s = (self.per_s + self.whole * BUDGET_RISE * past_s).min(self.whole);
+        } else {
+            // What is not needed is left to the others.
+            self.per_s = (self.per_s - self.whole * BUDGET_RISE * past_s / 4.0).max(self.share);
+        }
+        self.tokens = (self.tokens + past_s * self.per_s).min(self.per_s.max(1.0));
         self.at = now;
         self.tokens -= n;
         if self.tokens >= 0.0 { Duration::ZERO } else { Duration::from_secs_f64(-self.tokens / self.per_s) }
     }
+
+    /// The other side refused: others need their part.
+    pub(crate) fn refused(&mut self) {
+        self.per_s = (self.per_s * BUDGET_FALL).max(self.share);
+        self.tokens = self.tokens.min(0.0);
+    }
 }
 
 /// The client; cheap to clone.
@@ -74,15 +95,10 @@
 }
 
 impl StateClient {
-    /// A client that uses `1/nodes` of the limits.
+    /// A client that shares the limits with the other nodes.
     pub fn new(http: Rc<Client>, addr: SocketAddr, limits: &StateLimits, nodes: usize) -> Self {
-        let share = |x: f64| x * BUDGET_PERCENT as f64 / 100.0 / nodes as f64;
-        Self {
-            http,
-            addr,
-            requests: Rc::new(RefCell::new(Bucket::new(share(limits.rps)))),
-            writes: Rc::new(RefCell::new(Bucket::new(share(limits.write_rps)))),
-        }
+        let bucket = |x: f64| Rc::new(RefCell::new(Bucket::new(x * BUDGET_PERCENT as f64 / 100.0, nodes)));
+        Self { http, addr, requests: bucket(limits.rps), writes: bucket(limits.write_rps) }
     }
 
     /// Waits for the budget. Holds are renewed without waiting: losing a part
@@ -103,7 +119,14 @@
             CallError::Unknown => StateError::Unknown,
         })?;
         match response.status {
-            429 | 503 => Err(StateError::Unavailable),
+            429 => {
+                self.requests.borrow_mut().refused();
+                if path == "/txn" {
+                    self.writes.borrow_mut().refused();
+                }
+                Err(StateError::Unavailable)
+            }
+            503 => Err(StateError::Unavailable),
             _ => Ok(response),
         }
     }
--- a/src/storage/mirror.rs
+++ b/src/storage/mirror.rs
@@ -44,6 +44,8 @@
     pub nodes: BTreeMap<String, u64>,
     /// Parts of teams.
     pub teams: BTreeMap<String, u16>,
+    /// Jobs that came, changed or went since they were last looked at.
+    touched: BTreeSet<JobId>,
     mail: BTreeMap<(MailLine, usize), MailRecord>,
     new_mail: BTreeSet<MailLine>,
     ends: HashMap<JobId, Phase>,
@@ -53,7 +55,7 @@
 impl Mirror {
     /// Takes a full reading.
     pub fn replace(&mut self, entries: &[Entry], revision: u64) {
-        self.jobs.clear();
+        self.touched.extend(std::mem::take(&mut self.jobs).into_keys());
         self.parts.clear();
         self.nodes.clear();
         self.teams.clear();
@@ -80,6 +82,7 @@
         let known = match key.strip_prefix("w/").and_then(|k| k.split_once('/')) {
             Some(("job", id)) => match (JobId::parse(id), from_value::<JobRecord>(value)) {
                 (Some(id), Some(record)) => {
+                    self.touched.insert(id.clone());
                     self.jobs.insert(id, MirroredJob { record: Arc::new(record), version });
                     true
                 }
@@ -121,7 +124,9 @@
     fn remove(&mut self, key: &str) {
         match key.strip_prefix("w/").and_then(|k| k.split_once('/')) {
             Some(("job", id)) => {
-                self.jobs.remove(&JobId::from(id));
+                let id = JobId::from(id);
+                self.jobs.remove(&id);
+                self.touched.insert(id);
             }
             Some(("part", index)) => {
                 if let Ok(index) = index.parse::<u16>() {
@@ -143,6 +148,11 @@
         }
     }
 
+    /// Jobs that came, changed or went since the last call.
+    pub fn take_touched(&mut self) -> BTreeSet<JobId> {
+        std::mem::take(&mut self.touched)
+    }
+
     /// Messages that came since the last call, whole ones only.
     pub fn take_mail(&mut self) -> Vec<(MailLine, Vec<u8>)> {
         let lines = std::mem::take(&mut self.new_mail);
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -33,7 +33,11 @@
 }
 
 /// Idle connections with the time since when they are.
-type Idle = HashMap<SocketAddr, Vec<(Instant, TcpStream)>>;
+#[derive(Default)]
+struct Idle {
+    by_address: HashMap<SocketAddr, Vec<(Instant, TcpStream)>>,
+    swept: Option<Instant>,
+}
 
 /// A pooled client, shared by all tasks of a process.
 #[derive(Default)]
@@ -46,12 +50,17 @@
     pub async fn call(&self, addr: SocketAddr, method: &str, path: &str, body: &[u8], timeout_ms: u64) -> Result<Response, CallError> {
         let pooled = {
             let mut idle = self.lock();
+            let keep = Duration::from_millis(IDLE_KEEP_MS);
             // Connections to machines that are gone must not pile up.
-            idle.retain(|_, list| {
-                list.retain(|(since, _)| since.elapsed() < Duration::from_millis(IDLE_KEEP_MS));
-                !list.is_empty()
-            });
-            idle.get_mut(&addr).and_then(Vec::pop).map(|(_, stream)| stream)
+            if idle.swept.is_none_or(|at| at.elapsed() > keep / 4) {
+                idle.swept = Some(Instant::now());
+                idle.by_address.retain(|_, list| {
+                    list.retain(|(since, _)| since.elapsed() < keep);
+                    !list.is_empty()
+                });
+            }
+            let list = idle.by_address.get_mut(&addr);
+            list.and_then(|l| std::iter::from_fn(|| l.pop()).find(|(since, _)| since.elapsed() < keep)).map(|(_, stream)| stream)
         };
         let mut stream = match pooled {
             Some(stream) => stream,
@@ -73,7 +82,7 @@
         let (response, keep) = within(timeout_ms, exchange).await.ok_or(CallError::Unknown)??;
         if keep {
             let mut idle = self.lock();
-            let list = idle.entry(addr).or_default();
+            let list = idle.by_address.entry(addr).or_default();
             if list.len() < IDLE_PER_ADDRESS {
                 list.push((Instant::now(), stream));
             }
--- /dev/null
+++ b/tests/changes.rs
@@ -0,0 +1,323 @@
+//! Change messages compared with a slow plain model that knows whole states,
+//! and what they cost as the fleet grows.
+
+use std::collections::BTreeMap;
+
+use lemonweir::coordination::changes::ChangeLog;
+use lemonweir::coordination::owner::{Owner, SyncRefusal, Timing};
+use lemonweir::model::{AttemptId, JobId, MachineId, Rank, Room};
+use lemonweir::policy::Policy;
+use lemonweir::protocol::peer::{Evict, Follow, Have, Span, Standing, Sync, View, Want};
+use lemonweir::protocol::worker::Report;
+use proptest::prelude::*;
+
+// ---- the log -----------------------------------------------------------------
+
+#[derive(Clone, Debug)]
+enum Step {
+    Put(u8, u32),
+    Remove(u8),
+    /// Send; the fate of the message: arrives now, is lost, or comes later.
+    Send(usize, Fate),
+    /// The receiver starts anew, as after a change of token.
+    Restart,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Fate {
+    Arrives,
+    AnswerLost,
+    Lost,
+    Late,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        6 => (any::<u8>().prop_map(|k| k % 24), any::<u32>()).prop_map(|(k, v)| Step::Put(k, v % 5)),
+        3 => any::<u8>().prop_map(|k| Step::Remove(k % 24)),
+        4 => (1..12usize, prop::sample::select(vec![Fate::Arrives, Fate::AnswerLost, Fate::Lost, Fate::Late]))
+            .prop_map(|(room, fate)| Step::Send(room, fate)),
+        1 => Just(Step::Restart),
+    ]
+}
+
+type Message = (u64, Span, Vec<(u8, Option<u32>)>);
+
+/// A receiver in the manner of the real ones.
+#[derive(Default)]
+struct Receiver {
+    token: u64,
+    seq: u64,
+    at: u64,
+    state: BTreeMap<u8, u32>,
+    unnamed: Vec<u8>,
+    complete: bool,
+}
+
+impl Receiver {
+    /// The state that it acknowledges; `None`: not taken.
+    fn take(&mut self, token: u64, (seq, span, changes): &Message) -> Option<u64> {
+        if token != self.token || *seq <= self.seq {
+            return None;
+        }
+        self.seq = *seq;
+        match span.follows(self.at) {
+            None => return Some(0),
+            Some(Follow::Anew) => {
+                self.at = 0;
+                self.complete = false;
+                self.unnamed = self.state.keys().copied().collect();
+            }
+            Some(Follow::On) => {}
+        }
+        self.at = self.at.max(span.upto);
+        for (key, value) in changes {
+            self.unnamed.retain(|k| k != key);
+            match value {
+                Some(v) => drop(self.state.insert(*key, *v)),
+                None => drop(self.state.remove(key)),
+            }
+        }
+        if span.last {
+            self.complete = true;
+            for key in std::mem::take(&mut self.unnamed) {
+                self.state.remove(&key);
+            }
+        }
+        Some(self.at)
+    }
+}
+
+fn message(log: &ChangeLog<u8, u32>, acked: u64, seq: u64, mut room: usize) -> Message {
+    let (span, changes) = log.since(acked, &mut room, |_, _| 1);
+    (seq, span, changes.into_iter().map(|(k, v)| (*k, v.copied())).collect())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
+
+    /// Whatever is lost, late or repeated: a receiver that has heard all holds
+    /// what the sender holds, and one that is complete never holds what was
+    /// never there.
+    #[test]
+    fn a_follower_ends_with_the_plain_models_state(steps in prop::collection::vec(step(), 1..160)) {
+        let mut log: ChangeLog<u8, u32> = ChangeLog::default();
+        let mut model: BTreeMap<u8, u32> = BTreeMap::new();
+        let (mut acked, mut seq, mut token) = (0, 0, 1);
+        let mut receiver = Receiver { token: 1, ..Receiver::default() };
+        let mut late: Vec<(u64, Message)> = Vec::new();
+        let answer = |acked: &mut u64, log: &mut ChangeLog<u8, u32>, at: u64| {
+            *acked = if at < *acked { 0 } else { at };
+            log.forget(*acked);
+        };
+        for s in steps {
+            match s {
+                Step::Put(k, v) => {
+                    log.put(&k, v);
+                    model.insert(k, v);
+                }
+                Step::Remove(k) => {
+                    log.remove(&k);
+                    model.remove(&k);
+                }
+                Step::Restart => {
+                    token += 1;
+                    receiver = Receiver { token, state: std::mem::take(&mut receiver.state), ..Receiver::default() };
+                    acked = 0;
+                }
+                Step::Send(room, fate) => {
+                    seq += 1;
+                    let m = message(&log, acked, seq, room);
+                    prop_assert!(m.2.len() <= room);
+                    match fate {
+                        Fate::Lost => {}
+                        Fate::Late => late.push((token, m)),
+                        Fate::Arrives | Fate::AnswerLost => {
+                            let at = receiver.take(token, &m);
+                            if let (Some(at), Fate::Arrives) = (at, fate) {
+                                answer(&mut acked, &mut log, at);
+                            }
+                            if let Some((t, old)) = late.pop() {
+                                prop_assert_eq!(receiver.take(t, &old), None, "a late message is dropped");
+                            }
+                        }
+                    }
+                }
+            }
+        }
+        for _ in 0..200 {
+            seq += 1;
+            let m = message(&log, acked, seq, 5);
+            let last = m.1.last;
+            let at = receiver.take(token, &m).expect("taken");
+            answer(&mut acked, &mut log, at);
+            if last && receiver.complete && at == log.last() {
+                break;
+            }
+        }
+        prop_assert_eq!(receiver.state, model);
+    }
+}
+
+// ---- an owner and what it tells ------------------------------------------------
+
+const TIMING: Timing = Timing { lease_ms: 14_000, report_ms: 3_000 };
+const TOKEN: u64 = 40;
+
+fn machine(n: usize) -> MachineId {
+    MachineId::from(format!("n-{n:06}").as_str())
+}
+
+fn report(n: usize, seq: u64) -> Report {
+    Report {
+        machine: machine(n),
+        address: "10.1.0.1:9000".into(),
+        kind: "box".into(),
+        zone: "north".into(),
+        spot: false,
+        session: 1,
+        seq,
+        token: TOKEN << lemonweir::constants::FENCE_BITS,
+        notice_s: None,
+        tasks: Vec::new(),
+    }
+}
+
+fn fleet(machines: usize) -> Owner {
+    let mut owner = Owner::new(0, TOKEN, 1, TIMING, Policy::embedded().expect("policy"), 0);
+    let kind = lemonweir::model::MachineType {
+        name: "box".into(),
+        room: Room::offer(16.0, 4.0, 64.0),
+        cache_gb: 100.0,
+        fetch_gb_per_s: 1.0,
+        price: 4.0,
+        spot_price: 1.0,
+        boot_s: 20.0,
+        zones: vec!["north".into()],
+    };
+    owner.set_types([kind].iter());
+    for n in 0..machines {
+        assert!(owner.report(&report(n, 1), 10).is_some());
+    }
+    owner
+}
+
+fn want(n: u32, on: usize) -> Want {
+    Want {
+        id: AttemptId { job: JobId::from("req-000001"), task: n, attempt: 1 },
+        machine: machine(on),
+        need: Room::offer(4.0, 1.0, 8.0),
+        image: "img".into(),
+        image_mb: 2_000,
+        go: true,
+        kill: None,
+        team: "red".into(),
+        rank: Rank::Normal,
+        over: true,
+        grace: 0,
+        lasting: false,
+        evict: Evict::Nobody,
+    }
+}
+
+fn sync(seq: u64, span: Span, wants: Vec<Want>, have: Have) -> Sync {
+    Sync {
+        version: lemonweir::constants::PEER_VERSION,
+        from: 0,
+        from_token: TOKEN,
+        to: 0,
+        to_token: TOKEN,
+        seq,
+        span,
+        wants,
+        dropped: Vec::new(),
+        have,
+        rented: Vec::new(),
+        keep: Vec::new(),
+        notes: Vec::new(),
+    }
+}
+
+fn have(view: &View) -> Have {
+    Have { machines: view.machines_span.upto, attempts: view.attempts_span.upto }
+}
+
+const ROOM: usize = 1 << 20;
+
+/// The work for one start is the same whatever the fleet's size: one machine
+/// is told anew, and one is called.
+#[test]
+fn a_start_costs_the_same_in_a_large_fleet() {
+    for machines in [10, 1_000] {
+        let mut owner = fleet(machines);
+        let first = owner.sync(&sync(1, Span { since: 0, upto: 0, last: true }, Vec::new(), Have::default()), ROOM, 20).expect("taken");
+        assert_eq!(first.machines.len(), machines);
+        assert!(owner.calls(20).is_empty());
+        let span = Span { since: 0, upto: 1, last: true };
+        let view = owner.sync(&sync(2, span, vec![want(0, 3)], have(&first)), ROOM, 30).expect("taken");
+        assert_eq!((view.machines.len(), view.attempts.len()), (1, 1), "{machines} machines");
+        assert_eq!(view.wants_at, 1);
+        assert_eq!(owner.calls(30).len(), 1);
+        // A report that says nothing new is no news.
+        assert!(owner.report(&report(7, 2), 40).is_some());
+        let quiet = owner.sync(&sync(3, Span { since: 1, upto: 1, last: true }, Vec::new(), have(&view)), ROOM, 50).expect("taken");
+        assert_eq!((quiet.machines.len(), quiet.attempts.len()), (0, 0));
+    }
+}
+
+/// A state that does not fit one message comes in several, and all of it comes.
+#[test]
+fn a_whole_state_comes_in_pieces() {
+    let mut owner = fleet(300);
+    let mut at = Have::default();
+    let mut seen = BTreeMap::new();
+    let mut pieces = 0;
+    for seq in 1..100 {
+        let view = owner.sync(&sync(seq, Span { since: 0, upto: 0, last: true }, Vec::new(), at), 8 * 1024, 20).expect("taken");
+        assert!(lemonweir::protocol::peer::write(&view).len() < 9 * 1024, "a message keeps to its room");
+        pieces += 1;
+        at = have(&view);
+        seen.extend(view.machines.iter().map(|m| (m.id.clone(), m.free)));
+        if view.machines_span.last {
+            break;
+        }
+    }
+    assert_eq!(seen.len(), 300);
+    assert!(pieces > 3);
+}
+
+#[test]
+fn numbers_that_make_no_sense_change_nothing() {
+    let mut owner = fleet(3);
+    let whole = Span { since: 0, upto: 5, last: true };
+    owner.sync(&sync(5, whole, vec![want(0, 1)], Have::default()), ROOM, 20).expect("taken");
+    assert!(owner.calls(20).len() == 1);
+    // Late, of another token, of a part that there is not.
+    assert_eq!(owner.sync(&sync(5, whole, Vec::new(), Have::default()), ROOM, 21).err(), Some(SyncRefusal::Late));
+    let mut other = sync(6, whole, Vec::new(), Have::default());
+    other.to_token = TOKEN + 1;
+    assert_eq!(owner.sync(&other, ROOM, 21).err(), Some(SyncRefusal::Token));
+    let mut other = sync(6, whole, Vec::new(), Have::default());
+    other.from = 9;
+    assert_eq!(owner.sync(&other, ROOM, 21).err(), Some(SyncRefusal::Part));
+    // A gap, and a span that ends before it begins: all is asked for again, and
+    // the attempt is still held.
+    for (seq, span) in [(6, Span { since: 9, upto: 12, last: true }), (7, Span { since: 4, upto: 2, last: true })] {
+        let view = owner.sync(&sync(seq, span, vec![want(1, 2)], Have::default()), ROOM, 22).expect("answered");
+        assert_eq!(view.wants_at, 0);
+        assert_eq!(view.attempts.len(), 1, "only the first attempt is known");
+        assert_eq!(view.attempts[0].standing, Standing::Accepted);
+    }
+    // An attempt can't move to another machine under the same name.
+    let mut moved = want(0, 2);
+    moved.need = Room::offer(16.0, 4.0, 64.0);
+    let on = Span { since: 5, upto: 6, last: true };
+    let view = owner.sync(&sync(8, on, vec![moved], Have::default()), ROOM, 23).expect("answered");
+    let free = |n: usize| view.machines.iter().find(|m| m.id == machine(n)).map(|m| m.free);
+    assert_eq!(free(2), Some(Room::offer(16.0, 4.0, 64.0)));
+    assert_eq!(free(1), Some(Room::offer(12.0, 3.0, 56.0)));
+    // States that were never told: nothing follows, nothing ends.
+    let ahead = Have { machines: u64::MAX, attempts: u64::MAX };
+    let view = owner.sync(&sync(9, Span { since: 6, upto: 6, last: true }, Vec::new(), ahead), ROOM, 24);
+    assert!(view.is_ok_and(|v| v.machines.is_empty() && v.attempts.is_empty()));
+}
--- a/tests/sim/mod.rs
+++ b/tests/sim/mod.rs
@@ -440,12 +440,13 @@
                         versions.push((key.clone(), self.store.get(key).map_or(0, |(_, v)| v)));
                     }
                 }
+                let now = self.now;
                 if let Some(core) = self.core(host) {
                     for (key, version) in versions {
                         let (job, chunk) = parse_run_key(&key).expect("run key");
                         core.reread(lot, &job, chunk, version);
                     }
-                    core.txn_done(lot, outcome);
+                    core.txn_done(lot, outcome, now);
                 }
                 self.pump(host);
             }
