No save where it costs more than it keeps; replicas moved by the fleet's size

Change: a task that makes way saves only if that takes less than half its checkpoint interval; machines in use are walked fullest first; up to 4 % of a placer's replicas move at a time, and a move is no sign of new work.

Ruled out: placement time, write budget.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -208,9 +208,13 @@
 /// ms between two machines whose replicas are moved: each is down for some
 /// tenths of a second, which must not add up in any half minute.
 pub const MOVE_GAP_MS: u64 = 8_000;
+/// Share of a placer's replicas that may be moved at a time, where that is more
+/// than one machine's: each is down for some tenths of a second, so this costs
+/// less than a thousandth of any half minute.
+pub const MOVE_SHARE: f64 = 0.04;
 /// Machines looked at for that at a time: the look tries each replica on all
 /// others.
-pub const MOVE_TRIES: usize = 16;
+pub const MOVE_TRIES: usize = 32;
 /// ms that a replica stays where it is before it is moved again.
 pub const STAY_MS: u64 = 60_000;
 /// ms after its start within which a task is stopped only if nothing else will
@@ -224,8 +228,11 @@
 /// How many times the usual share room is kept for on spot machines at most,
 /// however little they cost: there are few of them.
 pub const SPARE_DISCOUNT_MOST: f64 = 2.0;
-/// Tasks of one size that room is kept for at most.
+/// Tasks of one size that room is kept for at most, in a small fleet, and one
+/// more for each so many machines of a larger one.
 pub const SPARE_MOST: u32 = 4;
+/// Machines for each further task that room is kept for.
+pub const SPARE_FLEET: u32 = 16;
 /// ms between two looks at what is expected: it changes as arrivals do, and a
 /// look costs as much as a whole pass.
 pub const SPARE_EVERY_MS: u64 = 1_000;
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -267,14 +267,14 @@
         if with_image {
             bits.and(self.images.get(ask.image)?);
         }
-        // Cheap room first for those who may use it, then machines in use, so
-        // that whole machines stay free or can be returned. What lasts goes to
-        // where most of its kind is: a machine that one replica holds for an
-        // hour is paid for whole.
+        // Cheap room first for those who may use it, then machines in use, those
+        // with most tasks first, so that others run empty: whole machines stay
+        // free or can be returned. What lasts goes to where most of its kind
+        // is: a machine that one replica holds for an hour is paid for whole.
         bits.ones().filter(|&i| self.slots[i].free.covers(&ask.need)).min_by_key(|&i| {
             let slot = &self.slots[i];
             let company = if ask.lasting { slot.lasting } else { 0 };
-            (ask.spot && !slot.spot, slot.busy == 0, std::cmp::Reverse(company), i)
+            (ask.spot && !slot.spot, slot.busy == 0, std::cmp::Reverse((company, slot.busy)), i)
         })
     }
 
@@ -297,10 +297,20 @@
             .map(|(_, _, i)| i)
     }
 
-    /// The first machine in use other than `than` that has room and the image.
-    pub fn fit_elsewhere(&self, ask: &Ask<'_>, than: &MachineId) -> Option<usize> {
-        let i = self.first_fit(&Ask { avoid: std::slice::from_ref(than), ..ask.clone() }, true)?;
-        (self.slots[i].busy > 0).then_some(i)
+    /// The first machine in use that has room and the image.
+    pub fn fit_in_use(&self, ask: &Ask<'_>) -> Option<usize> {
+        self.first_fit(ask, true).filter(|&i| self.slots[i].busy > 0)
+    }
+
+    /// True if a machine in use has room and the image for one more beside one
+    /// on machine `i`.
+    pub fn fits_besides(&self, ask: &Ask<'_>, i: usize) -> bool {
+        let mut bits = self.allowed(ask);
+        if let Some(row) = self.images.get(ask.image) {
+            bits.and(row);
+        }
+        let room = |j: usize| if j == i { self.slots[j].free.minus(&ask.need) } else { self.slots[j].free };
+        bits.ones().any(|j| self.slots[j].busy > 0 && room(j).covers(&ask.need))
     }
 
     /// Takes room on a machine.
@@ -315,6 +325,11 @@
         mark(&mut self.images, image, i);
     }
 
+    /// True if a machine has an image, or fetches it.
+    pub fn has_image(&self, i: usize, image: &str) -> bool {
+        self.images.get(image).is_some_and(|row| row.has(i))
+    }
+
     /// The position of a machine.
     pub fn find(&self, id: &MachineId) -> Option<usize> {
         self.index.get(id).copied()
--- a/src/coordination/placer.rs
+++ b/src/coordination/placer.rs
@@ -878,12 +878,14 @@
             let expected = self.awaited(spec) as f64 * restart_ms / seen_ms as f64 * share;
             groups.entry((spec.need(), spec.spot)).or_insert_with(|| (0.0, record.clone())).0 += expected;
         }
+        // As many as a fleet of this size can be expected to need at once.
+        let most = SPARE_MOST.max(self.machines().count() as u32 / SPARE_FLEET);
         // The largest first: what is left of whole machines is of no use to them.
         for (expected, record) in groups.into_values().rev() {
             let spec = &record.spec;
             let need = spec.need();
             let mut count = 0;
-            for _ in 0..(expected.round() as u32).min(SPARE_MOST) {
+            for _ in 0..(expected.round() as u32).min(most) {
                 let ask = Ask {
                     need,
                     types: spec.types.as_deref(),
@@ -967,56 +969,75 @@
         candidates.sort_by(|a, b| a.0.cmp(&b.0).then(b.1.cmp(&a.1)));
         // Those with most tasks are the least likely to fit elsewhere.
         candidates.truncate(MOVE_TRIES);
-        let chosen = candidates.into_iter().map(|(_, m)| m).find(|m| self.all_fit_elsewhere(m));
-        let Some(machine) = chosen else { return };
-        self.moved_at = now;
-        info!(machine = %machine, part = self.part, "moving its replicas together with others");
-        let tasks = self.on.get(&machine).cloned().unwrap_or_default();
+        let replicas: usize = self.jobs.values().filter(|j| j.lasting() && !j.over).map(|j| j.live.len()).sum();
+        let mut left = (replicas as f64 * MOVE_SHARE) as u32;
+        let mut leaving: Vec<MachineId> = Vec::new();
+        let mut taken: Vec<(MachineId, u16)> = Vec::new();
+        for (busy, machine) in candidates {
+            // One machine at least, however few replicas there are.
+            if !leaving.is_empty() && busy > left || taken.iter().any(|(m, _)| *m == machine) {
+                continue;
+            }
+            leaving.push(machine);
+            if self.fit_elsewhere(&leaving, &mut taken) {
+                left = left.saturating_sub(busy);
+            } else {
+                leaving.pop();
+            }
+        }
+        for (machine, part) in taken {
+            self.retake(&machine, part);
+        }
+        for machine in leaving {
+            self.moved_at = now;
+            info!(machine = %machine, part = self.part, "moving its replicas together with others");
+            self.clear_of_replicas(&machine, now);
+        }
+    }
+
+    fn clear_of_replicas(&mut self, machine: &MachineId, now: u64) {
+        let tasks = self.on.get(machine).cloned().unwrap_or_default();
         for (id, task) in tasks {
             if let Some(job) = self.jobs.get_mut(&id) {
                 if let Some(l) = job.live.get_mut(&task) {
                     l.kill = Some(0);
                 }
-                if !job.avoid.contains(&machine) {
+                if !job.avoid.contains(machine) {
                     job.avoid.push(machine.clone());
+                    if job.avoid.len() > AVOID_MOST {
+                        job.avoid.remove(0);
+                    }
                 }
             }
             self.settle(&id, now);
         }
     }
 
-    fn all_fit_elsewhere(&mut self, machine: &MachineId) -> bool {
-        let tasks = self.on.get(machine).cloned().unwrap_or_default();
-        let mut taken: Vec<(MachineId, u16)> = Vec::new();
-        let mut fits = true;
+    /// True if the replicas of the last of the machines that are to leave fit
+    /// on others in use; notes where, and takes the room there.
+    fn fit_elsewhere(&mut self, leaving: &[MachineId], taken: &mut Vec<(MachineId, u16)>) -> bool {
+        let tasks = leaving.last().and_then(|m| self.on.get(m)).cloned().unwrap_or_default();
+        let before = taken.len();
         for (id, task) in tasks {
             let Some((job, spec)) = self.jobs.get(&id).and_then(|j| j.spec().map(|s| (j, s))) else { return false };
             let per_zone = job.per_zone(Some(task));
+            let (need, image) = (job.need, spec.image.clone());
             let zones = allowed_zones(spec, None, &per_zone, job.tasks, &self.fields);
-            let ask =
-                Ask { need: job.need, types: spec.types.as_deref(), zones, spot: spec.spot, lasting: true, image: &spec.image, avoid: &[] };
-            let found = self.fields.iter().enumerate().find_map(|(p, f)| f.fit_elsewhere(&ask, machine).map(|i| (p, i)));
-            let Some((p, i)) = found else {
-                fits = false;
-                break;
+            let ask = Ask { need, types: spec.types.as_deref(), zones, spot: spec.spot, lasting: true, image: &image, avoid: leaving };
+            let mut found = self.fields.iter().enumerate().filter_map(|(p, f)| f.fit_in_use(&ask).map(|i| (p, i)));
+            // Guards against others taking that room meanwhile: another place
+            // must be left, or the replica would wait for a fetch.
+            let place = found.next().filter(|&(p, i)| found.next().is_some() || self.fields[p].fits_besides(&ask, i));
+            let Some((p, i)) = place else {
+                for (machine, part) in taken.drain(before..) {
+                    self.retake(&machine, part);
+                }
+                return false;
             };
-            let (need, image) = (job.need, spec.image.clone());
             self.fields[p].take(i, &need, &image);
             taken.push((self.fields[p].slots[i].id.clone(), p as u16));
-            // Guards against others taking that room meanwhile: one more must
-            // be left, or the replica would wait for a fetch.
-            let Some(spec) = self.jobs.get(&id).and_then(Job::spec) else { return false };
-            let zones = allowed_zones(spec, None, &per_zone, spec.tasks as u32, &self.fields);
-            let ask = Ask { need, types: spec.types.as_deref(), zones, spot: spec.spot, lasting: true, image: &image, avoid: &[] };
-            if !self.fields.iter().any(|f| f.fit_elsewhere(&ask, machine).is_some()) {
-                fits = false;
-                break;
-            }
-        }
-        for (machine, part) in taken {
-            self.retake(&machine, part);
         }
-        fits
+        true
     }
 
     /// Notes what a job lacks, within what its team may still take.
@@ -1119,11 +1140,11 @@
             let all: BTreeSet<String> = self.fields.iter().flat_map(Field::zones).map(str::to_owned).collect();
             zone_sets = if present.is_empty() { all.into_iter().map(Some).collect() } else { present.into_iter().map(Some).collect() };
         }
-        let job_tasks = job.tasks;
+        let (job_tasks, ran) = (job.tasks, job.ran);
         let (need, avoid) = (job.need, job.avoid.clone());
         let counts = if spec.spread { job.per_zone(None) } else { HashMap::new() };
         for zone in zone_sets {
-            let mut chosen: Vec<(u32, usize, usize, Evict)> = Vec::new();
+            let mut chosen: Vec<(u32, usize, usize, Evict, bool)> = Vec::new();
             let mut per_zone = counts.clone();
             for &task in &tasks {
                 let zones = allowed_zones(spec, zone.as_deref(), &per_zone, job_tasks, &self.fields);
@@ -1149,14 +1170,15 @@
                     room(true).or_else(|| if too_slow { pushed(true) } else { None }).or_else(|| room(false)).or_else(|| pushed(false));
                 let Some((p, i, evict)) = found else { break };
                 let field = &mut self.fields[p];
+                let warm = field.has_image(i, &spec.image);
                 field.take(i, &need, &spec.image);
                 if spec.spread {
                     *per_zone.entry(field.slots[i].zone.clone()).or_default() += 1;
                 }
-                chosen.push((task, p, i, evict));
+                chosen.push((task, p, i, evict, warm));
             }
             if chosen.len() < tasks.len() {
-                for (_, p, i, _) in chosen {
+                for (_, p, i, _, _) in chosen {
                     let machine = self.fields[p].slots[i].id.clone();
                     self.retake(&machine, p as u16);
                 }
@@ -1165,7 +1187,7 @@
             let Some(job) = self.jobs.get_mut(id) else { return false };
             let attempt = job.next;
             job.next += 1;
-            for (task, p, i, evict) in chosen {
+            for (task, p, i, evict, warm) in chosen {
                 let slot = &self.fields[p].slots[i];
                 if p != usize::from(self.part) {
                     self.others_turn = p as u16;
@@ -1175,7 +1197,7 @@
                 if let Some(chunk) = job.chunks.get_mut(&(task / CHUNK_TASKS)) {
                     chunk.start = change;
                 }
-                info!(job = %id, task, attempt, machine = %slot.id, part = p, "placed");
+                info!(job = %id, task, attempt, machine = %slot.id, part = p, warm, ?evict, "placed");
                 let live = Live {
                     attempt,
                     machine: slot.id.clone(),
@@ -1190,7 +1212,10 @@
                 };
                 self.enter(id, task, live);
             }
-            self.placed_at = now;
+            // A replica that was only moved is no sign of new work.
+            if !(spec.shape == Shape::Service && ran) {
+                self.placed_at = now;
+            }
             self.settle(id, now);
             return true;
         }
@@ -1225,7 +1250,7 @@
 /// What the owners are told of a job, with the part that each is for.
 fn wants_of(id: &JobId, job: &Job) -> Vec<(u16, Want)> {
     let image = job.spec().map(|s| s.image.clone()).unwrap_or_default();
-    let grace = job.spec().map_or(0, JobSpec::grace_s);
+    let grace = job.spec().map_or(0, JobSpec::way_grace_s);
     let image_mb = job.spec().map_or(0, |s| (s.image_gb * 1000.0).ceil() as u64);
     let gang = job.is(Shape::Gang) && job.tasks > 1;
     let go = !gang || job.live.len() as u32 == job.tasks - job.done_count.min(job.tasks) && job.live.values().all(|l| l.standing.is_some());
--- a/src/model.rs
+++ b/src/model.rs
@@ -244,6 +244,16 @@
     }
 }
 
+impl JobSpec {
+    /// Seconds of grace when it makes way for other work: enough to save, but
+    /// none if saving takes longer than what is lost without it. A task that
+    /// is stopped at once loses half a checkpoint interval on average, and
+    /// whoever it makes way for starts at once.
+    pub fn way_grace_s(&self) -> u32 {
+        if self.save_s >= self.checkpoint_s / 2.0 { 0 } else { self.grace_s() }
+    }
+}
+
 /// A machine type, from the cloud's catalog.
 #[derive(Clone, Debug, PartialEq)]
 pub struct MachineType {
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -111,7 +111,7 @@
     pub rank: Rank,
     /// True if its team runs it beyond its guarantee.
     pub over: bool,
-    /// Seconds of grace in which it saves when stopped.
+    /// Seconds of grace that it gets when it makes way for other work.
     pub grace: u32,
     /// True if it runs until its job is cancelled.
     pub lasting: bool,
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -98,9 +98,9 @@
     #[test]
     fn first_fit_is_the_plain_models(machines in machines(), wish in wish(), with_image in any::<bool>()) {
         let fits = |m: &MachineView| wish.allows(m) && m.free.covers(&wish.need) && (!with_image || m.images.iter().any(|i| i == wish.image));
-        let mut best: Option<(usize, (bool, bool, i32))> = None;
+        let mut best: Option<(usize, (bool, bool, i32, i32))> = None;
         for (i, m) in machines.iter().enumerate().filter(|(_, m)| fits(m)) {
-            let class = (wish.spot && !m.spot, m.busy == 0, if wish.lasting { -i32::from(m.lasting) } else { 0 });
+            let class = (wish.spot && !m.spot, m.busy == 0, if wish.lasting { -i32::from(m.lasting) } else { 0 }, -i32::from(m.busy));
             if best.is_none_or(|(_, b)| class < b) {
                 best = Some((i, class));
             }
