Reckon with a slow fetch when room without the image is judged

A fetch counted as fast enough by its usual rate, while the rate is given or take a third.

Change: it is fast enough if it is at 1.33 times its usual length.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -125,6 +125,9 @@
 pub const IMAGE_NAME_BYTES: usize = 12;
 /// Bytes that a machine's mark of an image takes.
 pub const IMAGE_MARK_BYTES: usize = 3;
+/// How much longer than usual a fetch may well take (protocol page: the rate is
+/// given or take a third).
+pub const FETCH_SPREAD: f64 = 1.33;
 /// Images remembered per machine; a worker keeps its most recent ones.
 pub const IMAGES_REMEMBERED: usize = 24;
 
--- a/src/coordination/placer.rs
+++ b/src/coordination/placer.rs
@@ -1116,7 +1116,7 @@
         let soon = self.start_within.get(&spec.class).copied().unwrap_or(f64::MAX);
         let soon = if guaranteed { soon.min(self.guarantee_within) } else { soon };
         // A replica that was up is down while it fetches.
-        let too_slow = spec.image_gb > soon * self.fetch_gb_per_s || spec.shape == Shape::Service && job.ran;
+        let too_slow = spec.image_gb * FETCH_SPREAD > soon * self.fetch_gb_per_s || spec.shape == Shape::Service && job.ran;
         // Jobs that ask the same found no room a moment ago.
         let shape = {
             let mut hasher = DefaultHasher::new();
