Room is on the placer's account until the machine's figures hold it

Change: an attempt stays on the account until its machine is told anew or an answer is complete. Test fails without it (8 placed on room for 4).

--- a/src/coordination/placer/mod.rs
+++ b/src/coordination/placer/mod.rs
@@ -48,6 +48,9 @@
     token: u64,
     got: u64,
     have: Have,
+    /// Attempts that the owner has taken, by machines whose figures we have not
+    /// got since.
+    uncounted: HashMap<MachineId, Vec<(JobId, u32)>>,
     /// It is told through the store.
     by_mail: bool,
 }
@@ -260,6 +263,9 @@
     /// A view has shown an attempt: from now on the machine's own figures
     /// count it.
     fn saw(&mut self, machine: &MachineId, part: u16, id: &JobId, task: u32) {
+        if let Some(list) = self.links.get_mut(usize::from(part)).and_then(|l| l.uncounted.get_mut(machine)) {
+            list.retain(|(j, t)| (j, *t) != (id, task));
+        }
         let Some(here) = self.unseen.get_mut(machine) else { return };
         if here.remove(&(id.clone(), task)) {
             if here.is_empty() {
--- a/src/coordination/placer/telling.rs
+++ b/src/coordination/placer/telling.rs
@@ -182,17 +182,38 @@
         for m in view.machines {
             let (id, leaving) = (m.id.clone(), m.leaving);
             self.fields[usize::from(part)].set(m);
-            self.retake(&id, part);
+            self.count(&id, part);
             if leaving {
                 self.empty(&id, part, now);
             }
         }
+        if view.machines_span.last {
+            // All figures are as new as what was told of the attempts.
+            let machines: Vec<MachineId> = self.links[usize::from(part)].uncounted.keys().cloned().collect();
+            for id in machines {
+                self.count(&id, part);
+            }
+        }
         let field = &self.fields[usize::from(part)];
         self.promises.retain(|p| p.part != part || field.find(&p.rented.machine).is_none());
         self.place_again |= news;
         news
     }
 
+    /// The figures of a machine now hold the attempts that its owner has taken.
+    pub(super) fn count(&mut self, machine: &MachineId, part: u16) {
+        if let Some(here) = self.unseen.get_mut(machine) {
+            for counted in self.links[usize::from(part)].uncounted.remove(machine).unwrap_or_default() {
+                here.remove(&counted);
+            }
+            if here.is_empty() {
+                self.unseen.remove(machine);
+            }
+        }
+        self.links[usize::from(part)].uncounted.remove(machine);
+        self.retake(machine, part);
+    }
+
     /// An attempt stands differently.
     pub(super) fn moved_on(&mut self, id: &AttemptId, standing: Standing, part: u16, now: u64) {
         let Some(job) = self.jobs.get_mut(&id.job) else { return };
@@ -210,7 +231,9 @@
             self.settle(&id.job, now);
         } else {
             if first {
-                self.saw(&machine, part, &id.job, id.task);
+                // Guards against placing twice on the same room: the machine's
+                // own figures may come in a later message than this.
+                self.links[usize::from(part)].uncounted.entry(machine).or_default().push((id.job.clone(), id.task));
             }
             self.changed.insert(id.job.clone());
         }
--- a/tests/changes.rs
+++ b/tests/changes.rs
@@ -2,14 +2,17 @@
 //! and what they cost as the fleet grows.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use lemonweir::coordination::changes::ChangeLog;
 use lemonweir::coordination::owner::{Owner, SyncRefusal, Timing};
-use lemonweir::model::{AttemptId, JobId, MachineId, Rank, Room};
+use lemonweir::coordination::placer::{Placer, Terms, TxnOutcome};
+use lemonweir::model::{AttemptId, JobId, JobSpec, MachineId, Rank, Room, Shape};
 use lemonweir::policy::Policy;
-use lemonweir::protocol::peer::{Evict, Follow, Have, Span, Standing, Sync, View, Want};
+use lemonweir::protocol::peer::{AttemptView, Evict, Follow, Have, MachineView, Span, Standing, Sync, View, Want};
 use lemonweir::protocol::worker::{Report, TaskPhase, TaskReport};
-use lemonweir::storage::records::ImagesRecord;
+use lemonweir::storage::mirror::MirroredJob;
+use lemonweir::storage::records::{ImagesRecord, JobRecord};
 use proptest::prelude::*;
 
 // ---- the log -----------------------------------------------------------------
@@ -324,6 +327,94 @@
     }
 }
 
+// ---- a placer that is told in pieces --------------------------------------------
+
+/// Found in an incident on zeltplatz-rechen-grown: behind a cut the owner's
+/// answers came in pieces, attempts before machines, and the placer took room
+/// again that its own attempts had just been given: 1,900 refusals.
+#[test]
+fn room_is_not_taken_twice_while_figures_are_on_their_way() {
+    let terms = Terms { limits: Default::default(), guarantees: Default::default(), zones: vec!["north".into()], txn_ops: 12, spare: 0.0 };
+    let mut placer = Placer::new(0, TOKEN, 1, terms, 0);
+    let spec = JobSpec {
+        id: JobId::from("req-000001"),
+        class: "work".into(),
+        team: "red".into(),
+        shape: Shape::Array,
+        rank: Rank::Normal,
+        tasks: 9,
+        cores: 4.0,
+        gpus: 1.0,
+        ram_gb: 8.0,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        image: "img".into(),
+        image_gb: 2.0,
+        estimate_s: 20.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    };
+    let mirrored = MirroredJob { record: Arc::new(JobRecord { spec, at: 0 }), version: 1 };
+    placer.set_job(&JobId::from("req-000001"), Some(&mirrored), 0);
+    let machine = |gpus: u64| MachineView {
+        id: machine(0),
+        kind: "box".into(),
+        zone: "north".into(),
+        spot: false,
+        up: true,
+        open: true,
+        leaving: false,
+        free: Room::offer(gpus as f64 * 4.0, gpus as f64, gpus as f64 * 8.0),
+        soft: Default::default(),
+        soft_over: Default::default(),
+        busy: 4 - gpus as u16,
+        lasting: 0,
+        images: Vec::new(),
+        coming: Vec::new(),
+        renter: None,
+    };
+    let mut revision = 1;
+    // Tells a view, lets the placer place and write, and counts its attempts.
+    let mut tell = |machines: Vec<MachineView>, span: Span, attempts: Vec<AttemptView>| {
+        let seq = placer.sync_for(0, TOKEN, ROOM, false, 0).seq;
+        let upto = attempts.len() as u64;
+        placer.take_view(
+            View {
+                version: lemonweir::constants::PEER_VERSION,
+                part: 0,
+                token: TOKEN,
+                seq,
+                store_age_ms: 0,
+                wants_at: 0,
+                machines_span: span,
+                machines,
+                gone: Vec::new(),
+                attempts_span: Span { since: 0, upto, last: true },
+                attempts,
+            },
+            0,
+        );
+        placer.place(0);
+        while placer.next_txn(0).is_some() {
+            revision += 1;
+            placer.txn_done(TxnOutcome::Done(revision), 0);
+        }
+        placer.sync_for(0, TOKEN, ROOM, false, 0).wants
+    };
+    let first = tell(vec![machine(4)], Span { since: 0, upto: 1, last: true }, Vec::new());
+    assert_eq!(first.len(), 4);
+    let taken: Vec<AttemptView> = first.iter().map(|w| AttemptView { id: w.id.clone(), standing: Standing::Accepted }).collect();
+    // The attempts have room; what is left on their machine is not told yet.
+    assert_eq!(tell(Vec::new(), Span { since: 1, upto: 1, last: false }, taken.clone()).len(), 4);
+    assert_eq!(tell(vec![machine(0)], Span { since: 1, upto: 2, last: false }, taken.clone()).len(), 4);
+    // One of another's has ended.
+    assert_eq!(tell(vec![machine(1)], Span { since: 2, upto: 3, last: true }, taken).len(), 5);
+}
+
 #[test]
 fn numbers_that_make_no_sense_change_nothing() {
     let mut owner = fleet(3);
