--- a/src/constants.rs
+++ b/src/constants.rs
@@ -279,11 +279,13 @@
 /// seen in the field, after which the placer tries elsewhere.
 pub const EVICT_WAIT_MS: u64 = 15_000;
 /// ms that a refused placement waits before it is tried again: the refusal
-/// brought the owner's whole state, and the next pass uses it.
+/// brought the owner's newest state, and the next pass uses it.
 pub const REFUSED_PAUSE_MS: u64 = 250;
-/// Failures in a row, with no success between, that quarantine a machine.
-pub const QUARANTINE_ERRORS: u32 = 3;
-/// ms that a job waits after a failed attempt, doubled with each failure.
+/// Jobs that failed in a row, with no success between, that quarantine a
+/// machine. Two: a gang that takes it whole is the only one there, and each
+/// that fails starts late.
+pub const QUARANTINE_ERRORS: u32 = 2;
+/// ms that a job waits after its second failed attempt, doubled with each more.
 pub const ERROR_BACKOFF_MS: u64 = 1_000;
 /// ms that the doubling stops at.
 pub const ERROR_BACKOFF_MAX_MS: u64 = 30_000;
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -587,6 +587,11 @@
         self.mirror.revision.is_some() && self.catalog.is_some() && !alone
     }
 
+    /// True if an owner is told through the store: news of it come that way too.
+    pub fn mailing(&self) -> bool {
+        self.parts.values().any(|p| p.lines.iter().any(|l| l.failures >= MAIL_AFTER_FAILURES))
+    }
+
     /// True if something only waits for one of the short gaps to pass.
     pub fn hurried(&self, now: u64) -> bool {
         self.parts
--- a/src/coordination/placer/telling.rs
+++ b/src/coordination/placer/telling.rs
@@ -286,7 +286,7 @@
                 }
                 // One failure is mostly the machine's fault; more are the job's.
                 if job.failures > 1 {
-                    let wait = (ERROR_BACKOFF_MS << job.failures.min(10)).min(ERROR_BACKOFF_MAX_MS);
+                    let wait = (ERROR_BACKOFF_MS << (job.failures - 1).min(10)).min(ERROR_BACKOFF_MAX_MS);
                     job.not_before = now + wait;
                     job.reason = "its tasks failed; it is tried again after a pause";
                 }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -152,6 +152,7 @@
         }
         smol::Timer::after(Duration::from_millis(REFRESH_BUSY_MS)).await;
         if requests.is_empty()
+            && !node.core().mailing()
             && let Some(Ok(w)) = within(REFRESH_IDLE_MS - REFRESH_BUSY_MS, requests.recv()).await
         {
             waiting.push(w);
