Stops overtake what has no room in a message; a wait to be written has its reason

Stops beyond a piece are now named in it. A job whose starts are not written yet says so. Tests: an owner takes such a stop for its asker's attempts only.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -103,6 +103,8 @@
 pub const ATTEMPT_BYTES: usize = 40;
 /// Bytes that the counts of a job take in a message, with a usual reason.
 pub const NOTE_BYTES: usize = 80;
+/// Bytes of stops that a message may hold beyond its other changes.
+pub const STOPS_BYTES: usize = 4 * 1024;
 /// Bytes of changes in one message through the store: less than a transaction
 /// may hold, once in base64 and with keys. The rest follows in order.
 pub const MAIL_BYTES: usize = 24 * 1024;
--- a/src/coordination/changes.rs
+++ b/src/coordination/changes.rs
@@ -78,6 +78,12 @@
         }
     }
 
+    /// Values that are newer than a number.
+    pub fn beyond(&self, upto: u64) -> impl Iterator<Item = (&K, &V)> {
+        let newer = self.order.range((Bound::Excluded(upto), Bound::Unbounded));
+        newer.filter_map(|(_, key)| self.state.get(key).and_then(|(_, v)| v.as_ref()).map(|v| (key, v)))
+    }
+
     /// Changes since a number, oldest first, as far as `room` bytes by `size`
     /// go, but at least one. From nothing on, keys that are gone are left out.
     pub fn since<'a>(
--- a/src/coordination/job.rs
+++ b/src/coordination/job.rs
@@ -162,7 +162,15 @@
     /// Tasks that run, and why the others wait, if some do.
     pub(super) fn progress(&self) -> (u32, &'static str) {
         let running = self.live.values().filter(|l| l.standing == Some(Standing::Running)).count() as u32;
-        (running, if self.waiting() > 0 { self.reason } else { "" })
+        let unwritten = || self.live.iter().any(|(&task, l)| !self.recorded(task, l));
+        let reason = if self.waiting() > 0 {
+            self.reason
+        } else if unwritten() {
+            "its start waits to be written to the store"
+        } else {
+            ""
+        };
+        (running, reason)
     }
 
     /// Attempts in each zone, leaving out one task's.
--- a/src/coordination/owner/telling.rs
+++ b/src/coordination/owner/telling.rs
@@ -75,6 +75,13 @@
                 touched.extend(self.let_go(&id));
             }
         }
+        for (id, grace) in &sync.stops {
+            if let Some(held) = self.held.get_mut(id).filter(|h| h.from == sync.from && h.want.kill.is_none()) {
+                held.want.kill = Some(*grace);
+                held.killed_at = None;
+                touched.insert(held.want.machine.clone());
+            }
+        }
         for w in &sync.wants {
             if self.held.get(&w.id).is_some_and(|h| h.want.machine != w.machine || h.from != sync.from) {
                 warn!(attempt = %w.id, from = sync.from, "an attempt can't change its machine or its part; not taken");
--- a/src/coordination/placer/telling.rs
+++ b/src/coordination/placer/telling.rs
@@ -95,6 +95,9 @@
                 None => dropped.push(id.clone()),
             }
         }
+        // Guards against a stop order that waits behind hundreds of starts
+        // where a message holds few.
+        let stops = if span.last { Vec::new() } else { stops_beyond(&link.wants, span.upto, room.max(STOPS_BYTES)) };
         let mut told = Vec::new();
         if notes {
             let (span, changes) = self.notes.since(link.notes_acked, &mut room, |_, _| NOTE_BYTES);
@@ -124,6 +127,7 @@
             span,
             wants,
             dropped,
+            stops,
             have: if link.token == to_token { link.have } else { Have::default() },
             rented,
             keep: self.keep.iter().filter(|m| field.find(m).is_some()).cloned().collect(),
@@ -305,3 +309,8 @@
         }
     }
 }
+
+/// Stops among the wants that are newer than a number.
+fn stops_beyond(wants: &ChangeLog<AttemptId, Want>, upto: u64, room: usize) -> Vec<(AttemptId, u32)> {
+    wants.beyond(upto).filter_map(|(id, w)| w.kill.map(|grace| (id.clone(), grace))).take(room / ATTEMPT_BYTES).collect()
+}
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -70,6 +70,9 @@
     pub wants: Vec<Want>,
     /// Attempts that are no longer wanted, since their end is written.
     pub dropped: Vec<AttemptId>,
+    /// Stops that stand behind the changes that had room here, with their grace:
+    /// they don't wait for their turn.
+    pub stops: Vec<(AttemptId, u32)>,
     /// States of the owner's machines and of its attempts that the placer has.
     pub have: Have,
     /// Machines rented by the placer that belong to the owner.
--- a/tests/changes.rs
+++ b/tests/changes.rs
@@ -10,7 +10,7 @@
 use lemonweir::model::{AttemptId, JobId, JobSpec, MachineId, Rank, Room, Shape};
 use lemonweir::policy::Policy;
 use lemonweir::protocol::peer::{AttemptView, Evict, Follow, Have, MachineView, Span, Standing, Sync, View, Want};
-use lemonweir::protocol::worker::{Report, TaskPhase, TaskReport};
+use lemonweir::protocol::worker::{Report, TaskPhase, TaskReport, Verb};
 use lemonweir::storage::mirror::MirroredJob;
 use lemonweir::storage::records::{ImagesRecord, JobRecord};
 use proptest::prelude::*;
@@ -236,6 +236,7 @@
         span,
         wants,
         dropped: Vec::new(),
+        stops: Vec::new(),
         have,
         rented: Vec::new(),
         keep: Vec::new(),
@@ -270,6 +271,30 @@
     }
 }
 
+/// A stop does not wait behind starts where a message holds few of them.
+#[test]
+fn stops_overtake_what_has_no_room() {
+    let mut owner = fleet(3);
+    let two = Span { since: 0, upto: 2, last: true };
+    owner.sync(&sync(1, two, vec![want(0, 0), want(1, 1)], Have::default()), ROOM, 20).expect("taken");
+    assert_eq!(owner.calls(20).len(), 2);
+    for n in 0..2 {
+        assert!(owner.report(&Report { tasks: vec![running_task(n)], ..report(n, 2) }, 30).is_some());
+    }
+    let mut piece = sync(2, Span { since: 2, upto: 3, last: false }, vec![want(2, 2)], Have::default());
+    // One of ours, and one that this placer does not have.
+    piece.stops = vec![(want(1, 1).id, 0), (AttemptId { attempt: 9, ..want(1, 1).id }, 0)];
+    owner.sync(&piece, ROOM, 40).expect("taken");
+    let reply = owner.report(&Report { tasks: vec![running_task(1)], ..report(1, 3) }, 50).expect("answered");
+    assert_eq!(reply.orders.iter().map(|o| o.verb).collect::<Vec<_>>(), vec![Verb::Kill]);
+    let reply = owner.report(&Report { tasks: vec![running_task(0)], ..report(0, 3) }, 50).expect("answered");
+    assert!(reply.orders.is_empty());
+}
+
+fn running_task(n: usize) -> TaskReport {
+    TaskReport { piece: format!("req-000001/{n}"), attempt: 1, phase: TaskPhase::Running, cause: None, saved: None }
+}
+
 /// A state that does not fit one message comes in several, and all of it comes.
 #[test]
 fn a_whole_state_comes_in_pieces() {
@@ -303,8 +328,7 @@
     let wants: Vec<Want> = (0..MACHINES).map(|n| Want { image: image(n), ..want(n as u32, n) }).collect();
     owner.sync(&sync(1, Span { since: 0, upto: 400, last: true }, wants, Have::default()), ROOM, 20).expect("taken");
     for n in 0..MACHINES {
-        let task = TaskReport { piece: format!("req-000001/{n}"), attempt: 1, phase: TaskPhase::Running, cause: None, saved: None };
-        assert!(owner.report(&Report { tasks: vec![task], ..report(n, 2) }, 30).is_some());
+        assert!(owner.report(&Report { tasks: vec![running_task(n)], ..report(n, 2) }, 30).is_some());
     }
     let pages = owner.images_note(60_000, VALUE, 12);
     assert!(pages.len() > 1, "this fleet needs several pages");
