A machine listed as running that never reports is no room

Change: listed as running, but silent for a lease and more since first seen: not counted as room to come; given back as before.

--- a/src/coordination/machine.rs
+++ b/src/coordination/machine.rs
@@ -65,6 +65,8 @@
     /// Images with their sizes, most recently used first.
     pub(super) images: VecDeque<(String, u64)>,
     pub(super) notice: bool,
+    /// Listed as running, but never heard.
+    pub(super) unheard: bool,
     pub(super) closing: bool,
     pub(super) quarantined: bool,
     pub(super) releasing: bool,
@@ -98,6 +100,7 @@
             tasks: BTreeMap::new(),
             images: VecDeque::new(),
             notice: false,
+            unheard: false,
             closing: false,
             quarantined: false,
             releasing: false,
@@ -111,7 +114,7 @@
     }
 
     pub(super) fn open(&self) -> bool {
-        !(self.notice || self.closing || self.quarantined || self.release_wanted)
+        !(self.notice || self.unheard || self.closing || self.quarantined || self.release_wanted)
     }
 
     /// No order that could start something is of unknown fate.
--- a/src/coordination/owner/mod.rs
+++ b/src/coordination/owner/mod.rs
@@ -314,6 +314,7 @@
         m.session = report.session;
         m.seq = report.seq;
         m.heard = Some(now);
+        m.unheard = false;
         m.token_seen = m.token_seen.max(report.token);
         if report.notice_s.is_some() && !m.notice {
             m.notice = true;
--- a/src/coordination/owner/upkeep.rs
+++ b/src/coordination/owner/upkeep.rs
@@ -32,6 +32,18 @@
                 self.stale.insert(e.id.clone());
             }
             self.missing.remove(&e.id);
+            // Guards against waiting for machines that are no more: the list
+            // lags, and a restarted owner does not know what its predecessor
+            // gave back. One that runs reports; until then it is no room.
+            if let Some(m) = self.machines.get_mut(&e.id)
+                && e.phase == "running"
+                && m.heard.is_none()
+                && !m.unheard
+                && now > m.since + self.timing.dead_after_ms()
+            {
+                m.unheard = true;
+                self.stale.insert(e.id.clone());
+            }
             if e.phase == "failed"
                 && let Some(m) = self.machines.get_mut(&e.id)
             {
--- a/tests/changes.rs
+++ b/tests/changes.rs
@@ -9,6 +9,7 @@
 use lemonweir::coordination::placer::{Placer, Terms, TxnOutcome};
 use lemonweir::model::{AttemptId, JobId, JobSpec, MachineId, Rank, Room, Shape};
 use lemonweir::policy::Policy;
+use lemonweir::protocol::cloud::RentalEntry;
 use lemonweir::protocol::peer::{AttemptView, Evict, Follow, Have, MachineView, Span, Standing, Sync, View, Want};
 use lemonweir::protocol::worker::{Report, TaskPhase, TaskReport, Verb};
 use lemonweir::storage::mirror::MirroredJob;
@@ -439,6 +440,36 @@
     assert_eq!(tell(vec![machine(1)], Span { since: 2, upto: 3, last: true }, taken).len(), 5);
 }
 
+/// Found on rough of zeltplatz-rechen-grown: after a crash the list still named
+/// machines that had been given back, and 30 of them counted as booting for a
+/// minute and a half.
+#[test]
+fn a_machine_listed_as_running_that_never_reports_is_no_room() {
+    let mut owner = fleet(1);
+    let entry = |phase: &str| RentalEntry {
+        id: machine(5),
+        kind: "box".into(),
+        zone: "north".into(),
+        spot: false,
+        phase: phase.into(),
+        age_s: 90.0,
+    };
+    let mut seq = 0;
+    let mut open = |owner: &mut Owner| {
+        seq += 1;
+        let view = owner.sync(&sync(seq, Span { since: 0, upto: 0, last: true }, Vec::new(), Have::default()), ROOM, 20).expect("taken");
+        view.machines.iter().find(|m| m.id == machine(5)).map(|m| m.open)
+    };
+    owner.listed(&[entry("running")], 1_000);
+    assert_eq!(open(&mut owner), Some(true), "it may just be starting");
+    owner.listed(&[entry("starting")], 30_000);
+    assert_eq!(open(&mut owner), Some(true), "it boots");
+    owner.listed(&[entry("running")], 30_000);
+    assert_eq!(open(&mut owner), Some(false));
+    assert!(owner.report(&report(5, 1), 31_000).is_some());
+    assert_eq!(open(&mut owner), Some(true), "it was only late");
+}
+
 #[test]
 fn numbers_that_make_no_sense_change_nothing() {
     let mut owner = fleet(3);
