--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -145,8 +145,6 @@
     /// are never ready, and are used again.
     pub slots: Vec<Slot>,
     told: Vec<Option<MachineView>>,
-    /// Which of so many walkers this one is: each begins elsewhere.
-    walker: (usize, usize),
     index: HashMap<MachineId, usize>,
     vacant: Vec<usize>,
     ready: Bits,
@@ -169,22 +167,9 @@
 }
 
 impl Field {
-    /// An empty field for one of so many walkers. Each begins its walks at
-    /// another machine, so that those who look at the same time don't all take
-    /// the same one.
-    pub fn for_walker(walker: usize, walkers: usize) -> Self {
-        Self { walker: (walker, walkers.max(1)), ..Self::default() }
-    }
-
-    /// Place of a machine in this walker's order.
-    fn order(&self, i: usize) -> usize {
-        let (n, (walker, walkers)) = (self.slots.len(), self.walker);
-        (i + n - walker * n / walkers.max(1) % n.max(1)) % n.max(1)
-    }
-
-    /// A field of these machines, walked from the first.
+    /// A field of these machines.
     pub fn new(machines: &[MachineView]) -> Self {
-        let mut field = Self::for_walker(0, 1);
+        let mut field = Self::default();
         for m in machines {
             field.set(m.clone());
         }
@@ -309,7 +294,7 @@
             let company = if ask.lasting { slot.lasting } else { 0 };
             // One fetch more would share the machine's rate.
             let fetches = if image == Image::Anywhere { slot.fetches } else { 0 };
-            (ask.spot && !slot.spot, slot.busy == 0, fetches, std::cmp::Reverse((company, slot.busy)), self.order(i))
+            (ask.spot && !slot.spot, slot.busy == 0, fetches, std::cmp::Reverse((company, slot.busy)), i)
         })
     }
 
@@ -328,7 +313,7 @@
                 let room = soft.get(rank)?;
                 slot.free.plus(room).covers(&ask.need).then(|| (has_image(i), std::cmp::Reverse(ask.need.minus(&slot.free)), i))
             })
-            .max_by_key(|(image, missing, i)| (*image, *missing, std::cmp::Reverse(self.order(*i))))
+            .max_by_key(|(image, missing, i)| (*image, *missing, std::cmp::Reverse(*i)))
             .map(|(_, _, i)| i)
     }
 
--- a/src/coordination/placer/mod.rs
+++ b/src/coordination/placer/mod.rs
@@ -181,7 +181,7 @@
             token,
             jobs: BTreeMap::new(),
             links: (0..parts).map(|_| Link::default()).collect(),
-            fields: (0..parts).map(|_| Field::for_walker(usize::from(part), usize::from(parts))).collect(),
+            fields: (0..parts).map(|_| Field::default()).collect(),
             on: HashMap::new(),
             unseen: HashMap::new(),
             usage: HashMap::new(),
--- a/src/coordination/placer/telling.rs
+++ b/src/coordination/placer/telling.rs
@@ -176,7 +176,7 @@
         let part = view.part;
         let news = !view.machines.is_empty() || !view.gone.is_empty() || !view.attempts.is_empty();
         match machines {
-            Some(Follow::Anew) => self.fields[usize::from(part)] = Field::for_walker(usize::from(self.part), self.fields.len()),
+            Some(Follow::Anew) => self.fields[usize::from(part)] = Field::default(),
             Some(Follow::On) => {}
             None => return news,
         }
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -119,12 +119,6 @@
             }
         }
         prop_assert_eq!(Field::new(&machines).first_fit(&wish.ask(), image), best.map(|(i, _)| i));
-        // Another walker begins elsewhere, but takes nothing of a worse class.
-        let mut other = Field::for_walker(1, 3);
-        machines.iter().for_each(|m| other.set(m.clone()));
-        let start = machines.len() / 3;
-        let plain = (start..machines.len()).chain(0..start).find(|&i| best.is_some_and(|(_, b)| fits(&machines[i]) && class(&machines[i]) == b));
-        prop_assert_eq!(other.first_fit(&wish.ask(), image), plain);
     }
 
     /// Pushing out is offered only where it suffices, and with least missing.
