One piece each for shunning a machine and for getting to know one

The list and a renter's word made a machine in two near-equal ways, and two places kept the machines that a job avoids. A vanished job was taken out of the queues twice; what a machine's figures count is taken off its account in one go. Behaviour is unchanged; a comment says what its bound is for.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -268,8 +268,8 @@
 pub const START_REFUSED_PAUSE_MS: u64 = 500;
 /// Machines that a job avoids at most, those where it failed last.
 pub const AVOID_MOST: usize = 8;
-/// Waiting tasks of one job that are counted as demand at most: more than the
-/// machines of a fleet of this kind hold.
+/// Waiting tasks of one job that are counted as demand at most: more than boot
+/// at a time. What is beyond is counted once these have their machines.
 pub const DEMAND_MOST: u64 = 512;
 /// ms without a tick after which this process counts as having stood still.
 pub const STOOD_STILL_MS: u64 = 1_000;
--- a/src/coordination/job.rs
+++ b/src/coordination/job.rs
@@ -221,6 +221,16 @@
         self.tasks.saturating_sub(self.done_count).saturating_sub(self.live.len() as u32)
     }
 
+    /// Leaves a machine out from now on; the oldest of too many may come again.
+    pub(super) fn shun(&mut self, machine: &MachineId) {
+        if !self.avoid.contains(machine) {
+            self.avoid.push(machine.clone());
+        }
+        if self.avoid.len() > AVOID_MOST {
+            self.avoid.remove(0);
+        }
+    }
+
     /// Notes that a task that was placed may wait again.
     pub(super) fn wait_again(&mut self, task: u32) {
         if task < self.cursor {
--- a/src/coordination/owner/telling.rs
+++ b/src/coordination/owner/telling.rs
@@ -31,7 +31,7 @@
         asker.seq = sync.seq;
         asker.have = sync.have.machines;
         for r in &sync.rented {
-            self.expect(&r.machine, r, sync.from, now);
+            self.expect(r, sync.from, now);
         }
         for id in &sync.keep {
             if let Some(m) = self.machines.get_mut(id) {
--- a/src/coordination/owner/upkeep.rs
+++ b/src/coordination/owner/upkeep.rs
@@ -4,52 +4,53 @@
 use super::*;
 
 impl Owner {
-    pub(super) fn expect(&mut self, id: &MachineId, rented: &Rented, renter: u16, now: u64) {
-        if self.gone.contains(id) {
-            return;
+    /// Takes what a renter or the list says of a machine; `None`: it is gone.
+    fn introduce(&mut self, said: &Rented, now: u64) -> Option<&mut Machine> {
+        if self.gone.contains(&said.machine) {
+            return None;
         }
-        let room = self.rooms.get(&rented.kind).copied().unwrap_or_default();
-        let m = self.machines.entry(id.clone()).or_insert_with(|| {
-            let mut m = Machine::new(&rented.kind, &rented.zone, rented.spot, room, now);
-            m.booked = now.saturating_sub(rented.age_ms);
+        let room = self.rooms.get(&said.kind).copied().unwrap_or_default();
+        let stale = &mut self.stale;
+        let m = self.machines.entry(said.machine.clone()).or_insert_with(|| {
+            stale.insert(said.machine.clone());
+            let mut m = Machine::new(&said.kind, &said.zone, said.spot, room, now);
+            m.booked = now.saturating_sub(said.age_ms);
             m
         });
-        m.renter = Some(renter);
-        self.stale.insert(id.clone());
+        Some(m)
+    }
+
+    /// A placer rented a machine.
+    pub(super) fn expect(&mut self, rented: &Rented, renter: u16, now: u64) {
+        if let Some(m) = self.introduce(rented, now) {
+            m.renter = Some(renter);
+            self.stale.insert(rented.machine.clone());
+        }
     }
 
     /// A page of the rental list, reduced to this part's machines.
     pub fn listed(&mut self, entries: &[RentalEntry], now: u64) {
         for e in entries {
-            if self.gone.contains(&e.id) {
-                continue;
-            }
-            let room = self.rooms.get(&e.kind).copied().unwrap_or_default();
-            if !self.machines.contains_key(&e.id) {
-                let mut m = Machine::new(&e.kind, &e.zone, e.spot, room, now);
-                m.booked = now.saturating_sub((e.age_s * 1000.0) as u64);
-                self.machines.insert(e.id.clone(), m);
-                self.stale.insert(e.id.clone());
-            }
-            self.missing.remove(&e.id);
+            let said = Rented {
+                machine: e.id.clone(),
+                kind: e.kind.clone(),
+                zone: e.zone.clone(),
+                spot: e.spot,
+                age_ms: (e.age_s * 1000.0) as u64,
+            };
+            let dead_after = self.timing.dead_after_ms();
+            let Some(m) = self.introduce(&said, now) else { continue };
             // Guards against waiting for machines that are no more: the list
             // lags, and a restarted owner does not know what its predecessor
             // gave back. One that runs reports; until then it is no room.
-            if let Some(m) = self.machines.get_mut(&e.id)
-                && e.phase == "running"
-                && m.heard.is_none()
-                && !m.unheard
-                && now > m.since + self.timing.dead_after_ms()
-            {
-                m.unheard = true;
-                self.stale.insert(e.id.clone());
-            }
-            if e.phase == "failed"
-                && let Some(m) = self.machines.get_mut(&e.id)
-            {
-                m.release_wanted = true;
+            let unheard = e.phase == "running" && m.heard.is_none() && !m.unheard && now > m.since + dead_after;
+            let failed = e.phase == "failed";
+            m.unheard |= unheard;
+            m.release_wanted |= failed;
+            if unheard || failed {
                 self.stale.insert(e.id.clone());
             }
+            self.missing.remove(&e.id);
         }
     }
 
--- a/src/coordination/placer/mod.rs
+++ b/src/coordination/placer/mod.rs
@@ -324,8 +324,6 @@
             self.unsaved.remove(id);
         }
         if job.vanished() {
-            drop_place(&mut self.queues, &job.team, &(job.rank(), job.at(), id.clone()));
-            drop_place(&mut self.running, &job.team, &(job.rank(), job.at(), id.clone()));
             self.unsaved.remove(id);
             self.changed.remove(id);
             for (part, attempt) in std::mem::take(&mut job.told) {
--- a/src/coordination/placer/moves.rs
+++ b/src/coordination/placer/moves.rs
@@ -74,12 +74,7 @@
                 if let Some(l) = job.live.get_mut(&task) {
                     l.kill = Some(0);
                 }
-                if !job.avoid.contains(machine) {
-                    job.avoid.push(machine.clone());
-                    if job.avoid.len() > AVOID_MOST {
-                        job.avoid.remove(0);
-                    }
-                }
+                job.shun(machine);
             }
             self.settle(&id, now);
         }
--- a/src/coordination/placer/telling.rs
+++ b/src/coordination/placer/telling.rs
@@ -206,15 +206,13 @@
 
     /// The figures of a machine now hold the attempts that its owner has taken.
     pub(super) fn count(&mut self, machine: &MachineId, part: u16) {
+        let counted = self.links[usize::from(part)].uncounted.remove(machine).unwrap_or_default();
         if let Some(here) = self.unseen.get_mut(machine) {
-            for counted in self.links[usize::from(part)].uncounted.remove(machine).unwrap_or_default() {
-                here.remove(&counted);
-            }
+            here.retain(|attempt| !counted.contains(attempt));
             if here.is_empty() {
                 self.unseen.remove(machine);
             }
         }
-        self.links[usize::from(part)].uncounted.remove(machine);
         self.retake(machine, part);
     }
 
@@ -282,12 +280,7 @@
             Standing::Exited(Cause::Error) => {
                 job.failures += 1;
                 warn!(attempt = %id, machine = %live.machine, failures = job.failures, "attempt failed");
-                if !job.avoid.contains(&live.machine) {
-                    job.avoid.push(live.machine.clone());
-                }
-                if job.avoid.len() > AVOID_MOST {
-                    job.avoid.remove(0);
-                }
+                job.shun(&live.machine);
                 // One failure is mostly the machine's fault; more are the job's.
                 if job.failures > 1 {
                     let wait = (ERROR_BACKOFF_MS << (job.failures - 1).min(10)).min(ERROR_BACKOFF_MAX_MS);
