A workspace: the layers become packages with arrows only downward

Need: a laboratory, trace readers and later subsystems need the decisions without the process around them, and nothing held `coordination` to doing no I/O but habit.

Change: model (with settings, constants and checked policy values), policy, transport, protocol, storage, coordination and node are packages under crates/; the root stays the program. storage is records and the followed copy only; the state service's client moved to node, beside the cloud's, so that coordination's manifest names nothing that can do I/O, and its clippy.toml refuses the standard library's. Code moved, no decision changed.

A file read put into coordination is refused by clippy.

--- a/src/coordination/fleet.rs
+++ b/crates/coordination/src/fleet.rs
@@ -2,9 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use crate::constants::{MAX_RENT, NO_CAPACITY_MS};
-use crate::model::{Catalog, Room};
-use crate::protocol::cloud::Rental;
+use lemonweir_model::constants::{MAX_RENT, NO_CAPACITY_MS};
+use lemonweir_model::{Catalog, Room};
+use lemonweir_protocol::cloud::Rental;
 
 /// Tasks that found no room.
 #[derive(Clone, Debug, PartialEq)]
--- a/src/coordination/job.rs
+++ b/crates/coordination/src/job.rs
@@ -4,10 +4,10 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
-use crate::constants::*;
-use crate::model::{AttemptId, JobSpec, MachineId, Rank, Room, Shape};
-use crate::protocol::peer::{Evict, Standing};
-use crate::storage::records::{ChunkRecord, JobRecord, LiveRecord};
+use lemonweir_model::constants::*;
+use lemonweir_model::{AttemptId, JobSpec, MachineId, Rank, Room, Shape};
+use lemonweir_protocol::peer::{Evict, Standing};
+use lemonweir_storage::records::{ChunkRecord, JobRecord, LiveRecord};
 
 /// An attempt not proven to be over.
 #[derive(Clone, Debug)]
--- a/src/coordination/mod.rs
+++ b/crates/coordination/src/lib.rs
@@ -16,20 +16,20 @@
 
 use tracing::{debug, info, warn};
 
-use crate::constants::*;
-use crate::coordination::fleet::{Bin, Shortage, plan};
-use crate::coordination::owner::{CommandCall, CommandResult, Owner, SyncRefusal, Timing};
-use crate::coordination::placer::{Placer, Promise, Terms, TxnOutcome, TxnVerdict};
-use crate::model::{Catalog, JobId, MachineId, Room};
-use crate::policy::Policy;
-use crate::protocol::cloud::{Rental, RentalEntry};
-use crate::protocol::peer::{self, JobNote, Rented, Sync, View};
-use crate::protocol::state::{Condition, Txn, Write};
-use crate::protocol::users::{Phase, team_limit};
-use crate::protocol::worker::{Report, ReportReply};
-use crate::settings::{Member, Settings};
-use crate::storage::Mirror;
-use crate::storage::records::{ChunkRecord, ImagesRecord, MailKind, images_key, part_key};
+use crate::fleet::{Bin, Shortage, plan};
+use crate::owner::{CommandCall, CommandResult, Owner, SyncRefusal, Timing};
+use crate::placer::{Placer, Promise, Terms, TxnOutcome, TxnVerdict};
+use lemonweir_model::constants::*;
+use lemonweir_model::policy::Policy;
+use lemonweir_model::settings::{Member, Settings};
+use lemonweir_model::{Catalog, JobId, MachineId, Room};
+use lemonweir_protocol::cloud::{Rental, RentalEntry};
+use lemonweir_protocol::peer::{self, JobNote, Rented, Sync, View};
+use lemonweir_protocol::state::{Condition, Txn, Write};
+use lemonweir_protocol::users::{Phase, team_limit};
+use lemonweir_protocol::worker::{Report, ReportReply};
+use lemonweir_storage::Mirror;
+use lemonweir_storage::records::{ChunkRecord, ImagesRecord, MailKind, images_key, part_key};
 
 /// What the process has to do. Each names the part and its token, so that an
 /// answer to a part that is no longer held is dropped.
--- a/src/coordination/machine.rs
+++ b/crates/coordination/src/machine.rs
@@ -4,10 +4,10 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
-use crate::constants::*;
-use crate::model::{AttemptId, JobId, Room};
-use crate::protocol::peer::Cause;
-use crate::protocol::worker::TaskPhase;
+use lemonweir_model::constants::*;
+use lemonweir_model::{AttemptId, JobId, Room};
+use lemonweir_protocol::peer::Cause;
+use lemonweir_protocol::worker::TaskPhase;
 
 /// Times that bound the owner's proofs, from the settings.
 #[derive(Clone, Copy, Debug)]
--- a/src/coordination/owner/mod.rs
+++ b/crates/coordination/src/owner/mod.rs
@@ -21,16 +21,16 @@
 
 use tracing::{info, warn};
 
-use crate::constants::*;
-use crate::coordination::changes::ChangeLog;
-pub use crate::coordination::machine::Timing;
-use crate::coordination::machine::{Machine, Seen};
-use crate::model::{AttemptId, MachineId, Rank, Room};
-use crate::policy::Policy;
-use crate::protocol::cloud::RentalEntry;
-use crate::protocol::peer::{AttemptView, Cause, Follow, MachineView, Rented, Standing, Sync, View, Want, written};
-use crate::protocol::worker::{Commands, Order, Report, ReportReply, TaskPhase, Verb};
-use crate::storage::records::ImagesRecord;
+use crate::changes::ChangeLog;
+pub use crate::machine::Timing;
+use crate::machine::{Machine, Seen};
+use lemonweir_model::constants::*;
+use lemonweir_model::policy::Policy;
+use lemonweir_model::{AttemptId, MachineId, Rank, Room};
+use lemonweir_protocol::cloud::RentalEntry;
+use lemonweir_protocol::peer::{AttemptView, Cause, Follow, MachineView, Rented, Standing, Sync, View, Want, written};
+use lemonweir_protocol::worker::{Commands, Order, Report, ReportReply, TaskPhase, Verb};
+use lemonweir_storage::records::ImagesRecord;
 
 /// How far an attempt has come here.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -201,7 +201,7 @@
     }
 
     /// Learns the machine types.
-    pub fn set_types<'a>(&mut self, types: impl Iterator<Item = &'a crate::model::MachineType>) {
+    pub fn set_types<'a>(&mut self, types: impl Iterator<Item = &'a lemonweir_model::MachineType>) {
         for t in types {
             self.rooms.insert(t.name.clone(), t.room);
             self.boot_ms.insert(t.name.clone(), (t.boot_s * 1000.0) as u64);
--- a/src/coordination/placement.rs
+++ b/crates/coordination/src/placement.rs
@@ -10,8 +10,8 @@
 
 use std::collections::HashMap;
 
-use crate::model::{MachineId, Rank, Room};
-use crate::protocol::peer::MachineView;
+use lemonweir_model::{MachineId, Rank, Room};
+use lemonweir_protocol::peer::MachineView;
 
 /// A row of bits, one a machine.
 #[derive(Clone, Debug, Default, PartialEq)]
--- a/src/coordination/placer/mod.rs
+++ b/crates/coordination/src/placer/mod.rs
@@ -16,17 +16,17 @@
 
 use tracing::{debug, info, warn};
 
-use crate::constants::*;
-use crate::coordination::changes::ChangeLog;
-use crate::coordination::fleet::Demand;
-use crate::coordination::job::{Chunk, Ending, Job, Live};
-use crate::coordination::placement::{Ask, Field, Image};
-use crate::model::{AttemptId, Catalog, JobId, JobSpec, MachineId, MachineType, Rank, Room, Shape};
-use crate::protocol::peer::{Cause, Evict, Follow, Have, JobNote, Rented, Standing, Sync, View, Want, written};
-use crate::protocol::state::{Condition, Txn, Write};
-use crate::protocol::users::Phase;
-use crate::storage::mirror::MirroredJob;
-use crate::storage::records::{ChunkRecord, EndRecord, JobRecord, end_key, job_key, part_key, run_key};
+use crate::changes::ChangeLog;
+use crate::fleet::Demand;
+use crate::job::{Chunk, Ending, Job, Live};
+use crate::placement::{Ask, Field, Image};
+use lemonweir_model::constants::*;
+use lemonweir_model::{AttemptId, Catalog, JobId, JobSpec, MachineId, MachineType, Rank, Room, Shape};
+use lemonweir_protocol::peer::{Cause, Evict, Follow, Have, JobNote, Rented, Standing, Sync, View, Want, written};
+use lemonweir_protocol::state::{Condition, Txn, Write};
+use lemonweir_protocol::users::Phase;
+use lemonweir_storage::mirror::MirroredJob;
+use lemonweir_storage::records::{ChunkRecord, EndRecord, JobRecord, end_key, job_key, part_key, run_key};
 
 /// What passes between this placer and one owner.
 #[derive(Default)]
@@ -376,7 +376,7 @@
     }
 
     /// Machines of all parts, as they were told.
-    pub fn machines(&self) -> impl Iterator<Item = &crate::protocol::peer::MachineView> {
+    pub fn machines(&self) -> impl Iterator<Item = &lemonweir_protocol::peer::MachineView> {
         self.fields.iter().flat_map(Field::machines)
     }
 
--- a/tests/changes.rs
+++ b/crates/coordination/tests/changes.rs
@@ -4,16 +4,15 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use lemonweir::coordination::changes::ChangeLog;
-use lemonweir::coordination::owner::{Owner, SyncRefusal, Timing};
-use lemonweir::coordination::placer::{Placer, Terms, TxnOutcome};
-use lemonweir::model::{AttemptId, JobId, JobSpec, MachineId, Rank, Room, Shape};
-use lemonweir::policy::Policy;
-use lemonweir::protocol::cloud::RentalEntry;
-use lemonweir::protocol::peer::{AttemptView, Evict, Follow, Have, MachineView, Span, Standing, Sync, View, Want};
-use lemonweir::protocol::worker::{Report, TaskPhase, TaskReport, Verb};
-use lemonweir::storage::mirror::MirroredJob;
-use lemonweir::storage::records::{ImagesRecord, JobRecord};
+use lemonweir_coordination::changes::ChangeLog;
+use lemonweir_coordination::owner::{Owner, SyncRefusal, Timing};
+use lemonweir_coordination::placer::{Placer, Terms, TxnOutcome};
+use lemonweir_model::{AttemptId, JobId, JobSpec, MachineId, Rank, Room, Shape};
+use lemonweir_protocol::cloud::RentalEntry;
+use lemonweir_protocol::peer::{AttemptView, Evict, Follow, Have, MachineView, Span, Standing, Sync, View, Want};
+use lemonweir_protocol::worker::{Report, TaskPhase, TaskReport, Verb};
+use lemonweir_storage::mirror::MirroredJob;
+use lemonweir_storage::records::{ImagesRecord, JobRecord};
 use proptest::prelude::*;
 
 // ---- the log -----------------------------------------------------------------
@@ -182,15 +181,15 @@
         spot: false,
         session: 1,
         seq,
-        token: TOKEN << lemonweir::constants::FENCE_BITS,
+        token: TOKEN << lemonweir_model::constants::FENCE_BITS,
         notice_s: None,
         tasks: Vec::new(),
     }
 }
 
 fn fleet(machines: usize) -> Owner {
-    let mut owner = Owner::new(0, TOKEN, 1, TIMING, Policy::embedded().expect("policy"), 0);
-    let kind = lemonweir::model::MachineType {
+    let mut owner = Owner::new(0, TOKEN, 1, TIMING, lemonweir_policy::embedded().expect("policy"), 0);
+    let kind = lemonweir_model::MachineType {
         name: "box".into(),
         room: Room::offer(16.0, 4.0, 64.0),
         cache_gb: 100.0,
@@ -227,7 +226,7 @@
 
 fn sync(seq: u64, span: Span, wants: Vec<Want>, have: Have) -> Sync {
     Sync {
-        version: lemonweir::constants::PEER_VERSION,
+        version: lemonweir_model::constants::PEER_VERSION,
         from: 0,
         from_token: TOKEN,
         to: 0,
@@ -305,7 +304,7 @@
     let mut pieces = 0;
     for seq in 1..100 {
         let view = owner.sync(&sync(seq, Span { since: 0, upto: 0, last: true }, Vec::new(), at), 8 * 1024, 20).expect("taken");
-        assert!(lemonweir::protocol::peer::write(&view).len() < 9 * 1024, "a message keeps to its room");
+        assert!(lemonweir_protocol::peer::write(&view).len() < 9 * 1024, "a message keeps to its room");
         pieces += 1;
         at = have(&view);
         seen.extend(view.machines.iter().map(|m| (m.id.clone(), m.free)));
@@ -334,12 +333,12 @@
     let pages = owner.images_note(60_000, VALUE, 12);
     assert!(pages.len() > 1, "this fleet needs several pages");
     let pages: Vec<ImagesRecord> = pages.into_iter().map(|(_, page)| page.expect("written")).collect();
-    assert!(pages.iter().all(|p| lemonweir::protocol::encode(p).len() <= VALUE));
+    assert!(pages.iter().all(|p| lemonweir_protocol::encode(p).len() <= VALUE));
     assert!(owner.images_note(120_000, VALUE, 12).is_empty(), "nothing new, nothing written");
-    let mut next = Owner::new(0, TOKEN + 1, 1, TIMING, Policy::embedded().expect("policy"), 0);
+    let mut next = Owner::new(0, TOKEN + 1, 1, TIMING, lemonweir_policy::embedded().expect("policy"), 0);
     next.learn_images(pages);
     for n in 0..MACHINES {
-        let token = (TOKEN + 1) << lemonweir::constants::FENCE_BITS;
+        let token = (TOKEN + 1) << lemonweir_model::constants::FENCE_BITS;
         assert!(next.report(&Report { token, ..report(n, 3) }, 40).is_some());
     }
     let mut first = sync(2, Span { since: 0, upto: 0, last: true }, Vec::new(), Have::default());
@@ -409,7 +408,7 @@
         let upto = attempts.len() as u64;
         placer.take_view(
             View {
-                version: lemonweir::constants::PEER_VERSION,
+                version: lemonweir_model::constants::PEER_VERSION,
                 part: 0,
                 token: TOKEN,
                 seq,
--- a/tests/placement.rs
+++ b/crates/coordination/tests/placement.rs
@@ -1,8 +1,8 @@
 //! Placement by bit-vectors compared with a slow plain model.
 
-use lemonweir::coordination::placement::{Ask, Field, Image};
-use lemonweir::model::{MachineId, Rank, Room};
-use lemonweir::protocol::peer::MachineView;
+use lemonweir_coordination::placement::{Ask, Field, Image};
+use lemonweir_model::{MachineId, Rank, Room};
+use lemonweir_protocol::peer::MachineView;
 use proptest::prelude::*;
 
 const ZONES: [&str; 3] = ["a", "b", "c"];
--- a/src/model.rs
+++ b/crates/model/src/lib.rs
@@ -1,4 +1,9 @@
-//! The field's terms: jobs, tasks, attempts, machines and what they take.
+//! The field's terms: jobs, tasks, attempts, machines and what they take; the
+//! settings that a process is given, and every constant.
+
+pub mod constants;
+pub mod policy;
+pub mod settings;
 
 use std::collections::BTreeMap;
 use std::fmt;
--- a/src/node/carry.rs
+++ b/crates/node/src/carry.rs
@@ -5,19 +5,18 @@
 use base64::prelude::{BASE64_STANDARD, Engine};
 use tracing::{debug, error, info};
 
-use crate::constants::*;
-use crate::coordination::owner::{CommandCall, CommandResult};
-use crate::coordination::placer::{TxnOutcome, TxnVerdict};
-use crate::coordination::{Effect, mail_piece_bytes};
-use crate::node::{Node, peer_address};
-use crate::protocol::peer::{self, Sync, View};
-use crate::protocol::state::{Txn, Write, to_value};
-use crate::protocol::worker::Report;
-use crate::protocol::{decode, encode};
-use crate::storage::StateError;
-use crate::storage::client::TxnResult;
-use crate::storage::records::{MailKind, MailLine, MailRecord, mail_key, parse_run_key};
-use crate::transport::{CallError, Handler, Reply, Request};
+use crate::state::{StateError, TxnResult};
+use crate::{Node, peer_address};
+use lemonweir_coordination::owner::{CommandCall, CommandResult};
+use lemonweir_coordination::placer::{TxnOutcome, TxnVerdict};
+use lemonweir_coordination::{Effect, mail_piece_bytes};
+use lemonweir_model::constants::*;
+use lemonweir_protocol::peer::{self, Sync, View};
+use lemonweir_protocol::state::{Txn, Write, to_value};
+use lemonweir_protocol::worker::Report;
+use lemonweir_protocol::{decode, encode};
+use lemonweir_storage::records::{MailKind, MailLine, MailRecord, mail_key, parse_run_key};
+use lemonweir_transport::{CallError, Handler, Reply, Request};
 
 /// Starts an effect; its end is an event of the core.
 pub fn carry(node: &Rc<Node>, effect: Effect) {
@@ -69,7 +68,7 @@
     node.executor.spawn(work).detach();
 }
 
-async fn transaction(node: &Node, lot: crate::coordination::Lot, txn: &Txn) {
+async fn transaction(node: &Node, lot: lemonweir_coordination::Lot, txn: &Txn) {
     let outcome = match node.state.txn(txn).await {
         Ok(TxnResult::Done(revision)) => TxnOutcome::Done(revision),
         Ok(TxnResult::Conflict(keys)) => TxnOutcome::Conflict(keys),
--- a/src/node/cloud.rs
+++ b/crates/node/src/cloud.rs
@@ -7,14 +7,14 @@
 
 use tracing::{info, warn};
 
-use crate::constants::*;
-use crate::coordination::RentResult;
-use crate::model::{Catalog, MachineId};
-use crate::node::Node;
-use crate::protocol::cloud::{CatalogReply, CloudFault, Machines, Rental, RentalEntry, RentalList};
-use crate::protocol::{decode, encode};
-use crate::storage::client::Bucket;
-use crate::transport::Client;
+use crate::Node;
+use crate::state::Bucket;
+use lemonweir_coordination::RentResult;
+use lemonweir_model::constants::*;
+use lemonweir_model::{Catalog, MachineId};
+use lemonweir_protocol::cloud::{CatalogReply, CloudFault, Machines, Rental, RentalEntry, RentalList};
+use lemonweir_protocol::{decode, encode};
+use lemonweir_transport::Client;
 
 /// The client; keeps this node's share of the cloud's limit.
 pub struct CloudClient {
--- a/src/node/holds.rs
+++ b/crates/node/src/holds.rs
@@ -6,14 +6,13 @@
 
 use tracing::{info, warn};
 
-use crate::constants::*;
-use crate::coordination::Lot;
-use crate::model::JobId;
-use crate::node::Node;
-use crate::protocol::state::{Condition, Txn, Write, from_value, to_value};
-use crate::storage::StateError;
-use crate::storage::client::TxnResult;
-use crate::storage::records::{
+use crate::Node;
+use crate::state::{StateError, TxnResult};
+use lemonweir_coordination::Lot;
+use lemonweir_model::JobId;
+use lemonweir_model::constants::*;
+use lemonweir_protocol::state::{Condition, Txn, Write, from_value, to_value};
+use lemonweir_storage::records::{
     ChunkRecord, ImagesRecord, NodeRecord, PartRecord, TeamRecord, images_prefix, node_key, parse_images_key, parse_run_key, part_key,
     run_prefix, team_key,
 };
--- a/src/node/mod.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 mod carry;
 mod cloud;
 mod holds;
+mod state;
 mod web;
 
 use std::cell::Cell;
@@ -17,14 +18,14 @@
 use smol::channel::{Receiver, Sender, bounded, unbounded};
 use tracing::{info, warn};
 
-use crate::constants::*;
-use crate::coordination::{Config, Core};
-use crate::policy::Policy;
-use crate::settings::Settings;
-use crate::storage::records::FOLLOWED;
-use crate::storage::{StateClient, StateError};
-use crate::transport::server::{listen, serve};
-use crate::transport::{Client, within};
+use crate::state::{StateClient, StateError};
+use lemonweir_coordination::{Config, Core};
+use lemonweir_model::constants::*;
+use lemonweir_model::policy::Policy;
+use lemonweir_model::settings::Settings;
+use lemonweir_storage::records::FOLLOWED;
+use lemonweir_transport::server::{listen, serve};
+use lemonweir_transport::{Client, within};
 
 /// What all tasks of the process share.
 pub struct Node {
--- a/src/storage/client.rs
+++ b/crates/node/src/state.rs
@@ -6,11 +6,11 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use crate::constants::{BUDGET_FALL, BUDGET_PERCENT, BUDGET_RISE, STATE_TIMEOUT_MS, STORE_PAGE};
-use crate::protocol::state::{Changes, Entry, HoldReply, HoldRequest, Page, Txn, TxnReply};
-use crate::protocol::{decode, encode};
-use crate::settings::StateLimits;
-use crate::transport::{CallError, Client, Response};
+use lemonweir_model::constants::{BUDGET_FALL, BUDGET_PERCENT, BUDGET_RISE, STATE_TIMEOUT_MS, STORE_PAGE};
+use lemonweir_model::settings::StateLimits;
+use lemonweir_protocol::state::{Changes, Entry, HoldReply, HoldRequest, Page, Txn, TxnReply};
+use lemonweir_protocol::{decode, encode};
+use lemonweir_transport::{CallError, Client, Response};
 
 /// Why the store gave no result.
 #[derive(Debug, thiserror::Error, PartialEq, Eq, Clone, Copy)]
--- a/src/node/web.rs
+++ b/crates/node/src/web.rs
@@ -5,18 +5,17 @@
 
 use tracing::{debug, info};
 
-use crate::constants::*;
-use crate::coordination::ReportAnswer;
-use crate::model::JobId;
-use crate::node::{Node, peer_address};
-use crate::protocol::state::{Condition, Txn, Write, from_value};
-use crate::protocol::users::{JobState, Phase, never_runs, read_submission};
-use crate::protocol::worker::{Elsewhere, Report};
-use crate::protocol::{decode, encode};
-use crate::storage::StateError;
-use crate::storage::client::TxnResult;
-use crate::storage::records::{EndRecord, JobRecord, end_key, job_key};
-use crate::transport::{Handler, Reply, Request};
+use crate::state::{StateError, TxnResult};
+use crate::{Node, peer_address};
+use lemonweir_coordination::ReportAnswer;
+use lemonweir_model::JobId;
+use lemonweir_model::constants::*;
+use lemonweir_protocol::state::{Condition, Txn, Write, from_value};
+use lemonweir_protocol::users::{JobState, Phase, never_runs, read_submission};
+use lemonweir_protocol::worker::{Elsewhere, Report};
+use lemonweir_protocol::{decode, encode};
+use lemonweir_storage::records::{EndRecord, JobRecord, end_key, job_key};
+use lemonweir_transport::{Handler, Reply, Request};
 
 /// What users and workers may ask.
 pub struct Public(pub Rc<Node>);
--- a/src/protocol/cloud.rs
+++ b/crates/protocol/src/cloud.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::model::{Catalog, MachineId, MachineType, Room};
+use lemonweir_model::{Catalog, MachineId, MachineType, Room};
 
 /// The catalog as it comes.
 #[derive(Debug, Deserialize, Serialize)]
--- a/src/protocol/mod.rs
+++ b/crates/protocol/src/lib.rs
@@ -1,5 +1,5 @@
 //! What the counterparts say and hear, one module each. Wire names appear here
-//! and in [`crate::model::JobSpec`] only.
+//! and in [`lemonweir_model::JobSpec`] only.
 
 pub mod cloud;
 pub mod peer;
--- a/src/protocol/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -11,8 +11,8 @@
 
 use borsh::{BorshDeserialize, BorshSerialize};
 
-use crate::constants::PEER_VERSION;
-use crate::model::{AttemptId, JobId, MachineId, Rank, Room};
+use lemonweir_model::constants::PEER_VERSION;
+use lemonweir_model::{AttemptId, JobId, MachineId, Rank, Room};
 
 /// Which of a sender's numbered changes a message holds: those after `since`,
 /// up to `upto`.
--- a/src/protocol/users.rs
+++ b/crates/protocol/src/users.rs
@@ -2,10 +2,10 @@
 
 use serde::Serialize;
 
-use crate::constants::MAX_TASKS;
-use crate::model::{Catalog, JobId, JobSpec, Room, Shape};
-use crate::protocol::{Malformed, decode};
-use crate::settings::Team;
+use crate::{Malformed, decode};
+use lemonweir_model::constants::MAX_TASKS;
+use lemonweir_model::settings::Team;
+use lemonweir_model::{Catalog, JobId, JobSpec, Room, Shape};
 
 /// What a user is told of a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, serde::Deserialize)]
--- a/src/protocol/worker.rs
+++ b/crates/protocol/src/worker.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::model::MachineId;
+use lemonweir_model::MachineId;
 
 /// A worker's report, from `/hello`, `/commands` or `/inspect`.
 #[derive(Clone, Debug, Deserialize, Serialize)]
--- a/src/storage/mirror.rs
+++ b/crates/storage/src/mirror.rs
@@ -7,11 +7,11 @@
 
 use base64::prelude::{BASE64_STANDARD, Engine};
 
-use crate::constants::ENDS_REMEMBERED;
-use crate::model::JobId;
-use crate::protocol::state::{Change, Entry, from_value};
-use crate::protocol::users::Phase;
-use crate::storage::records::{JobRecord, MailLine, MailRecord, PartRecord, TeamRecord, parse_mail_key};
+use crate::records::{JobRecord, MailLine, MailRecord, PartRecord, TeamRecord, parse_mail_key};
+use lemonweir_model::JobId;
+use lemonweir_model::constants::ENDS_REMEMBERED;
+use lemonweir_protocol::state::{Change, Entry, from_value};
+use lemonweir_protocol::users::Phase;
 
 /// An unfinished job with the version of its key.
 #[derive(Clone, Debug)]
--- a/src/storage/records.rs
+++ b/crates/storage/src/records.rs
@@ -16,8 +16,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::model::{JobId, JobSpec, MachineId, Room};
-use crate::protocol::users::Phase;
+use lemonweir_model::{JobId, JobSpec, MachineId, Room};
+use lemonweir_protocol::users::Phase;
 
 /// Prefix of the keys that every node follows.
 pub const FOLLOWED: &str = "w/";
--- a/src/transport/client.rs
+++ b/crates/transport/src/client.rs
@@ -10,7 +10,7 @@
 use smol::net::TcpStream;
 
 use super::within;
-use crate::constants::{CONNECT_MS, IDLE_KEEP_MS, IDLE_PER_ADDRESS, MAX_HEADERS, MAX_RESPONSE_BYTES};
+use lemonweir_model::constants::{CONNECT_MS, IDLE_KEEP_MS, IDLE_PER_ADDRESS, MAX_HEADERS, MAX_RESPONSE_BYTES};
 
 /// An answer.
 #[derive(Debug)]
--- a/src/transport/server.rs
+++ b/crates/transport/src/server.rs
@@ -9,7 +9,7 @@
 use tracing::{debug, info};
 
 use super::within;
-use crate::constants::{IDLE_TIMEOUT_MS, MAX_HEAD_BYTES, MAX_HEADERS, READ_TIMEOUT_MS};
+use lemonweir_model::constants::{IDLE_TIMEOUT_MS, MAX_HEAD_BYTES, MAX_HEADERS, READ_TIMEOUT_MS};
 
 /// A request as it came.
 #[derive(Debug)]
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,12 +1,13 @@
 //! The command line.
 
+mod operator;
+
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
-use lemonweir::policy::Policy;
-use lemonweir::settings::Settings;
-use lemonweir::{node, operator};
+use lemonweir_model::policy::Policy;
+use lemonweir_model::settings::Settings;
 
 /// A cluster scheduler: owned parts, checked borrowing.
 #[derive(Parser)]
@@ -80,7 +81,7 @@
     match (args.config, args.command) {
         (Some(file), None) => {
             let (settings, policy) = load(&file, args.policy)?;
-            node::run(settings, policy).map_err(|e| vec![e.to_string()])?;
+            lemonweir_node::run(settings, policy).map_err(|e| vec![e.to_string()])?;
             Ok(ExitCode::SUCCESS)
         }
         (None, Some(Command::Check { file })) => {
@@ -99,10 +100,10 @@
 fn load(file: &std::path::Path, policy: Option<PathBuf>) -> Result<(Settings, Policy), Vec<String>> {
     let settings = Settings::load(file);
     let policy = match policy {
-        None => Policy::embedded(),
-        Some(path) => {
-            std::fs::read_to_string(&path).map_err(|e| vec![format!("{}: {e}", path.display())]).and_then(|s| Policy::evaluate(&s))
-        }
+        None => lemonweir_policy::embedded(),
+        Some(path) => std::fs::read_to_string(&path)
+            .map_err(|e| vec![format!("{}: {e}", path.display())])
+            .and_then(|s| lemonweir_policy::evaluate(&s)),
     };
     match (settings, policy) {
         (Ok(settings), Ok(policy)) => Ok((settings, policy)),
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -4,9 +4,9 @@
 use std::path::Path;
 use std::process::ExitCode;
 
-use crate::constants::ANSWER_MS;
-use crate::protocol::{decode, encode};
-use crate::transport::Client;
+use lemonweir_model::constants::ANSWER_MS;
+use lemonweir_protocol::{decode, encode};
+use lemonweir_transport::Client;
 
 /// Submits the job in a JSON file.
 pub fn submit(node: SocketAddr, file: &Path) -> Result<ExitCode, Vec<String>> {
--- a/tests/edges.rs
+++ b/tests/edges.rs
@@ -2,16 +2,15 @@
 
 mod sim;
 
-use lemonweir::coordination::fleet::{Bin, Demand, Shortage, plan};
-use lemonweir::model::{JobId, Room, Shape};
-use lemonweir::policy::Policy;
-use lemonweir::protocol::peer::{self, Sync, View};
-use lemonweir::protocol::users::{never_runs, read_submission};
-use lemonweir::protocol::worker::Report;
-use lemonweir::protocol::{decode, encode};
-use lemonweir::settings::Settings;
-use lemonweir::storage::Mirror;
-use lemonweir::storage::records::{MailKind, MailRecord, mail_key};
+use lemonweir_coordination::fleet::{Bin, Demand, Shortage, plan};
+use lemonweir_model::settings::Settings;
+use lemonweir_model::{JobId, Room, Shape};
+use lemonweir_protocol::peer::{self, Sync, View};
+use lemonweir_protocol::users::{never_runs, read_submission};
+use lemonweir_protocol::worker::Report;
+use lemonweir_protocol::{decode, encode};
+use lemonweir_storage::Mirror;
+use lemonweir_storage::records::{MailKind, MailRecord, mail_key};
 use rmpv::Value;
 use sim::{catalog, job, settings_text};
 
@@ -23,7 +22,7 @@
     }
 }
 
-fn read_map(fields: Vec<(Value, Value)>) -> Result<lemonweir::model::JobSpec, lemonweir::protocol::Malformed> {
+fn read_map(fields: Vec<(Value, Value)>) -> Result<lemonweir_model::JobSpec, lemonweir_protocol::Malformed> {
     let mut bytes = Vec::new();
     rmpv::encode::write_value(&mut bytes, &Value::Map(fields)).expect("written");
     read_submission(&bytes)
@@ -94,9 +93,9 @@
 
 #[test]
 fn policies_are_bounded_and_checked() {
-    let default = include_str!("../src/policy.lua");
-    assert!(Policy::evaluate(default).is_ok());
-    let fault = |script: &str| Policy::evaluate(script).expect_err("a fault").join("; ");
+    let default = include_str!("../crates/policy/src/policy.lua");
+    assert!(lemonweir_policy::evaluate(default).is_ok());
+    let fault = |script: &str| lemonweir_policy::evaluate(script).expect_err("a fault").join("; ");
     assert!(fault(&default.replace("spare =", "spear =")).contains("spear"));
     assert!(fault(&default.replace("silent_s = 9", "silent_s = 0")).contains("silent_s"));
     assert!(fault("while true do end").contains("too long"));
@@ -113,7 +112,7 @@
     assert!(peer::read::<Sync>(&[]).is_err());
     assert!(peer::read::<Sync>(&[9, 0, 0]).expect_err("format").contains("format 9"));
     // A length that promises more than there is must not be believed.
-    let mut bytes = vec![lemonweir::constants::PEER_VERSION];
+    let mut bytes = vec![lemonweir_model::constants::PEER_VERSION];
     bytes.extend([0xff; 64]);
     assert!(peer::read::<View>(&bytes).is_err());
 }
@@ -122,8 +121,8 @@
 fn mail_is_taken_whole_or_not_at_all() {
     use base64::prelude::{BASE64_STANDARD, Engine};
     let mut mirror = Mirror::default();
-    let piece = |n, id, b: &[u8]| lemonweir::protocol::state::to_value(&MailRecord { n, id: (1, id), b: BASE64_STANDARD.encode(b) });
-    let set = |k, value, version| lemonweir::protocol::state::Change {
+    let piece = |n, id, b: &[u8]| lemonweir_protocol::state::to_value(&MailRecord { n, id: (1, id), b: BASE64_STANDARD.encode(b) });
+    let set = |k, value, version| lemonweir_protocol::state::Change {
         set: Some(mail_key(MailKind::Sync, 0, 1, k)),
         drop: None,
         value: Some(value),
@@ -179,9 +178,9 @@
 
 #[test]
 fn garbage_from_the_cloud_and_the_store_is_refused() {
-    use lemonweir::protocol::cloud::{CatalogReply, Machines, RentalList};
-    use lemonweir::protocol::state::{Changes, Page, from_value};
-    use lemonweir::storage::records::{ChunkRecord, JobRecord, parse_run_key};
+    use lemonweir_protocol::cloud::{CatalogReply, Machines, RentalList};
+    use lemonweir_protocol::state::{Changes, Page, from_value};
+    use lemonweir_storage::records::{ChunkRecord, JobRecord, parse_run_key};
     for body in [&b""[..], b"\xc0", b"\x80", b"<html>", &[0xff; 30]] {
         assert!(decode::<CatalogReply>(body).is_err());
         assert!(decode::<Machines>(body).is_err());
@@ -195,7 +194,7 @@
     assert!(parse_run_key("run/0/other/3").is_none());
     // A key that is not understood changes nothing and ends nothing.
     let mut mirror = Mirror::default();
-    let change = |key: &str| lemonweir::protocol::state::Change { set: Some(key.into()), drop: None, value: Some(Value::Nil), version: 1 };
+    let change = |key: &str| lemonweir_protocol::state::Change { set: Some(key.into()), drop: None, value: Some(Value::Nil), version: 1 };
     mirror.apply(&[change("w/job/req-1"), change("w/part/x"), change("w/what/ever"), change("w/")], 7);
     assert!(mirror.jobs.is_empty() && mirror.parts.is_empty());
     assert_eq!(mirror.revision, Some(7));
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,10 +2,10 @@
 
 mod sim;
 
-use lemonweir::model::{JobId, MachineId, Rank, Shape};
-use lemonweir::protocol::state::{Txn, Write};
-use lemonweir::protocol::users::Phase;
-use lemonweir::storage::records::{EndRecord, end_key};
+use lemonweir_model::{JobId, MachineId, Rank, Shape};
+use lemonweir_protocol::state::{Txn, Write};
+use lemonweir_protocol::users::Phase;
+use lemonweir_storage::records::{EndRecord, end_key};
 use sim::checker::Checker;
 use sim::{Faults, World, job};
 
--- a/tests/sim/checker.rs
+++ b/tests/sim/checker.rs
@@ -2,11 +2,11 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use lemonweir::model::{JobId, JobSpec, MachineId};
-use lemonweir::protocol::state::{Txn, Write, from_value};
-use lemonweir::protocol::users::Phase;
-use lemonweir::protocol::worker::TaskPhase;
-use lemonweir::storage::records::EndRecord;
+use lemonweir_model::{JobId, JobSpec, MachineId};
+use lemonweir_protocol::state::{Txn, Write, from_value};
+use lemonweir_protocol::users::Phase;
+use lemonweir_protocol::worker::TaskPhase;
+use lemonweir_storage::records::EndRecord;
 
 use super::worker::Worker;
 
--- a/tests/sim/mod.rs
+++ b/tests/sim/mod.rs
@@ -10,18 +10,17 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use fastrand::Rng;
-use lemonweir::constants::COMMAND_TIMEOUT_MS;
-use lemonweir::coordination::owner::{CommandCall, CommandResult};
-use lemonweir::coordination::placer::TxnOutcome;
-use lemonweir::coordination::{Config, Core, Effect, Lot, RentResult, ReportAnswer};
-use lemonweir::model::{Catalog, JobId, JobSpec, MachineId, MachineType, Rank, Room, Shape};
-use lemonweir::policy::Policy;
-use lemonweir::protocol::peer::{Sync, View};
-use lemonweir::protocol::state::{Condition, Txn, Write, from_value, to_value};
-use lemonweir::protocol::users::Phase;
-use lemonweir::protocol::worker::{Report, ReportReply};
-use lemonweir::settings::Settings;
-use lemonweir::storage::records::*;
+use lemonweir_coordination::owner::{CommandCall, CommandResult};
+use lemonweir_coordination::placer::TxnOutcome;
+use lemonweir_coordination::{Config, Core, Effect, Lot, RentResult, ReportAnswer};
+use lemonweir_model::constants::COMMAND_TIMEOUT_MS;
+use lemonweir_model::settings::Settings;
+use lemonweir_model::{Catalog, JobId, JobSpec, MachineId, MachineType, Rank, Room, Shape};
+use lemonweir_protocol::peer::{Sync, View};
+use lemonweir_protocol::state::{Condition, Txn, Write, from_value, to_value};
+use lemonweir_protocol::users::Phase;
+use lemonweir_protocol::worker::{Report, ReportReply};
+use lemonweir_storage::records::*;
 
 use checker::Checker;
 use store::{Store, TxnAnswer};
@@ -58,7 +57,7 @@
     Report(MachineId),
     ReportArrives(MachineId, Report, usize),
     ReplyArrives(MachineId, u64, u64, u64, ReportReply),
-    Rented(usize, u64, Lot, lemonweir::protocol::cloud::Rental),
+    Rented(usize, u64, Lot, lemonweir_protocol::cloud::Rental),
     Released(usize, u64, Lot, Vec<MachineId>),
     Withdraw(JobId),
 }
@@ -314,11 +313,11 @@
                 }
             }
             Effect::MailSync(sync) => {
-                let bytes = lemonweir::protocol::peer::write(&sync);
+                let bytes = lemonweir_protocol::peer::write(&sync);
                 self.at(d, Event::Mail(MailKind::Sync, sync.from, sync.to, (sync.from_token, sync.seq), bytes));
             }
             Effect::MailView(to, view) => {
-                let bytes = lemonweir::protocol::peer::write(&view);
+                let bytes = lemonweir_protocol::peer::write(&view);
                 self.at(d, Event::Mail(MailKind::View, view.part, to, (view.token, view.seq), bytes));
             }
             Effect::Nudge(part) => {
@@ -406,7 +405,7 @@
                 }
             }
             Event::Boot(host) => {
-                let mut core = Core::new(Config::new(&self.settings[host]), Policy::embedded().expect("policy"));
+                let mut core = Core::new(Config::new(&self.settings[host]), lemonweir_policy::embedded().expect("policy"));
                 core.set_catalog(catalog());
                 self.hosts[host].core = Some(core);
                 self.hosts[host].life += 1;
--- a/tests/sim/store.rs
+++ b/tests/sim/store.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use lemonweir::protocol::state::{Change, Entry, Txn, Write};
-use lemonweir::storage::Mirror;
+use lemonweir_protocol::state::{Change, Entry, Txn, Write};
+use lemonweir_storage::Mirror;
 use rmpv::Value;
 
 #[derive(Default)]
--- a/tests/sim/worker.rs
+++ b/tests/sim/worker.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeMap;
 
 use fastrand::Rng;
-use lemonweir::model::{JobId, JobSpec, MachineId, Shape};
-use lemonweir::protocol::cloud::Rental;
-use lemonweir::protocol::worker::{Commands, Order, Report, ReportReply, TaskPhase, TaskReport, Verb};
+use lemonweir_model::{JobId, JobSpec, MachineId, Shape};
+use lemonweir_protocol::cloud::Rental;
+use lemonweir_protocol::worker::{Commands, Order, Report, ReportReply, TaskPhase, TaskReport, Verb};
 
 use super::LEASE_MS;
 use super::checker::Checker;
