--- a/crates/coordination/src/changes.rs
+++ b/crates/coordination/src/changes.rs
@@ -6,7 +6,7 @@
 use std::hash::Hash;
 use std::ops::Bound;
 
-use crate::protocol::peer::Span;
+use lemonweir_protocol::peer::Span;
 
 /// The log.
 pub struct ChangeLog<K, V> {
