Which part to take or hand back is a decision of the core

Need: taking a part over and handing it back was decided inside the loop that talks to the store, so neither a test nor a laboratory could drive it; the tests' world had a takeover of its own, scripted.

Change: coordination::membership decides from the followed copy, the parts held and the time; the process carries it out. The transactions of users, parts, nodes and teams are made in storage::records, one place for all who make them. The order of looks and their conditions are as before.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod fleet;
 mod job;
 mod machine;
+pub mod membership;
 pub mod owner;
 pub mod placement;
 pub mod placer;
--- /dev/null
+++ b/crates/coordination/src/membership.rs
@@ -0,0 +1,80 @@
+//! Which parts a node takes, and which it hands back.
+//!
+//! A part's key lives with its owner's hold, so a node that is gone leaves its
+//! part without a holder. Its home takes it first; another node takes it once
+//! the home has stayed away, and hands it back when the home lives again.
+
+use crate::{Core, Lot};
+use lemonweir_model::constants::TAKEOVER_WAIT_MS;
+
+/// What a node should do about a part now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Claim {
+    /// Take the part, whose key must have this version; 0: no key.
+    Take {
+        /// The part.
+        part: u16,
+        /// Version of its key.
+        version: u64,
+    },
+    /// Hand it back to its home.
+    HandBack(Lot),
+}
+
+/// What a node remembers about parts that it does not hold.
+#[derive(Debug)]
+pub struct Membership {
+    /// Since when a part has had no holder, ms.
+    empty_since: Vec<Option<u64>>,
+}
+
+impl Membership {
+    /// Knows nothing yet of this many parts.
+    pub fn new(parts: usize) -> Self {
+        Self { empty_since: vec![None; parts] }
+    }
+
+    /// Number of parts.
+    pub fn parts(&self) -> u16 {
+        self.empty_since.len() as u16
+    }
+
+    /// What to do about one part, as far as the node's copy shows. Call it for
+    /// each part in turn, since what is held already counts for the next.
+    pub fn claim(&mut self, core: &Core, part: u16, now: u64) -> Option<Claim> {
+        let members = &core.config.members;
+        let home = &members.get(usize::from(part))?.host;
+        let me = &members[usize::from(core.config.me)].host;
+        let home_alive = core.mirror.nodes.contains_key(home);
+        let held = core.held();
+        let lot = held.iter().find(|l| l.part == part).copied();
+        let slot = self.empty_since.get_mut(usize::from(part))?;
+        match (core.mirror.parts.get(&part), lot) {
+            (None, None) => {
+                let since = *slot.get_or_insert(now);
+                // Nodes with more parts wait longer, so that parts spread.
+                let wait = TAKEOVER_WAIT_MS * (held.len() as u64).max(1);
+                (home == me || !home_alive && now >= since + wait).then_some(Claim::Take { part, version: 0 })
+            }
+            // Left by an earlier process of this name, which is no more.
+            (Some(h), None) if h.host == *me => Some(Claim::Take { part, version: h.token }),
+            (Some(_), Some(lot)) if home != me && home_alive => {
+                *slot = None;
+                Some(Claim::HandBack(lot))
+            }
+            _ => {
+                *slot = None;
+                None
+            }
+        }
+    }
+}
+
+impl Core {
+    /// Teams that no record assigns to a part yet, with the part that each
+    /// should have, as many as one transaction can write.
+    pub fn unassigned_teams(&self) -> Vec<(String, u16)> {
+        let new = self.config.teams.iter().filter(|t| !self.mirror.teams.contains_key(*t));
+        new.map(|t| (t.clone(), self.config.default_part(t))).take(self.config.txn_ops).collect()
+    }
+}
--- a/crates/node/src/holds.rs
+++ b/crates/node/src/holds.rs
@@ -9,18 +9,18 @@
 use crate::Node;
 use crate::state::{StateError, TxnResult};
 use lemonweir_coordination::Lot;
+use lemonweir_coordination::membership::{Claim, Membership};
 use lemonweir_model::JobId;
 use lemonweir_model::constants::*;
-use lemonweir_protocol::state::{Condition, Txn, Write, from_value, to_value};
+use lemonweir_protocol::state::from_value;
 use lemonweir_storage::records::{
-    ChunkRecord, ImagesRecord, NodeRecord, PartRecord, TeamRecord, images_prefix, node_key, parse_images_key, parse_run_key, part_key,
-    run_prefix, team_key,
+    ChunkRecord, ImagesRecord, assign_teams, hand_back, images_prefix, parse_images_key, parse_run_key, run_prefix, show_node, take_part,
 };
 
 /// Keeps the hold alive and takes and gives up parts, for ever.
 pub async fn keep(node: Rc<Node>) {
     let mut hold: Option<u64> = None;
-    let mut empty_since: Vec<Option<u64>> = vec![None; node.core().config.members.len()];
+    let mut membership = Membership::new(node.core().config.members.len());
     let mut renewed = 0;
     loop {
         if node.core().mirror.revision.is_none() {
@@ -44,7 +44,7 @@
                 hold = Some(id);
                 node.hold.set(id);
                 teams(&node).await;
-                if let Err(StateError::NoHold) = parts(&node, id, &mut empty_since).await {
+                if let Err(StateError::NoHold) = parts(&node, id, &mut membership).await {
                     hold = None;
                 }
             }
@@ -62,74 +62,37 @@
 /// Gets a hold and shows this node's presence with it.
 async fn begin(node: &Node) -> Result<u64, StateError> {
     let hold = node.state.hold(HOLD_TTL_MS).await?;
-    let record = NodeRecord { zone: node.settings.zone.clone() };
-    let write = Write::Put { key: node_key(&node.settings.host_name), value: to_value(&record), hold: Some(hold) };
-    node.state.txn(&Txn { conditions: Vec::new(), writes: vec![write] }).await?;
+    node.state.txn(&show_node(&node.settings.host_name, &node.settings.zone, hold)).await?;
     info!(hold, "got a hold");
     Ok(hold)
 }
 
 /// Records the parts of teams that have none yet.
 async fn teams(node: &Node) {
-    let missing: Vec<(String, u16)> = {
-        let core = node.core();
-        core.config
-            .teams
-            .iter()
-            .filter(|t| !core.mirror.teams.contains_key(*t))
-            .map(|t| (t.clone(), core.config.default_part(t)))
-            .take(core.config.txn_ops)
-            .collect()
-    };
+    let missing = node.core().unassigned_teams();
     if missing.is_empty() {
         return;
     }
-    let txn = Txn {
-        conditions: missing.iter().map(|(t, _)| Condition { key: team_key(t), version: 0 }).collect(),
-        writes: missing.iter().map(|(t, part)| Write::put(team_key(t), &TeamRecord { part: *part })).collect(),
-    };
     // Another node may have been first; the mirror will show.
-    let _ = node.state.txn(&txn).await;
+    let _ = node.state.txn(&assign_teams(&missing)).await;
     node.fresh().await;
 }
 
 /// Takes parts that are ours or ownerless, and hands back those whose home is
 /// alive again.
-async fn parts(node: &Rc<Node>, hold: u64, empty_since: &mut [Option<u64>]) -> Result<(), StateError> {
+async fn parts(node: &Rc<Node>, hold: u64, membership: &mut Membership) -> Result<(), StateError> {
     let now = node.now();
-    for index in 0..empty_since.len() as u16 {
-        let (me, home, holder, held, home_alive, wait) = {
-            let core = node.core();
-            let member = &core.config.members[usize::from(index)];
-            let me = core.config.members[usize::from(core.config.me)].host.clone();
-            // Nodes with more parts wait longer, so that parts spread.
-            let wait = TAKEOVER_WAIT_MS * (core.held().len() as u64).max(1);
-            let held = core.held().into_iter().find(|l| l.part == index);
-            (me, member.host.clone(), core.mirror.parts.get(&index).cloned(), held, core.mirror.nodes.contains_key(&member.host), wait)
-        };
-        let slot = &mut empty_since[usize::from(index)];
-        match (&holder, held) {
-            (None, None) => {
-                let since = *slot.get_or_insert(now);
-                let due = home == me || !home_alive && now >= since + wait;
-                if due {
-                    acquire(node, index, 0, hold).await?;
-                }
-            }
-            // Left by an earlier process of this name, which is no more.
-            (Some(h), None) if h.host == me => acquire(node, index, h.token, hold).await?,
-            (Some(_), Some(lot)) if home != me && home_alive => {
-                *slot = None;
-                info!(part = index, home, "handing the part back");
-                let txn = Txn {
-                    conditions: vec![Condition { key: part_key(index), version: lot.token }],
-                    writes: vec![Write::Delete { key: part_key(index) }],
-                };
-                node.state.txn(&txn).await?;
+    for index in 0..membership.parts() {
+        let claim = membership.claim(&node.core(), index, now);
+        match claim {
+            Some(Claim::Take { part, version }) => acquire(node, part, version, hold).await?,
+            Some(Claim::HandBack(lot)) => {
+                info!(part = index, "handing the part back");
+                node.state.txn(&hand_back(index, lot.token)).await?;
                 node.core().abandon(index);
                 node.fresh().await;
             }
-            _ => *slot = None,
+            None => {}
         }
     }
     Ok(())
@@ -137,12 +100,7 @@
 
 /// Takes a part and loads its records.
 async fn acquire(node: &Rc<Node>, index: u16, version: u64, hold: u64) -> Result<(), StateError> {
-    let key = part_key(index);
-    let record = PartRecord { host: node.settings.host_name.clone() };
-    let txn = Txn {
-        conditions: vec![Condition { key, version }],
-        writes: vec![Write::Put { key: part_key(index), value: to_value(&record), hold: Some(hold) }],
-    };
+    let txn = take_part(index, version, &node.settings.host_name, hold);
     let token = match node.state.txn(&txn).await? {
         TxnResult::Done(token) => token,
         TxnResult::Conflict(_) => {
--- a/crates/node/src/web.rs
+++ b/crates/node/src/web.rs
@@ -10,11 +10,11 @@
 use lemonweir_coordination::ReportAnswer;
 use lemonweir_model::JobId;
 use lemonweir_model::constants::*;
-use lemonweir_protocol::state::{Condition, Txn, Write, from_value};
+use lemonweir_protocol::state::from_value;
 use lemonweir_protocol::users::{JobState, Phase, never_runs, read_submission};
 use lemonweir_protocol::worker::{Elsewhere, Report};
 use lemonweir_protocol::{decode, encode};
-use lemonweir_storage::records::{EndRecord, JobRecord, end_key, job_key};
+use lemonweir_storage::records::{EndRecord, JobRecord, accept_job, end_key, withdraw_job};
 use lemonweir_transport::{Handler, Reply, Request};
 
 /// What users and workers may ask.
@@ -141,10 +141,7 @@
     }
     let at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO).as_millis() as u64;
     let record = JobRecord { spec, at };
-    let txn = Txn {
-        conditions: [job_key(&id), end_key(&id)].map(|key| Condition { key, version: 0 }).to_vec(),
-        writes: vec![Write::put(job_key(&id), &record)],
-    };
+    let txn = accept_job(&record);
     let deadline = node.now() + USER_TIMEOUT_MS;
     loop {
         match node.state.txn(&txn).await {
@@ -204,10 +201,7 @@
         let Some(job) = node.core().mirror.jobs.get(&id).cloned() else {
             continue;
         };
-        let txn = Txn {
-            conditions: vec![Condition { key: job_key(&id), version: job.version }],
-            writes: vec![Write::Delete { key: job_key(&id) }, Write::put(end_key(&id), &EndRecord { phase: Phase::Withdrawn })],
-        };
+        let txn = withdraw_job(&id, job.version);
         match node.state.txn(&txn).await {
             Ok(TxnResult::Done(_)) => {
                 info!(job = %id, "job withdrawn");
--- a/crates/storage/src/records.rs
+++ b/crates/storage/src/records.rs
@@ -17,6 +17,7 @@
 use serde::{Deserialize, Serialize};
 
 use lemonweir_model::{JobId, JobSpec, MachineId, Room};
+use lemonweir_protocol::state::{Condition, Txn, Write, to_value};
 use lemonweir_protocol::users::Phase;
 
 /// Prefix of the keys that every node follows.
@@ -158,6 +159,52 @@
     pub z: String,
 }
 
+/// Accepts a job: neither it nor its end may be known.
+pub fn accept_job(record: &JobRecord) -> Txn {
+    let id = &record.spec.id;
+    Txn {
+        conditions: [job_key(id), end_key(id)].map(|key| Condition { key, version: 0 }).to_vec(),
+        writes: vec![Write::put(job_key(id), record)],
+    }
+}
+
+/// Withdraws a job whose key has this version: if it has ended meanwhile, the
+/// key has another.
+pub fn withdraw_job(id: &JobId, version: u64) -> Txn {
+    Txn {
+        conditions: vec![Condition { key: job_key(id), version }],
+        writes: vec![Write::Delete { key: job_key(id) }, Write::put(end_key(id), &EndRecord { phase: Phase::Withdrawn })],
+    }
+}
+
+/// Takes a part whose key has this version (0: no key), to live with a hold.
+pub fn take_part(part: u16, version: u64, host: &str, hold: u64) -> Txn {
+    let record = PartRecord { host: host.to_owned() };
+    Txn {
+        conditions: vec![Condition { key: part_key(part), version }],
+        writes: vec![Write::Put { key: part_key(part), value: to_value(&record), hold: Some(hold) }],
+    }
+}
+
+/// Gives up a part that is held with this token.
+pub fn hand_back(part: u16, token: u64) -> Txn {
+    Txn { conditions: vec![Condition { key: part_key(part), version: token }], writes: vec![Write::Delete { key: part_key(part) }] }
+}
+
+/// Shows a node's presence, to live with its hold.
+pub fn show_node(host: &str, zone: &str, hold: u64) -> Txn {
+    let record = NodeRecord { zone: zone.to_owned() };
+    Txn { conditions: Vec::new(), writes: vec![Write::Put { key: node_key(host), value: to_value(&record), hold: Some(hold) }] }
+}
+
+/// Records the parts of teams that have none.
+pub fn assign_teams(teams: &[(String, u16)]) -> Txn {
+    Txn {
+        conditions: teams.iter().map(|(t, _)| Condition { key: team_key(t), version: 0 }).collect(),
+        writes: teams.iter().map(|(t, part)| Write::put(team_key(t), &TeamRecord { part: *part })).collect(),
+    }
+}
+
 /// Key of one piece of a peer message that travels through the store.
 pub fn mail_key(kind: MailKind, from: u16, to: u16, piece: usize) -> String {
     let kind = match kind {
