A node's share of a common limit is reckoned in the core, with the time given

Need: how long to wait for a turn and how far to fall back after a refusal are decisions; they sat in the client and read the clock themselves.

Change: the bucket moved to coordination::budget with the time as an argument; the clients keep it on their steady clock. Same arithmetic.

--- /dev/null
+++ b/crates/coordination/src/budget.rs
@@ -0,0 +1,53 @@
+//! This node's share of a limit that all nodes have in common.
+
+use lemonweir_model::constants::{BUDGET_FALL, BUDGET_RISE};
+
+/// Tokens that refill with time; callers wait for theirs.
+///
+/// The limit is all nodes' together. Each may always use its equal share; one
+/// that waits for tokens takes more, up to the whole, and falls back when the
+/// other side refuses: one placer may do nearly all the writing while the
+/// others only read. Times are µs by any steady clock.
+#[derive(Clone, Debug)]
+pub struct Bucket {
+    share: f64,
+    whole: f64,
+    per_s: f64,
+    tokens: f64,
+    at: u64,
+}
+
+impl Bucket {
+    /// A bucket for one of `nodes` that share `whole` a second.
+    pub fn new(whole: f64, nodes: usize, now_us: u64) -> Self {
+        let share = whole / nodes as f64;
+        Self { share, whole, per_s: share, tokens: share.max(1.0), at: now_us }
+    }
+
+    /// Takes `n` tokens, going into debt; returns how long to wait for them, µs.
+    pub fn take(&mut self, n: f64, now_us: u64) -> u64 {
+        let past_s = now_us.saturating_sub(self.at) as f64 / 1e6;
+        if self.tokens < 0.0 {
+            self.per_s = (self.per_s + self.whole * BUDGET_RISE * past_s).min(self.whole);
+        } else {
+            // What is not needed is left to the others.
+            self.per_s = (self.per_s - self.whole * BUDGET_RISE * past_s / 4.0).max(self.share);
+        }
+        self.tokens = (self.tokens + past_s * self.per_s).min(self.per_s.max(1.0));
+        self.at = now_us;
+        self.tokens -= n;
+        if self.tokens >= 0.0 { 0 } else { (-self.tokens / self.per_s * 1e6) as u64 }
+    }
+
+    /// How long something taken now would have to wait, µs.
+    pub fn wait(&self, now_us: u64) -> u64 {
+        let tokens = self.tokens + now_us.saturating_sub(self.at) as f64 / 1e6 * self.per_s;
+        ((-tokens).max(0.0) / self.per_s * 1e6) as u64
+    }
+
+    /// The other side refused: others need their part.
+    pub fn refused(&mut self) {
+        self.per_s = (self.per_s * BUDGET_FALL).max(self.share);
+        self.tokens = self.tokens.min(0.0);
+    }
+}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -4,6 +4,7 @@
 //! A node holds one [`Part`] by right and others while their home is away.
 //! Each part has an owner's side ([`owner`]) and a placer's side ([`placer`]).
 
+pub mod budget;
 pub mod changes;
 pub mod fleet;
 mod job;
--- a/crates/node/src/cloud.rs
+++ b/crates/node/src/cloud.rs
@@ -1,6 +1,5 @@
 //! The cloud's client, and the loops that read its catalog and its list.
 
-use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -8,7 +7,7 @@
 use tracing::{info, warn};
 
 use crate::Node;
-use crate::state::Bucket;
+use crate::state::Budget;
 use lemonweir_coordination::RentResult;
 use lemonweir_model::constants::*;
 use lemonweir_model::{Catalog, MachineId};
@@ -20,7 +19,7 @@
 pub struct CloudClient {
     http: Rc<Client>,
     addr: SocketAddr,
-    budget: RefCell<Bucket>,
+    budget: Budget,
     /// Time that a page of the list is worth.
     list_gap: Duration,
 }
@@ -29,17 +28,17 @@
     /// A client that shares this many requests a second with the other nodes.
     pub fn new(http: Rc<Client>, addr: SocketAddr, per_s: f64, nodes: usize) -> Self {
         let list_gap = Duration::from_secs_f64(nodes as f64 / per_s.max(f64::MIN_POSITIVE) / LIST_SHARE);
-        Self { http, addr, budget: RefCell::new(Bucket::new(per_s, nodes)), list_gap }
+        Self { http, addr, budget: Budget::new(per_s, nodes), list_gap }
     }
 
     async fn call(&self, method: &str, path: &str, body: &[u8]) -> Option<(u16, Vec<u8>)> {
-        let wait = self.budget.borrow_mut().take(1.0);
+        let wait = self.budget.take(1.0);
         if !wait.is_zero() {
             smol::Timer::after(wait).await;
         }
         let response = self.http.call(self.addr, method, path, body, CLOUD_TIMEOUT_MS).await.ok()?;
         if response.status == 429 {
-            self.budget.borrow_mut().refused();
+            self.budget.refused();
         }
         Some((response.status, response.body))
     }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -6,7 +6,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use lemonweir_model::constants::{BUDGET_FALL, BUDGET_PERCENT, BUDGET_RISE, STATE_TIMEOUT_MS, STORE_PAGE};
+use lemonweir_coordination::budget::Bucket;
+use lemonweir_model::constants::{BUDGET_PERCENT, STATE_TIMEOUT_MS, STORE_PAGE};
 use lemonweir_model::settings::StateLimits;
 use lemonweir_protocol::state::{Changes, Entry, HoldReply, HoldRequest, Page, Txn, TxnReply};
 use lemonweir_protocol::{decode, encode};
@@ -41,53 +42,35 @@
     Conflict(Vec<String>),
 }
 
-/// Tokens that refill with time; callers wait for theirs.
-///
-/// The limit is all nodes' together. Each may always use its equal share; one
-/// that waits for tokens takes more, up to the whole, and falls back when the
-/// other side refuses: one placer may do nearly all the writing while the
-/// others only read.
-pub(crate) struct Bucket {
-    share: f64,
-    whole: f64,
-    per_s: f64,
-    tokens: f64,
-    at: Instant,
+/// A [`Bucket`] on this process's steady clock.
+pub(crate) struct Budget {
+    bucket: RefCell<Bucket>,
+    started: Instant,
 }
 
-impl Bucket {
-    /// A bucket for one of `nodes` that share `whole` a second.
+impl Budget {
+    /// A budget for one of `nodes` that share `whole` a second.
     pub(crate) fn new(whole: f64, nodes: usize) -> Self {
-        let share = whole / nodes as f64;
-        Self { share, whole, per_s: share, tokens: share.max(1.0), at: Instant::now() }
+        Self { bucket: RefCell::new(Bucket::new(whole, nodes, 0)), started: Instant::now() }
     }
 
-    /// Takes `n` tokens, going into debt; returns how long to wait for them.
-    pub(crate) fn take(&mut self, n: f64) -> Duration {
-        let now = Instant::now();
-        let past_s = now.duration_since(self.at).as_secs_f64();
-        if self.tokens < 0.0 {
-            self.per_s = (self.per_s + self.whole * BUDGET_RISE * past_s).min(self.whole);
-        } else {
-            // What is not needed is left to the others.
-            self.per_s = (self.per_s - self.whole * BUDGET_RISE * past_s / 4.0).max(self.share);
-        }
-        self.tokens = (self.tokens + past_s * self.per_s).min(self.per_s.max(1.0));
-        self.at = now;
-        self.tokens -= n;
-        if self.tokens >= 0.0 { Duration::ZERO } else { Duration::from_secs_f64(-self.tokens / self.per_s) }
+    fn now_us(&self) -> u64 {
+        self.started.elapsed().as_micros() as u64
+    }
+
+    /// Takes `n` tokens; returns how long to wait for them.
+    pub(crate) fn take(&self, n: f64) -> Duration {
+        Duration::from_micros(self.bucket.borrow_mut().take(n, self.now_us()))
     }
 
     /// How long something taken now would have to wait.
     fn wait(&self) -> Duration {
-        let tokens = self.tokens + self.at.elapsed().as_secs_f64() * self.per_s;
-        Duration::from_secs_f64((-tokens).max(0.0) / self.per_s)
+        Duration::from_micros(self.bucket.borrow().wait(self.now_us()))
     }
 
-    /// The other side refused: others need their part.
-    pub(crate) fn refused(&mut self) {
-        self.per_s = (self.per_s * BUDGET_FALL).max(self.share);
-        self.tokens = self.tokens.min(0.0);
+    /// The other side refused.
+    pub(crate) fn refused(&self) {
+        self.bucket.borrow_mut().refused();
     }
 }
 
@@ -96,28 +79,28 @@
 pub struct StateClient {
     http: Rc<Client>,
     addr: SocketAddr,
-    requests: Rc<RefCell<Bucket>>,
-    writes: Rc<RefCell<Bucket>>,
+    requests: Rc<Budget>,
+    writes: Rc<Budget>,
 }
 
 impl StateClient {
     /// A client that shares the limits with the other nodes.
     pub fn new(http: Rc<Client>, addr: SocketAddr, limits: &StateLimits, nodes: usize) -> Self {
-        let bucket = |x: f64| Rc::new(RefCell::new(Bucket::new(x * BUDGET_PERCENT as f64 / 100.0, nodes)));
+        let bucket = |x: f64| Rc::new(Budget::new(x * BUDGET_PERCENT as f64 / 100.0, nodes));
         Self { http, addr, requests: bucket(limits.rps), writes: bucket(limits.write_rps) }
     }
 
     /// How long a change would have to wait for its turn.
     pub fn write_wait(&self) -> Duration {
-        self.writes.borrow().wait().max(self.requests.borrow().wait())
+        self.writes.wait().max(self.requests.wait())
     }
 
     /// Waits for the budget. Holds are renewed without waiting: losing a part
     /// costs far more than a request over the share.
     async fn budget(&self, writes: usize) {
-        let mut wait = self.requests.borrow_mut().take(1.0);
+        let mut wait = self.requests.take(1.0);
         if writes > 0 {
-            wait = wait.max(self.writes.borrow_mut().take(writes as f64));
+            wait = wait.max(self.writes.take(writes as f64));
         }
         if !wait.is_zero() {
             smol::Timer::after(wait).await;
@@ -131,9 +114,9 @@
         })?;
         match response.status {
             429 => {
-                self.requests.borrow_mut().refused();
+                self.requests.refused();
                 if path == "/txn" {
-                    self.writes.borrow_mut().refused();
+                    self.writes.refused();
                 }
                 Err(StateError::Unavailable)
             }
