Published traces: six readers, a workload format, replays with a digest

Need: a change of placement had to be trusted rather than tried on realistic load, and a newcomer had no load at all to put through lemonweir.

Change: crates/trace reads the Standard Workload Format, Google 2011 and 2019, Alibaba 2018, PAI 2020 and Philly, streaming, packed or not, and names every fault with file, line and field; what is imported is sorted on disk into one documented, versioned workload. lemonweir-lab checks, imports, shows and replays it, with plots as SVG and PNG. Samples with and without faults are in examples/.

--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -1,8 +1,10 @@
 //! Load for a world: synthetic classes drawn from distributions.
 
+use std::path::Path;
 use std::sync::Arc;
 
 use lemonweir_model::{JobId, JobSpec, Shape};
+use lemonweir_trace::workload::{self, Entry, WorkloadError};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -40,6 +42,59 @@
     jobs.into_iter().enumerate().map(with_id).collect()
 }
 
+/// The jobs of a workload file, with submissions `speed` times as close
+/// together. A team that the scenario does not know is one of its teams, the
+/// same one every time; constraints on attributes that its machines don't have
+/// are left out and counted.
+pub fn replay(file: &Path, scenario: &Scenario, speed: f64) -> Result<(Vec<Planned>, u64), WorkloadError> {
+    let (mut jobs, mut unknown, mut last) = (Vec::new(), 0, u64::MAX);
+    workload::read(file, |e| {
+        // The first job comes at the start, wherever the trace's zero is.
+        let zero = if last == u64::MAX { e.at_ms } else { last };
+        last = zero;
+        unknown += e.constraints.len() as u64;
+        jobs.push(planned(jobs.len(), e, zero, scenario, speed));
+    })?;
+    Ok((jobs, unknown))
+}
+
+fn planned(n: usize, e: Entry, zero_ms: u64, scenario: &Scenario, speed: f64) -> Planned {
+    let at_us = ((e.at_ms - zero_ms) as f64 * 1e3 / speed) as u64;
+    let run_us: Vec<u64> = e.run_ms.iter().map(|ms| ms * 1_000).collect();
+    let mean = run_us.iter().sum::<u64>() / run_us.len().max(1) as u64;
+    let service = e.shape == Shape::Service;
+    let named = e.team.as_deref().unwrap_or_default();
+    let hash = blake3::hash(named.as_bytes());
+    let pick = usize::from(u16::from_le_bytes([hash.as_bytes()[0], hash.as_bytes()[1]])) % scenario.teams.len().max(1);
+    let known = scenario.teams.iter().find(|t| t.name == named).or(scenario.teams.get(pick));
+    let amount = |milli: u64| milli as f64 / 1e3;
+    let spec = JobSpec {
+        id: job_id(n),
+        class: e.class.unwrap_or_else(|| "trace".into()),
+        team: known.map(|t| t.name.clone()).unwrap_or_default(),
+        shape: e.shape,
+        rank: e.rank,
+        tasks: u64::from(e.tasks),
+        cores: amount(e.need.cpus),
+        gpus: amount(e.need.gpus),
+        ram_gb: amount(e.need.memory),
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        // Traces tell of no images: one that is nowhere and takes no time.
+        image: "none".into(),
+        image_gb: 0.0,
+        estimate_s: if service { 0.0 } else { mean as f64 / 1e6 },
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    };
+    let withdraw_us = (service && mean > 0).then(|| at_us + mean);
+    Planned { at_us, load: Load { spec: Arc::new(spec), run_us }, withdraw_us }
+}
+
 /// Id of the n-th job.
 pub fn job_id(n: usize) -> JobId {
     JobId::from(format!("req-{n:06}").as_str())
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -6,7 +6,8 @@
 
 use clap::{Parser, Subcommand, ValueEnum};
 use lemonweir_lab::scenario::Scenario;
-use lemonweir_lab::{output, run};
+use lemonweir_lab::traces::TraceCommand;
+use lemonweir_lab::{output, run, traces};
 
 /// Runs lemonweir's real decisions against a simulated world.
 #[derive(Parser)]
@@ -44,6 +45,11 @@
         #[arg(long)]
         out: Option<PathBuf>,
     },
+    /// Published traces: check, import, show, replay.
+    Trace {
+        #[command(subcommand)]
+        command: TraceCommand,
+    },
 }
 
 fn main() -> ExitCode {
@@ -87,6 +93,17 @@
             let result = run::once(load(&file)?, run::Source::Synthetic, seed, out.as_deref()).map_err(|e| vec![e])?;
             finish(&result, out.as_deref())
         }
+        Command::Trace { command: TraceCommand::Check { files } } => Ok(traces::check(&files)),
+        Command::Trace { command: TraceCommand::Import { files, on_fault, out } } => Ok(traces::import(&files, on_fault, &out)),
+        Command::Trace { command: TraceCommand::Show { file, plot } } => Ok(traces::show(&file, plot.as_deref())),
+        Command::Trace { command: TraceCommand::Replay { file, scenario, seed, speed, out } } => {
+            if !(speed.is_finite() && speed > 0.0) {
+                return Err(vec![format!("--speed: {speed} must be over 0")]);
+            }
+            let source = run::Source::Workload(file, speed);
+            let result = run::once(load(&scenario)?, source, seed, out.as_deref()).map_err(|e| vec![e])?;
+            finish(&result, out.as_deref())
+        }
     }
 }
 
--- a/crates/lab/src/output.rs
+++ b/crates/lab/src/output.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 
 use crate::measures::{Report, Spread};
+use crate::plots;
 use crate::run::Outcome;
 
 /// A duration in ms, as people read it.
@@ -79,5 +80,14 @@
 /// Writes `report.json`, `report.txt` and the plots.
 pub fn write(o: &Outcome, dir: &Path) -> std::io::Result<()> {
     std::fs::write(dir.join("report.json"), serde_json::to_string_pretty(&o.report)?)?;
-    std::fs::write(dir.join("report.txt"), table(&o.report))
+    std::fs::write(dir.join("report.txt"), table(&o.report))?;
+    let other = |e: Box<dyn std::error::Error>| std::io::Error::other(e.to_string());
+    let line = [("allocation", plots::distribution(&o.allocation))];
+    for kind in ["svg", "png"] {
+        let file = |name: &str| dir.join(format!("{name}.{kind}"));
+        plots::allocation(&line, &file("allocation")).map_err(other)?;
+        plots::fleet(&o.report, &file("fleet")).map_err(other)?;
+        plots::waiting(&o.report, &file("waiting")).map_err(other)?;
+    }
+    Ok(())
 }
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -1,6 +1,6 @@
 //! One run of a scenario, from its load to its figures.
 
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -16,6 +16,8 @@
 pub enum Source {
     /// The scenario's classes.
     Synthetic,
+    /// A workload file, its submissions so many times as close together.
+    Workload(PathBuf, f64),
 }
 
 /// What a run gave.
@@ -44,6 +46,13 @@
     };
     let load = match source {
         Source::Synthetic => load::synthetic(&scenario, seed),
+        Source::Workload(file, speed) => {
+            let (jobs, unknown) = load::replay(&file, &scenario, speed).map_err(|e| e.to_string())?;
+            if unknown > 0 {
+                tracing::warn!(unknown, "constraints on attributes that the scenario's machines don't have are left out");
+            }
+            jobs
+        }
     };
     let began = Instant::now();
     let ms = (scenario.duration_s * 1e3) as u64;
--- /dev/null
+++ b/crates/lab/tests/replay.rs
@@ -0,0 +1,132 @@
+//! Replays are the same everywhere: the digest of each sample's history is
+//! written down here. A change of decisions changes it, and this file with it.
+
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+use lemonweir_lab::run::{self, Outcome, Source};
+use lemonweir_lab::scenario::Scenario;
+use lemonweir_model::Room;
+use lemonweir_trace::{Format, OnFault, import};
+
+fn example(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples").join(name)
+}
+
+fn scenario(name: &str) -> Arc<Scenario> {
+    let text = std::fs::read_to_string(example(name)).expect("scenario");
+    Arc::new(Scenario::parse(name, &text).expect("no fault"))
+}
+
+fn replay(format: Format, sample: &str, seed: u64) -> Outcome {
+    let dir = tempfile::tempdir().expect("directory");
+    let workload = dir.path().join("w.jsonl");
+    let machine = Some(Room::offer(16.0, 4.0, 64.0));
+    let result = import(format, &[example(sample)], machine, OnFault::Stop, &workload, &mut |f| panic!("{f}")).expect("readable");
+    assert!(result.jobs > 0);
+    run::once(scenario("scenarios/replay.toml"), Source::Workload(workload, 1.0), seed, None).expect("replayed")
+}
+
+fn assert_replays(format: Format, sample: &str, digest: &str) {
+    let first = replay(format, sample, 1);
+    let r = &first.report;
+    assert!(r.broken.is_empty(), "{:?}", r.broken);
+    assert_eq!((r.jobs.accepted, r.jobs.over), (r.jobs.submitted, r.jobs.submitted), "every job is accepted and done");
+    assert_eq!(r.digest, digest, "{sample}");
+    // At the same time on other threads: nothing is shared.
+    let (again, other) = std::thread::scope(|s| {
+        let again = s.spawn(|| replay(format, sample, 1));
+        let other = s.spawn(|| replay(format, sample, 2));
+        (again.join().expect("run"), other.join().expect("run"))
+    });
+    assert_eq!(again.report.digest, r.digest);
+    assert_ne!(other.report.digest, r.digest, "the seed matters");
+}
+
+#[test]
+fn swf_replays() {
+    assert_replays(Format::Swf, "traces/small.swf", "79a12e22ed6d50aa04f7dcf5f5332bfa369aa1b6c5ff7e29a2d7b4fc45df6012");
+}
+
+#[test]
+fn google_2011_replays() {
+    assert_replays(
+        Format::Google2011,
+        "traces/google-2011/task_events-small.csv",
+        "39d13c1135eb43cbae8f5c8e83f75866b3c72a7fd21a39a26f37285596a905fb",
+    );
+}
+
+#[test]
+fn google_2019_replays() {
+    assert_replays(
+        Format::Google2019,
+        "traces/google-2019/instance_events-small.json",
+        "efe6b9cebf463a165ae2522320ea1133df04608a35dba91c9e31109388568a47",
+    );
+}
+
+#[test]
+fn alibaba_2018_replays() {
+    assert_replays(
+        Format::Alibaba2018,
+        "traces/alibaba-2018/batch_task-small.csv",
+        "57c14cc87ba2f5971859acb80f6c52a1eb34508cf1c2cd6ffbc1199bfe3c3bb7",
+    );
+}
+
+#[test]
+fn pai_2020_replays() {
+    assert_replays(
+        Format::Pai2020,
+        "traces/pai-2020/pai_task_table-small.csv",
+        "1ab5b07b3a84ea95b7d568337282b5858573b769aaa14ea408e4eb6ab96c650a",
+    );
+}
+
+#[test]
+fn philly_replays() {
+    assert_replays(
+        Format::Philly,
+        "traces/philly/cluster_job_log-small.json",
+        "77df91abf8808a4859dbbb68fbaabb8f7b54cd77a32f4ff82e603cb4579c09f9",
+    );
+}
+
+/// The synthetic morning with its troubles keeps every rule.
+#[test]
+fn the_sample_scenario_keeps_the_rules() {
+    for seed in 1..4 {
+        let outcome = run::once(scenario("scenarios/morning.toml"), Source::Synthetic, seed, None).expect("run");
+        assert!(outcome.report.broken.is_empty(), "seed {seed}: {:?}", outcome.report.broken);
+        assert!(outcome.report.starts > 300);
+    }
+}
+
+/// Every fault of a scenario is named with its line and field.
+#[test]
+fn faults_of_a_scenario_are_named_all_at_once() {
+    let text = "name = 7\nduration_s = -1\nzones = []\ncolour = 'red'\n\n[workers]\nlease_s = 1\n\n[[machine_type]]\nname = 'a'\ncpus = 0\n\
+                memory_gb = 'much'\n[[team]]\nname = 't'\n[[class]]\nname = 'c'\nteams = ['u']\ncpus = 99\nrun_s = { dist = 'bell' }\n\
+                shape = 'ring'\n[[fault]]\nkind = 'crash'\ncontroller = 3\nat_s = 1\n";
+    let faults = Scenario::parse("s.toml", text).expect_err("faulty");
+    let places: Vec<String> = faults.iter().map(|f| f.splitn(4, ':').skip(1).take(2).collect::<Vec<_>>().join(":")).collect();
+    let want = [
+        "1: name",
+        "2: duration_s",
+        "3: zones",
+        "4: colour",
+        "7: workers.lease_s",
+        "11: machine_type[0].cpus",
+        "12: machine_type[0].memory_gb",
+        "17: class[0].teams",
+        "18: class[0].cpus",
+        "19: class[0].run_s.dist",
+        "20: class[0].shape",
+        "23: fault[0].controller",
+    ];
+    for place in want {
+        assert!(places.iter().any(|p| p == place), "{place} is not among {faults:#?}");
+    }
+    assert!(Scenario::parse("s.toml", "name = 'x'\n[[").expect_err("faulty")[0].starts_with("s.toml:2: file: "));
+}
--- /dev/null
+++ b/crates/trace/src/csv_rows.rs
@@ -0,0 +1,48 @@
+//! Rows of a CSV file without a header, checked for their number of fields
+//! and for being text.
+
+use std::io::BufRead;
+
+use crate::fault::{Faults, Row};
+
+/// Calls `each` with every row whose fields are as many as `names` and are
+/// text; what is not is a fault. The last argument is the row's fields.
+pub fn rows<'f>(
+    file: &str,
+    input: impl BufRead,
+    names: &[&str],
+    faults: &mut Faults<'f>,
+    mut each: impl FnMut(&mut Row<'_, 'f>, &[&str]),
+) -> std::io::Result<()> {
+    let mut reader = csv::ReaderBuilder::new().has_headers(false).flexible(true).from_reader(input);
+    let mut record = csv::ByteRecord::new();
+    loop {
+        match reader.read_byte_record(&mut record) {
+            Ok(true) => {}
+            Ok(false) => return Ok(()),
+            Err(e) => match e.into_kind() {
+                csv::ErrorKind::Io(e) => return Err(e),
+                other => {
+                    faults.note(file, reader.position().line(), "row", format!("not CSV: {other:?}"));
+                    return Ok(());
+                }
+            },
+        }
+        let line = record.position().map_or(0, csv::Position::line);
+        let mut row = Row::new(file, line, faults);
+        if record.len() != names.len() {
+            row.fault("row", format!("{} fields, must be {}", record.len(), names.len()));
+            continue;
+        }
+        let mut fields = Vec::with_capacity(names.len());
+        for (bytes, name) in record.iter().zip(names) {
+            match std::str::from_utf8(bytes) {
+                Ok(text) => fields.push(text),
+                Err(_) => row.fault(name, "not UTF-8 text"),
+            }
+        }
+        if row.good {
+            each(&mut row, &fields);
+        }
+    }
+}
--- /dev/null
+++ b/crates/trace/src/formats/alibaba.rs
@@ -0,0 +1,198 @@
+//! Alibaba cluster trace 2018, and PAI 2020 with shares of accelerators. A
+//! trace of batch tasks tells when a task began, not when it was submitted:
+//! its begin is taken for both.
+
+use std::collections::HashSet;
+use std::hash::{BuildHasher, RandomState};
+use std::io::{self, BufRead};
+
+use lemonweir_model::{Rank, Room, Shape};
+
+use super::table;
+use crate::csv_rows::rows;
+use crate::fault::{Faults, Row};
+use crate::workload::Entry;
+
+const BATCH_TASK: [&str; 9] =
+    ["task_name", "instance_num", "job_name", "task_type", "status", "start_time", "end_time", "plan_cpu", "plan_mem"];
+const BATCH_INSTANCE: [&str; 14] = [
+    "instance_name",
+    "task_name",
+    "job_name",
+    "task_type",
+    "status",
+    "start_time",
+    "end_time",
+    "machine_id",
+    "seq_no",
+    "total_seq_no",
+    "cpu_avg",
+    "cpu_max",
+    "mem_avg",
+    "mem_max",
+];
+const CONTAINER_META: [&str; 8] = ["container_id", "machine_id", "time_stamp", "app_du", "status", "cpu_request", "cpu_limit", "mem_size"];
+const MACHINE_META: [&str; 7] = ["machine_id", "time_stamp", "failure_domain_1", "failure_domain_2", "cpu_num", "mem_size", "status"];
+const PAI_TASK: [&str; 10] =
+    ["job_name", "task_name", "inst_num", "status", "start_time", "end_time", "plan_cpu", "plan_mem", "plan_gpu", "gpu_type"];
+const PAI_JOB: [&str; 6] = ["job_name", "inst_id", "user", "status", "start_time", "end_time"];
+
+/// Names seen, as 64-bit hashes: 16 bytes a name, however long it is. Two
+/// names share one by chance in fewer than one of 10^5 files of 10 million.
+struct Names(HashSet<u64>, RandomState);
+
+impl Names {
+    fn new() -> Self {
+        Self(HashSet::new(), RandomState::new())
+    }
+
+    fn first(&mut self, name: &str) -> bool {
+        self.0.insert(self.1.hash_one(name))
+    }
+}
+
+/// Begin and end, ms; notes what is wrong with them.
+fn times(row: &mut Row<'_, '_>, start: &str, end: &str) -> (u64, u64) {
+    let mut time = |field: &str, text: &str| {
+        if text.trim().is_empty() {
+            row.fault(field, "is missing");
+            return 0.0;
+        }
+        row.number(field, text)
+    };
+    let (from, to) = (time("start_time", start), time("end_time", end));
+    if row.good && to == 0.0 && from > 0.0 {
+        row.fault("end_time", "0: it has no end");
+    } else if row.good && to < from {
+        row.fault("end_time", format!("{to} is before its start {from}"));
+    }
+    ((from * 1e3) as u64, (to * 1e3) as u64)
+}
+
+/// An amount that must be stated.
+fn amount(row: &mut Row<'_, '_>, field: &str, text: &str) -> f64 {
+    if text.trim().is_empty() {
+        row.fault(field, "is missing: what it takes is unknown");
+        return 0.0;
+    }
+    row.number(field, text)
+}
+
+fn count(row: &mut Row<'_, '_>, field: &str, text: &str) -> u32 {
+    let n = row.number(field, text);
+    if n.fract() != 0.0 {
+        row.fault(field, format!("{n} is not a whole number"));
+    }
+    if row.good { row.tasks(field, n as u64) } else { 0 }
+}
+
+/// Reads one table of 2018.
+pub fn read_2018(file: &str, input: impl BufRead, machine: Room, faults: &mut Faults<'_>, out: &mut dyn FnMut(Entry)) -> io::Result<()> {
+    let mut names = Names::new();
+    match table(file, &["batch_task", "batch_instance", "container_meta", "machine_meta"]) {
+        Some("batch_task") => rows(file, input, &BATCH_TASK, faults, |row, f| {
+            let tasks = count(row, "instance_num", f[1]);
+            let (from, to) = times(row, f[5], f[6]);
+            let cpus = amount(row, "plan_cpu", f[7]) / 100.0;
+            let memory = percent(row, "plan_mem", f[8], machine);
+            let id = format!("{}/{}", f[2], f[0]);
+            if !names.first(&id) {
+                row.fault("task_name", format!("{id} is there twice"));
+            }
+            if row.good {
+                let need = Room { memory, ..Room::need(cpus, 0.0, 0.0) };
+                out(batch(row, id, f[3], from, to, tasks, need, Shape::Array));
+            }
+        }),
+        Some("batch_instance") => rows(file, input, &BATCH_INSTANCE, faults, |row, f| {
+            times(row, f[5], f[6]);
+            row.whole("seq_no", f[8]);
+            row.whole("total_seq_no", f[9]);
+        }),
+        Some("container_meta") => rows(file, input, &CONTAINER_META, faults, |row, f| {
+            let at = row.number("time_stamp", f[2]);
+            let cpus = amount(row, "cpu_request", f[5]) / 100.0;
+            let memory = percent(row, "mem_size", f[7], machine);
+            // A container has a row for each look at it; the first is its begin.
+            if row.good && names.first(f[0]) {
+                let need = Room { memory, ..Room::need(cpus, 0.0, 0.0) };
+                let entry = batch(row, f[0].to_owned(), "container", (at * 1e3) as u64, 0, 1, need, Shape::Service);
+                out(Entry { team: Some(f[3].to_owned()), rank: Rank::Production, run_ms: Vec::new(), ..entry });
+            }
+        }),
+        Some(_) => rows(file, input, &MACHINE_META, faults, |row, f| {
+            row.number("time_stamp", f[1]);
+            amount(row, "cpu_num", f[4]);
+            amount(row, "mem_size", f[5]);
+        }),
+        None => {
+            let what = "its name must hold batch_task, batch_instance, container_meta or machine_meta, as published";
+            faults.note(file, 0, "file", what);
+            Ok(())
+        }
+    }
+}
+
+/// Thousandths of a GB of a percentage of the machine's memory.
+fn percent(row: &mut Row<'_, '_>, field: &str, text: &str, machine: Room) -> u64 {
+    let x = amount(row, field, text);
+    if x > 100.0 {
+        row.fault(field, format!("{x} is over 100 %"));
+    }
+    (machine.memory as f64 * x / 100.0).ceil() as u64
+}
+
+#[allow(clippy::too_many_arguments)]
+fn batch(row: &Row<'_, '_>, id: String, class: &str, from: u64, to: u64, tasks: u32, need: Room, shape: Shape) -> Entry {
+    Entry {
+        at_ms: from,
+        id,
+        class: Some(format!("type-{class}")),
+        team: None,
+        rank: Rank::Normal,
+        shape,
+        tasks,
+        need,
+        run_ms: vec![to.saturating_sub(from)],
+        constraints: Vec::new(),
+        from: format!("{}:{}", row.file, row.line),
+    }
+}
+
+/// Reads one table of PAI 2020. A task of several instances trains together:
+/// it is a gang. 100 of `plan_cpu` or `plan_gpu` are one processor or one
+/// accelerator; `plan_mem` is in GB.
+pub fn read_pai(file: &str, input: impl BufRead, faults: &mut Faults<'_>, out: &mut dyn FnMut(Entry)) -> io::Result<()> {
+    let mut names = Names::new();
+    match table(file, &["pai_task_table", "pai_job_table"]) {
+        Some("pai_task_table") => rows(file, input, &PAI_TASK, faults, |row, f| {
+            let tasks = count(row, "inst_num", f[2]);
+            let (from, to) = times(row, f[4], f[5]);
+            let cpus = amount(row, "plan_cpu", f[6]) / 100.0;
+            let memory = amount(row, "plan_mem", f[7]);
+            // A task without accelerators leaves the field empty.
+            let gpus = if f[8].trim().is_empty() { 0.0 } else { row.number("plan_gpu", f[8]) / 100.0 };
+            if gpus > 0.0 && f[9].trim().is_empty() {
+                row.fault("gpu_type", "is missing, but accelerators are asked for");
+            }
+            let id = format!("{}/{}", f[0], f[1]);
+            if !names.first(&id) {
+                row.fault("task_name", format!("{id} is there twice"));
+            }
+            if row.good {
+                let shape = if tasks > 1 { Shape::Gang } else { Shape::Array };
+                out(batch(row, id, f[1], from, to, tasks, Room::need(cpus, gpus, memory), shape));
+            }
+        }),
+        Some(_) => rows(file, input, &PAI_JOB, faults, |row, f| {
+            times(row, f[4], f[5]);
+            if !names.first(f[0]) {
+                row.fault("job_name", format!("{} is there twice", f[0]));
+            }
+        }),
+        None => {
+            faults.note(file, 0, "file", "its name must hold pai_task_table or pai_job_table, as published");
+            Ok(())
+        }
+    }
+}
--- /dev/null
+++ b/crates/trace/src/formats/google.rs
@@ -0,0 +1,240 @@
+//! Google cluster data 2011 (version 2, CSV) and 2019 (version 3, JSON lines).
+
+use std::collections::{BTreeMap, HashMap};
+use std::io::{self, BufRead};
+
+use lemonweir_model::Room;
+use serde::Deserialize;
+use serde_json::Value;
+
+use super::{rank, share, table};
+use crate::csv_rows::rows;
+use crate::fault::{Faults, Row, json_fault, shorten};
+use crate::input::{self, Line};
+use crate::life::{Asked, Event, Lives};
+use crate::workload::{Constraint, Entry};
+
+const TASK_EVENTS: [&str; 13] = [
+    "time",
+    "missing info",
+    "job id",
+    "task index",
+    "machine id",
+    "event type",
+    "user",
+    "scheduling class",
+    "priority",
+    "cpu request",
+    "memory request",
+    "disk space request",
+    "different machines restriction",
+];
+const MACHINE_EVENTS: [&str; 6] = ["time", "machine id", "event type", "platform id", "cpus", "memory"];
+const TASK_CONSTRAINTS: [&str; 6] = ["time", "job id", "task index", "comparison operator", "attribute name", "attribute value"];
+
+/// Reads one table of 2011. Which one shows in the file's name, as published.
+pub fn read_2011(file: &str, input: impl BufRead, machine: Room, faults: &mut Faults<'_>, out: &mut dyn FnMut(Entry)) -> io::Result<()> {
+    match table(file, &["task_events", "machine_events", "task_constraints"]) {
+        Some("task_events") => task_events(file, input, machine, faults, out),
+        Some("machine_events") => rows(file, input, &MACHINE_EVENTS, faults, |row, f| {
+            row.whole("time", f[0]);
+            row.whole("machine id", f[1]);
+            one_of(row, "event type", f[2], 2);
+            for (name, text) in [("cpus", f[4]), ("memory", f[5])] {
+                if !text.is_empty() && row.number(name, text) > 1.0 {
+                    row.fault(name, format!("{text}: a share of the largest machine can't be over 1"));
+                }
+            }
+        }),
+        Some(_) => rows(file, input, &TASK_CONSTRAINTS, faults, |row, f| {
+            row.whole("time", f[0]);
+            row.whole("job id", f[1]);
+            row.whole("task index", f[2]);
+            one_of(row, "comparison operator", f[3], 3);
+        }),
+        None => {
+            faults.note(file, 0, "file", "its name must hold task_events, machine_events or task_constraints, as published");
+            Ok(())
+        }
+    }
+}
+
+fn one_of(row: &mut Row<'_, '_>, field: &str, text: &str, most: u64) -> u64 {
+    let x = row.whole(field, text);
+    if x > most {
+        row.fault(field, format!("{x} is none of 0 to {most}"));
+    }
+    x
+}
+
+/// A share of a machine, which can't be more than all of it.
+fn part(row: &mut Row<'_, '_>, field: &str, text: &str) -> f64 {
+    if text.trim().is_empty() {
+        row.fault(field, "is missing");
+        return 0.0;
+    }
+    let x = row.number(field, text);
+    if x > 1.0 {
+        row.fault(field, format!("{}: a share of the largest machine can't be over 1", shorten(text)));
+    }
+    x
+}
+
+fn task_events(file: &str, input: impl BufRead, machine: Room, faults: &mut Faults<'_>, out: &mut dyn FnMut(Entry)) -> io::Result<()> {
+    let mut lives = Lives::default();
+    rows(file, input, &TASK_EVENTS, faults, |row, f| {
+        let at = row.whole("time", f[0]);
+        let task = (row.whole("job id", f[2]), row.whole("task index", f[3]));
+        let event = match one_of(row, "event type", f[5], 8) {
+            0 => Event::Submit,
+            1 => Event::Start,
+            2 => Event::Evict,
+            3..=6 => Event::End,
+            _ => Event::Update,
+        };
+        let class = one_of(row, "scheduling class", f[7], 3);
+        let priority = one_of(row, "priority", f[8], 11);
+        let asks = event == Event::Submit;
+        let (cpus, memory) = if asks { (part(row, "cpu request", f[9]), part(row, "memory request", f[10])) } else { (0.0, 0.0) };
+        let different = Constraint { attribute: "machine".into(), op: "different machine".into(), value: String::new() };
+        let asked = Asked {
+            need: share(machine, cpus, memory),
+            // 9 and up are production and monitoring, 0 and 1 gratis.
+            rank: rank(priority, 9, 4, 2),
+            class: format!("class-{class}"),
+            team: if f[6].is_empty() { "unknown".into() } else { shorten(f[6]) },
+            constraints: if f[12].trim() == "1" { vec![different] } else { Vec::new() },
+        };
+        if row.good {
+            lives.take(row, task, at, event, asked, file, out);
+        }
+    })?;
+    lives.finish(file, faults, out);
+    Ok(())
+}
+
+// ---- 2019 ----------------------------------------------------------------------
+
+/// The fields that are used of both tables. Numbers may come as texts, as the
+/// published export writes them.
+#[derive(Deserialize)]
+struct EventLine {
+    time: Option<Value>,
+    #[serde(rename = "type")]
+    kind: Option<Value>,
+    collection_id: Option<Value>,
+    instance_index: Option<Value>,
+    scheduling_class: Option<Value>,
+    priority: Option<Value>,
+    user: Option<String>,
+    #[serde(default)]
+    resource_request: Option<HashMap<String, Value>>,
+    #[serde(default)]
+    constraint: Vec<BTreeMap<String, Value>>,
+}
+
+const TYPES: [(&str, Event); 11] = [
+    ("SUBMIT", Event::Submit),
+    ("QUEUE", Event::Update),
+    ("ENABLE", Event::Update),
+    ("SCHEDULE", Event::Start),
+    ("EVICT", Event::Evict),
+    ("FAIL", Event::End),
+    ("FINISH", Event::End),
+    ("KILL", Event::End),
+    ("LOST", Event::End),
+    ("UPDATE_PENDING", Event::Update),
+    ("UPDATE_RUNNING", Event::Update),
+];
+
+fn text(value: Option<&Value>) -> Option<String> {
+    match value? {
+        Value::String(s) => Some(s.clone()),
+        Value::Number(n) => Some(n.to_string()),
+        _ => None,
+    }
+}
+
+fn whole(row: &mut Row<'_, '_>, field: &str, value: Option<&Value>) -> u64 {
+    match text(value) {
+        Some(text) => row.whole(field, &text),
+        None => {
+            row.fault(field, "is missing or no number");
+            0
+        }
+    }
+}
+
+/// Reads one table of 2019.
+pub fn read_2019(file: &str, input: impl BufRead, machine: Room, faults: &mut Faults<'_>, out: &mut dyn FnMut(Entry)) -> io::Result<()> {
+    let instances = match table(file, &["instance_events", "collection_events"]) {
+        Some(name) => name == "instance_events",
+        None => {
+            faults.note(file, 0, "file", "its name must hold instance_events or collection_events, as published");
+            return Ok(());
+        }
+    };
+    let mut lives = Lives::default();
+    input::lines(input, |number, line| {
+        let mut row = Row::new(file, number, faults);
+        let bytes = match line {
+            Line::TooLong => return row.fault("row", "line too long"),
+            Line::Bytes(bytes) if bytes.iter().all(u8::is_ascii_whitespace) => return,
+            Line::Bytes(bytes) => bytes,
+        };
+        if std::str::from_utf8(bytes).is_err() {
+            return row.fault("row", "not UTF-8 text");
+        }
+        match serde_json::from_slice::<EventLine>(bytes) {
+            Ok(event) => event_2019(&mut row, &event, instances, machine, &mut lives, file, out),
+            Err(e) => row.fault("row", json_fault(&e)),
+        }
+    })?;
+    lives.finish(file, faults, out);
+    Ok(())
+}
+
+fn event_2019(
+    row: &mut Row<'_, '_>,
+    e: &EventLine,
+    instances: bool,
+    machine: Room,
+    lives: &mut Lives,
+    file: &str,
+    out: &mut dyn FnMut(Entry),
+) {
+    let at = whole(row, "time", e.time.as_ref());
+    let id = whole(row, "collection_id", e.collection_id.as_ref());
+    let kind = text(e.kind.as_ref()).unwrap_or_default();
+    let by_number = kind.parse::<usize>().ok().and_then(|n| TYPES.get(n));
+    let Some((_, event)) = by_number.or_else(|| TYPES.iter().find(|(name, _)| *name == kind)) else {
+        return row.fault("type", format!("{:?} is no type of event", shorten(&kind)));
+    };
+    if !instances {
+        return;
+    }
+    let index = whole(row, "instance_index", e.instance_index.as_ref());
+    let class = whole(row, "scheduling_class", e.scheduling_class.as_ref());
+    let priority = whole(row, "priority", e.priority.as_ref());
+    let mut request = |name: &str| {
+        let value = e.resource_request.as_ref().and_then(|r| text(r.get(name)));
+        part(row, &format!("resource_request.{name}"), &value.unwrap_or_default())
+    };
+    let (cpus, memory) = if *event == Event::Submit { (request("cpus"), request("memory")) } else { (0.0, 0.0) };
+    let constraint = |c: &BTreeMap<String, Value>| Constraint {
+        attribute: text(c.get("name")).unwrap_or_default(),
+        op: text(c.get("relation")).unwrap_or_default(),
+        value: text(c.get("value")).unwrap_or_default(),
+    };
+    let asked = Asked {
+        need: share(machine, cpus, memory),
+        // 360 and up are monitoring, 120 and up production, below 100 free.
+        rank: rank(priority, 120, 116, 100),
+        class: format!("class-{class}"),
+        team: e.user.as_deref().map(shorten).unwrap_or_else(|| "unknown".into()),
+        constraints: e.constraint.iter().map(constraint).collect(),
+    };
+    if row.good {
+        lives.take(row, (id, index), at, *event, asked, file, out);
+    }
+}
--- /dev/null
+++ b/crates/trace/src/formats/mod.rs
@@ -0,0 +1,56 @@
+//! One module a format. Each is written from the format's published
+//! description; `docs/traces.md` names it.
+
+mod alibaba;
+mod google;
+mod philly;
+mod swf;
+
+use std::io::{self, BufRead};
+
+use lemonweir_model::{Rank, Room};
+
+use crate::fault::Faults;
+use crate::import::Format;
+use crate::workload::Entry;
+
+/// Reads one file of a format.
+pub fn read(
+    format: Format,
+    file: &str,
+    input: impl BufRead,
+    machine: Room,
+    faults: &mut Faults<'_>,
+    out: &mut dyn FnMut(Entry),
+) -> io::Result<()> {
+    match format {
+        Format::Swf => swf::read(file, input, faults, out),
+        Format::Google2011 => google::read_2011(file, input, machine, faults, out),
+        Format::Google2019 => google::read_2019(file, input, machine, faults, out),
+        Format::Alibaba2018 => alibaba::read_2018(file, input, machine, faults, out),
+        Format::Pai2020 => alibaba::read_pai(file, input, faults, out),
+        Format::Philly => philly::read(file, input, faults, out),
+    }
+}
+
+/// The published name of the table that a file holds, from the file's name.
+fn table<'a>(file: &str, tables: &[&'a str]) -> Option<&'a str> {
+    let name = file.rsplit(['/', '\\']).next().unwrap_or(file);
+    tables.iter().find(|t| name.contains(**t)).copied()
+}
+
+/// A share of a machine, in its thousandths.
+fn share(machine: Room, cpus: f64, memory: f64) -> Room {
+    let of = |whole: u64, part: f64| (whole as f64 * part).ceil() as u64;
+    Room { cpus: of(machine.cpus, cpus), gpus: 0, memory: of(machine.memory, memory) }
+}
+
+/// A priority on a scale of the source: at least `production`, `high`, `normal`.
+fn rank(priority: u64, production: u64, high: u64, normal: u64) -> Rank {
+    match priority {
+        p if p >= production => Rank::Production,
+        p if p >= high => Rank::High,
+        p if p >= normal => Rank::Normal,
+        _ => Rank::Low,
+    }
+}
--- /dev/null
+++ b/crates/trace/src/formats/philly.rs
@@ -0,0 +1,116 @@
+//! Microsoft Philly: `cluster_job_log`, a JSON array of jobs with their
+//! attempts and the accelerators of each machine. It tells nothing of
+//! processors or memory: a task takes none.
+
+use std::collections::HashSet;
+use std::io::{self, BufRead};
+
+use jiff::civil::DateTime;
+use jiff::tz::TimeZone;
+use lemonweir_model::{Rank, Room, Shape};
+use serde::Deserialize;
+
+use crate::fault::{Faults, Row, json_fault, shorten};
+use crate::input;
+use crate::workload::Entry;
+
+#[derive(Deserialize)]
+struct Job {
+    jobid: String,
+    vc: Option<String>,
+    submitted_time: Option<String>,
+    #[serde(default)]
+    attempts: Vec<Attempt>,
+}
+
+#[derive(Deserialize)]
+struct Attempt {
+    start_time: Option<String>,
+    end_time: Option<String>,
+    #[serde(default)]
+    detail: Vec<Machine>,
+}
+
+#[derive(Deserialize)]
+struct Machine {
+    #[serde(default)]
+    gpus: Vec<String>,
+}
+
+/// ms since 1970 of a time of day without a zone, as the trace writes it.
+fn time(row: &mut Row<'_, '_>, field: &str, text: Option<&str>) -> Option<i64> {
+    let Some(text) = text.filter(|t| !t.is_empty() && *t != "None") else {
+        row.fault(field, "is missing");
+        return None;
+    };
+    let parsed = DateTime::strptime("%Y-%m-%d %H:%M:%S", text).ok().and_then(|t| t.to_zoned(TimeZone::UTC).ok());
+    if parsed.is_none() {
+        row.fault(field, format!("{:?} is no time", shorten(text)));
+    }
+    parsed.map(|t| t.timestamp().as_millisecond())
+}
+
+/// Reads a file.
+pub fn read(file: &str, input: impl BufRead, faults: &mut Faults<'_>, out: &mut dyn FnMut(Entry)) -> io::Result<()> {
+    let mut seen = HashSet::new();
+    let mut first: Option<i64> = None;
+    input::objects(input, |line, bytes, whole| {
+        let mut row = Row::new(file, line, faults);
+        if !whole {
+            return row.fault("row", "cut short, or not a list of jobs");
+        }
+        if std::str::from_utf8(bytes).is_err() {
+            return row.fault("row", "not UTF-8 text");
+        }
+        match serde_json::from_slice::<Job>(bytes) {
+            Ok(job) => take(&mut row, job, &mut seen, &mut first, out),
+            Err(e) => row.fault("row", json_fault(&e)),
+        }
+    })
+}
+
+fn take(row: &mut Row<'_, '_>, job: Job, seen: &mut HashSet<String>, first: &mut Option<i64>, out: &mut dyn FnMut(Entry)) {
+    if !seen.insert(job.jobid.clone()) {
+        row.fault("jobid", format!("{} is there twice", shorten(&job.jobid)));
+    }
+    let submitted = time(row, "submitted_time", job.submitted_time.as_deref());
+    let Some(last) = job.attempts.last() else {
+        return row.fault("attempts", "there is none: the job never ran");
+    };
+    let (mut run_ms, mut before) = (0, submitted);
+    for attempt in &job.attempts {
+        let from = time(row, "attempts.start_time", attempt.start_time.as_deref());
+        let to = time(row, "attempts.end_time", attempt.end_time.as_deref());
+        if from.is_some_and(|f| before.is_some_and(|b| f < b)) {
+            row.fault("attempts.start_time", "it starts before what went before it: time goes back");
+        }
+        match (from, to) {
+            (Some(from), Some(to)) if to < from => row.fault("attempts.end_time", "it ends before its start"),
+            (Some(from), Some(to)) => run_ms = (to - from) as u64,
+            _ => {}
+        }
+        before = to;
+    }
+    // Machines of the last attempt, each with as many accelerators as the
+    // largest share: what is taken at least where they differ.
+    let gpus = last.detail.iter().map(|m| m.gpus.len()).max().unwrap_or(0);
+    let tasks = row.tasks("attempts.detail", last.detail.len() as u64);
+    let Some(at) = submitted.filter(|_| row.good) else { return };
+    let zero = *first.get_or_insert(at);
+    if at < zero {
+        return row.fault("submitted_time", "it is before the first job's: time goes back");
+    }
+    out(Entry {
+        at_ms: (at - zero) as u64,
+        id: job.jobid,
+        class: Some("train".into()),
+        team: job.vc,
+        rank: Rank::Normal,
+        shape: if tasks > 1 { Shape::Gang } else { Shape::Array },
+        tasks,
+        need: Room::need(0.0, gpus as f64, 0.0),
+        run_ms: vec![run_ms],
+        constraints: Vec::new(),
+        from: format!("{}:{}", row.file, row.line),
+    });
+}
--- /dev/null
+++ b/crates/trace/src/input.rs
@@ -0,0 +1,104 @@
+//! Files as they are, or packed with gzip or zstd, read as a stream.
+
+use std::fs::File;
+use std::io::{self, BufRead, BufReader, Read};
+use std::path::Path;
+
+/// Bytes of one line or one object at most: longer than any row of the formats.
+pub const MAX_LINE: usize = 4 * 1024 * 1024;
+
+/// Opens a file; what it is packed with shows in its first bytes.
+pub fn open(path: &Path) -> io::Result<Box<dyn BufRead>> {
+    let mut file = BufReader::new(File::open(path)?);
+    let start = file.fill_buf()?;
+    let reader: Box<dyn Read> = match start {
+        [0x1f, 0x8b, ..] => Box::new(flate2::bufread::MultiGzDecoder::new(file)),
+        [0x28, 0xb5, 0x2f, 0xfd, ..] => Box::new(zstd::stream::read::Decoder::with_buffer(file)?),
+        _ => return Ok(Box::new(file)),
+    };
+    Ok(Box::new(BufReader::new(reader)))
+}
+
+/// One line without its end.
+pub enum Line<'a> {
+    /// Its bytes.
+    Bytes(&'a [u8]),
+    /// It was longer than [`MAX_LINE`], and was passed over.
+    TooLong,
+}
+
+/// Calls `each` with every line and its number, from 1.
+pub fn lines(mut input: impl BufRead, mut each: impl FnMut(u64, Line<'_>)) -> io::Result<()> {
+    let mut line = Vec::new();
+    for number in 1.. {
+        line.clear();
+        let read = input.by_ref().take(MAX_LINE as u64 + 1).read_until(b'\n', &mut line)?;
+        if read == 0 {
+            break;
+        }
+        if line.len() > MAX_LINE && line.last() != Some(&b'\n') {
+            skip_line(&mut input)?;
+            each(number, Line::TooLong);
+            continue;
+        }
+        let end = line.strip_suffix(b"\n").unwrap_or(&line);
+        each(number, Line::Bytes(end.strip_suffix(b"\r").unwrap_or(end)));
+    }
+    Ok(())
+}
+
+fn skip_line(input: &mut impl BufRead) -> io::Result<()> {
+    loop {
+        let buffer = input.fill_buf()?;
+        if buffer.is_empty() {
+            return Ok(());
+        }
+        let end = buffer.iter().position(|b| *b == b'\n');
+        let n = end.map_or(buffer.len(), |i| i + 1);
+        input.consume(n);
+        if end.is_some() {
+            return Ok(());
+        }
+    }
+}
+
+/// Calls `each` with every object of a JSON array and the line where it
+/// begins, without holding the array. The flag is false for one that the file
+/// cuts short, and the last call's bytes are empty if the array itself is.
+pub fn objects(input: impl BufRead, mut each: impl FnMut(u64, &[u8], bool)) -> io::Result<()> {
+    let (mut line, mut began, mut depth, mut text, mut escaped) = (1u64, 1u64, 0u32, false, false);
+    let mut object = Vec::new();
+    for byte in input.bytes() {
+        let byte = byte?;
+        line += u64::from(byte == b'\n');
+        if depth == 0 && byte == b'{' {
+            began = line;
+            object.clear();
+        }
+        if depth > 0 || byte == b'{' {
+            if object.len() < MAX_LINE {
+                object.push(byte);
+            }
+            match byte {
+                _ if escaped => escaped = false,
+                b'\\' if text => escaped = true,
+                b'"' => text = !text,
+                b'{' if !text => depth += 1,
+                b'}' if !text => {
+                    depth -= 1;
+                    if depth == 0 {
+                        each(began, &object, true);
+                    }
+                }
+                _ => {}
+            }
+        } else if !(byte.is_ascii_whitespace() || matches!(byte, b'[' | b']' | b',')) {
+            each(line, &[byte], false);
+            return Ok(());
+        }
+    }
+    if depth > 0 {
+        each(began, &object, false);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/trace/src/life.rs
@@ -0,0 +1,158 @@
+//! The life of tasks in traces that tell events: submitted, started, ended. A
+//! job's tasks are held until none of them is under way, then become entries,
+//! one for each set of tasks that came together and need the same.
+
+use std::collections::{BTreeMap, HashMap};
+
+use lemonweir_model::{Rank, Room, Shape};
+use roaring::RoaringTreemap;
+
+use crate::fault::{Faults, Row};
+use crate::workload::{Constraint, Entry};
+
+/// What happens to a task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// It waits from now on.
+    Submit,
+    /// It runs from now on.
+    Start,
+    /// It goes back to waiting: it must be submitted again.
+    Evict,
+    /// It is over, however it ended.
+    End,
+    /// Its needs change; those of its submission are kept.
+    Update,
+}
+
+/// What a submission says.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Asked {
+    /// What it takes.
+    pub need: Room,
+    /// Priority.
+    pub rank: Rank,
+    /// What kind of work.
+    pub class: String,
+    /// Who.
+    pub team: String,
+    /// Constraints.
+    pub constraints: Vec<Constraint>,
+}
+
+struct Task {
+    asked: Asked,
+    submitted: u64,
+    line: u64,
+    started: Option<u64>,
+    evicted: bool,
+}
+
+#[derive(Default)]
+struct Job {
+    live: HashMap<u64, Task>,
+    over: Vec<(Task, u64)>,
+    ended: RoaringTreemap,
+}
+
+/// Follows all tasks of a trace. Times are µs.
+#[derive(Default)]
+pub struct Lives {
+    jobs: BTreeMap<u64, Job>,
+    last: u64,
+}
+
+impl Lives {
+    /// Takes an event of a task; a job that is over is handed to `out`.
+    #[allow(clippy::too_many_arguments)]
+    pub fn take(
+        &mut self,
+        row: &mut Row<'_, '_>,
+        (job_id, index): (u64, u64),
+        at: u64,
+        event: Event,
+        asked: Asked,
+        file: &str,
+        out: &mut dyn FnMut(Entry),
+    ) {
+        if at < self.last {
+            return row.fault("time", format!("{at} after {}: time goes back", self.last));
+        }
+        self.last = at;
+        let job = self.jobs.entry(job_id).or_default();
+        let known = job.live.get_mut(&index);
+        match (event, known) {
+            (Event::Submit, Some(t)) if t.evicted => (t.evicted, t.started) = (false, None),
+            (Event::Submit, Some(t)) => {
+                row.fault("task", format!("{job_id}/{index} is submitted again while it is under way since line {}", t.line));
+            }
+            (Event::Submit, None) if job.ended.contains(index) => {
+                row.fault("task", format!("{job_id}/{index} is submitted again after it ended"));
+            }
+            (Event::Submit, None) => {
+                let task = Task { asked, submitted: at, line: row.line, started: None, evicted: false };
+                job.live.insert(index, task);
+            }
+            (Event::Update, Some(_)) => {}
+            (_, None) => row.fault("task", format!("{job_id}/{index} was never submitted")),
+            (Event::Start, Some(t)) if t.started.is_some() => row.fault("event", format!("{job_id}/{index} runs already")),
+            (Event::Start, Some(t)) => t.started = Some(at),
+            (Event::Evict, Some(t)) => (t.evicted, t.started) = (true, None),
+            (Event::End, Some(t)) => {
+                if t.started.is_none() {
+                    row.fault("event", format!("{job_id}/{index} ends and was never started"));
+                }
+                if let Some(t) = job.live.remove(&index) {
+                    job.ended.insert(index);
+                    job.over.extend(t.started.is_some().then_some((t, at)));
+                }
+            }
+        }
+        if event == Event::End && job.live.is_empty() {
+            let over = std::mem::take(&mut job.over);
+            emit(job_id, over, file, out);
+        }
+    }
+
+    /// The trace ends: what is under way has no end.
+    pub fn finish(self, file: &str, faults: &mut Faults<'_>, out: &mut dyn FnMut(Entry)) {
+        for (job_id, job) in self.jobs {
+            let mut open: Vec<(u64, u64)> = job.live.iter().map(|(index, t)| (t.line, *index)).collect();
+            open.sort_unstable();
+            for (line, index) in open {
+                faults.note(file, line, "end", format!("{job_id}/{index} has no end"));
+            }
+            emit(job_id, job.over, file, out);
+        }
+    }
+}
+
+fn emit(job_id: u64, over: Vec<(Task, u64)>, file: &str, out: &mut dyn FnMut(Entry)) {
+    let mut sets: BTreeMap<(u64, Asked), (u64, Vec<u64>)> = BTreeMap::new();
+    for (task, end) in over {
+        let run = end.saturating_sub(task.started.unwrap_or(end)) / 1_000;
+        let set = sets.entry((task.submitted, task.asked)).or_insert((task.line, Vec::new()));
+        set.0 = set.0.min(task.line);
+        set.1.push(run);
+    }
+    for (n, ((at, asked), (line, mut run_ms))) in sets.into_iter().enumerate() {
+        let tasks = run_ms.len() as u32;
+        run_ms.sort_unstable();
+        if run_ms.first() == run_ms.last() {
+            run_ms.truncate(1);
+        }
+        out(Entry {
+            at_ms: at / 1_000,
+            id: if n == 0 { job_id.to_string() } else { format!("{job_id}.{n}") },
+            class: Some(asked.class),
+            team: Some(asked.team),
+            rank: asked.rank,
+            shape: Shape::Array,
+            tasks,
+            need: asked.need,
+            run_ms,
+            constraints: asked.constraints,
+            from: format!("{file}:{line}"),
+        });
+    }
+}
