--- /dev/null
+++ b/crates/lab/src/compare.rs
@@ -0,0 +1,149 @@
+//! Many seeds of one scenario, and two scenarios side by side.
+
+use std::fmt::Write;
+use std::str::FromStr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+
+use hdrhistogram::Histogram;
+use indicatif::{ProgressBar, ProgressStyle};
+use statrs::distribution::{ContinuousCDF, StudentsT};
+
+use crate::measures::{Report, histogram};
+use crate::run::{self, Outcome, Placer, Replayed, Source};
+use crate::scenario::Scenario;
+
+/// Seeds: one, or `FIRST..LAST`, both taken.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Seeds(pub Vec<u64>);
+
+impl FromStr for Seeds {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let number = |t: &str| t.parse::<u64>().map_err(|_| format!("{t:?} is no seed"));
+        let (first, last) = match text.split_once("..") {
+            Some((first, last)) => (number(first)?, number(last)?),
+            None => (number(text)?, number(text)?),
+        };
+        if last < first || last - first >= 100_000 {
+            return Err(format!("{text}: must be FIRST..LAST, at most 100,000 seeds"));
+        }
+        Ok(Self((first..=last).collect()))
+    }
+}
+
+/// Runs every seed on so many threads; the outcomes are in the order of seeds,
+/// whatever the threads.
+pub fn sweep(
+    scenario: &Arc<Scenario>,
+    placer: Placer,
+    workload: Option<&Replayed>,
+    seeds: &Seeds,
+    jobs: usize,
+) -> Result<Vec<Outcome>, String> {
+    let bar = ProgressBar::new(seeds.0.len() as u64);
+    bar.set_style(ProgressStyle::with_template("{bar:30} {pos}/{len} runs, {eta} left").unwrap_or_else(|_| ProgressStyle::default_bar()));
+    let next = AtomicUsize::new(0);
+    let done: Mutex<Vec<(usize, Result<Outcome, String>)>> = Mutex::new(Vec::new());
+    std::thread::scope(|scope| {
+        for _ in 0..jobs.clamp(1, seeds.0.len()) {
+            scope.spawn(|| {
+                loop {
+                    let i = next.fetch_add(1, Ordering::Relaxed);
+                    let Some(&seed) = seeds.0.get(i) else { return };
+                    let source = workload.map_or(Source::Synthetic, |w| Source::Workload(w.clone()));
+                    let outcome = run::once(scenario.clone(), source, placer, seed, None);
+                    bar.inc(1);
+                    done.lock().unwrap_or_else(|e| e.into_inner()).push((i, outcome));
+                }
+            });
+        }
+    });
+    bar.finish_and_clear();
+    let mut done = done.into_inner().unwrap_or_else(|e| e.into_inner());
+    done.sort_by_key(|(i, _)| *i);
+    done.into_iter().map(|(_, outcome)| outcome).collect()
+}
+
+/// The figures that runs are compared by.
+fn figures(r: &Report) -> Vec<(String, f64)> {
+    let mut all = vec![
+        ("allocation 50 %, ms".to_owned(), r.allocation.p50),
+        ("allocation 90 %, ms".to_owned(), r.allocation.p90),
+        ("allocation 99 %, ms".to_owned(), r.allocation.p99),
+        ("allocation 99.9 %, ms".to_owned(), r.allocation.p999),
+        ("starts".to_owned(), r.starts as f64),
+        ("jobs over".to_owned(), r.jobs.over as f64),
+        ("money".to_owned(), r.money),
+        ("useful share".to_owned(), r.useful),
+        ("messages".to_owned(), r.work.messages as f64),
+        ("rules broken".to_owned(), r.broken.len() as f64),
+    ];
+    for (class, s) in &r.waiting {
+        all.push((format!("wait 90 % {class}, ms"), s.p90));
+    }
+    for (class, s) in &r.finished {
+        all.push((format!("finished 90 % {class}, ms"), s.p90));
+    }
+    all
+}
+
+/// Mean, and half the width of its 95 % confidence interval.
+pub fn confidence(values: &[f64]) -> (f64, f64) {
+    let n = values.len() as f64;
+    let mean = values.iter().sum::<f64>() / n.max(1.0);
+    if values.len() < 2 {
+        return (mean, f64::INFINITY);
+    }
+    let variance = values.iter().map(|x| (x - mean).powi(2)).sum::<f64>() / (n - 1.0);
+    let t = StudentsT::new(0.0, 1.0, n - 1.0).map_or(f64::INFINITY, |d| d.inverse_cdf(0.975));
+    (mean, t * (variance / n).sqrt())
+}
+
+/// All figures of a sweep, with their confidence.
+pub fn summary(outcomes: &[Outcome]) -> String {
+    let mut out = String::new();
+    let rows: Vec<Vec<(String, f64)>> = outcomes.iter().map(|o| figures(&o.report)).collect();
+    let names: Vec<&String> = rows.first().into_iter().flatten().map(|(name, _)| name).collect();
+    for name in names {
+        let (mean, half) = confidence(&column(&rows, name));
+        let _ = writeln!(out, "  {name:<32} {mean:>14.3} ± {half:.3}");
+    }
+    out
+}
+
+fn column(rows: &[Vec<(String, f64)>], name: &str) -> Vec<f64> {
+    rows.iter().filter_map(|row| row.iter().find(|(n, _)| n == name).map(|(_, x)| *x)).collect()
+}
+
+/// Two sweeps of the same seeds side by side, with the difference seed by seed.
+pub fn side_by_side(a: &[Outcome], b: &[Outcome]) -> String {
+    let mut out = String::new();
+    let rows = |list: &[Outcome]| list.iter().map(|o| figures(&o.report)).collect::<Vec<_>>();
+    let (left, right) = (rows(a), rows(b));
+    let names: Vec<&String> = left.first().into_iter().flatten().map(|(name, _)| name).collect();
+    let _ = writeln!(out, "  {:<32} {:>14} {:>14} {:>14}   95 % of the difference", "", "A", "B", "B - A");
+    for name in names {
+        let (x, y) = (column(&left, name), column(&right, name));
+        if x.len() != y.len() {
+            continue;
+        }
+        let by_seed: Vec<f64> = x.iter().zip(&y).map(|(x, y)| y - x).collect();
+        let ((ma, _), (mb, _), (diff, half)) = (confidence(&x), confidence(&y), confidence(&by_seed));
+        let sure = if diff.abs() >= half { "" } else { "  (not sure)" };
+        let _ = writeln!(out, "  {name:<32} {ma:>14.3} {mb:>14.3} {diff:>14.3}   ± {half:.3}{sure}");
+    }
+    out
+}
+
+/// The allocation times of all seeds together.
+pub fn merged(outcomes: &[Outcome]) -> Histogram<u64> {
+    let mut all = histogram();
+    for outcome in outcomes {
+        if let Err(error) = all.add(&outcome.allocation) {
+            tracing::error!(%error, "allocation times of one seed left out");
+        }
+    }
+    all
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,8 +2,10 @@
 //! written from the protocol page. `docs/laboratory.md` says what it models,
 //! what it leaves out, and what its figures are worth.
 
+pub mod baseline;
 pub mod checker;
 pub mod cloud;
+pub mod compare;
 pub mod fields;
 pub mod history;
 pub mod host;
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -1,6 +1,5 @@
 //! Load for a world: synthetic classes drawn from distributions.
 
-use std::path::Path;
 use std::sync::Arc;
 
 use lemonweir_model::{JobId, JobSpec, Shape};
@@ -8,6 +7,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use crate::run::Replayed;
 use crate::scenario::{Class, Dist, Scenario};
 use crate::worker::Load;
 use crate::world::Planned;
@@ -42,18 +42,24 @@
     jobs.into_iter().enumerate().map(with_id).collect()
 }
 
-/// The jobs of a workload file, with submissions `speed` times as close
-/// together. A team that the scenario does not know is one of its teams, the
+/// The jobs of a workload file. A team that the scenario does not know is one of its teams, the
 /// same one every time; constraints on attributes that its machines don't have
 /// are left out and counted.
-pub fn replay(file: &Path, scenario: &Scenario, speed: f64) -> Result<(Vec<Planned>, u64), WorkloadError> {
-    let (mut jobs, mut unknown, mut last) = (Vec::new(), 0, u64::MAX);
-    workload::read(file, |e| {
+pub fn replay(replayed: &Replayed, scenario: &Scenario) -> Result<(Vec<Planned>, u64), WorkloadError> {
+    let (mut jobs, mut unknown, mut first) = (Vec::new(), 0, None);
+    let copies = u64::from(replayed.copies.max(1));
+    workload::read(&replayed.file, |e| {
         // The first job comes at the start, wherever the trace's zero is.
-        let zero = if last == u64::MAX { e.at_ms } else { last };
-        last = zero;
+        let zero = *first.get_or_insert(e.at_ms);
         unknown += e.constraints.len() as u64;
-        jobs.push(planned(jobs.len(), e, zero, scenario, speed));
+        for copy in 0..copies {
+            let mut job = planned(jobs.len(), e.clone(), zero, scenario, replayed.speed);
+            // Copies come one after the other within a second.
+            let later = copy * 1_000_000 / copies;
+            job.at_us += later;
+            job.withdraw_us = job.withdraw_us.map(|at| at + later);
+            jobs.push(job);
+        }
     })?;
     Ok((jobs, unknown))
 }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -6,8 +6,8 @@
 
 use clap::{Parser, Subcommand, ValueEnum};
 use lemonweir_lab::scenario::Scenario;
-use lemonweir_lab::traces::TraceCommand;
-use lemonweir_lab::{output, run, traces};
+use lemonweir_lab::traces::{Size, TraceCommand};
+use lemonweir_lab::{compare, output, run, traces};
 
 /// Runs lemonweir's real decisions against a simulated world.
 #[derive(Parser)]
@@ -20,6 +20,28 @@
     command: Command,
 }
 
+/// Many runs.
+#[derive(clap::Args)]
+struct Many {
+    /// The seeds: FIRST..LAST.
+    #[arg(long, default_value = "1..10")]
+    seeds: compare::Seeds,
+    /// Runs at a time.
+    #[arg(long, default_value_t = 4)]
+    jobs: usize,
+    /// A workload to replay in place of the scenario's classes.
+    #[arg(long)]
+    workload: Option<PathBuf>,
+    /// How many times as close together its submissions come.
+    #[arg(long, default_value_t = 1.0)]
+    speed: f64,
+    #[command(flatten)]
+    size: Size,
+    /// Directory for all reports and a plot.
+    #[arg(long)]
+    out: Option<PathBuf>,
+}
+
 #[derive(Clone, Copy, ValueEnum)]
 enum LogFormat {
     Json,
@@ -41,10 +63,34 @@
         /// Seed of all draws.
         #[arg(long, default_value_t = 1)]
         seed: u64,
+        /// Who places: lemonweir, central, or sampler:N.
+        #[arg(long, default_value = "lemonweir")]
+        placer: run::Placer,
+        #[command(flatten)]
+        size: Size,
         /// Directory for report, plots and history.
         #[arg(long)]
         out: Option<PathBuf>,
     },
+    /// Run a scenario with many seeds.
+    Sweep {
+        /// The scenario.
+        file: PathBuf,
+        #[command(flatten)]
+        many: Many,
+        /// Who places: lemonweir, central, or sampler:N.
+        #[arg(long, default_value = "lemonweir")]
+        placer: run::Placer,
+    },
+    /// Run two scenarios, or one with two placers, with the same seeds.
+    Compare {
+        /// The first: FILE or FILE@PLACER.
+        a: String,
+        /// The second.
+        b: String,
+        #[command(flatten)]
+        many: Many,
+    },
     /// Published traces: check, import, show, replay.
     Trace {
         #[command(subcommand)]
@@ -73,6 +119,23 @@
     }
 }
 
+/// A scenario, made larger if wanted.
+fn sized(file: &Path, size: Size) -> Result<Arc<Scenario>, Vec<String>> {
+    if !(size.scale > 0.0 && size.scale <= 1e5) {
+        return Err(vec![format!("--scale: {} must be over 0 and at most 100,000", size.scale)]);
+    }
+    let scenario = load(file)?;
+    Ok(Arc::new((*scenario).clone().scaled(size.scale, size.controllers)))
+}
+
+/// A workload, if one is given.
+fn replayed(file: PathBuf, speed: f64, size: Size) -> Result<run::Replayed, Vec<String>> {
+    if !(speed.is_finite() && speed > 0.0) {
+        return Err(vec![format!("--speed: {speed} must be over 0")]);
+    }
+    Ok(run::Replayed { file, speed, copies: size.scale.round().max(1.0) as u32 })
+}
+
 fn load(file: &Path) -> Result<Arc<Scenario>, Vec<String>> {
     let name = file.display().to_string();
     let text = std::fs::read_to_string(file).map_err(|e| vec![format!("{name}: {e}")])?;
@@ -89,24 +152,60 @@
             }
             Err(faults)
         }
-        Command::Run { file, seed, out } => {
-            let result = run::once(load(&file)?, run::Source::Synthetic, seed, out.as_deref()).map_err(|e| vec![e])?;
+        Command::Run { file, seed, placer, size, out } => {
+            let result = run::once(sized(&file, size)?, run::Source::Synthetic, placer, seed, out.as_deref()).map_err(|e| vec![e])?;
             finish(&result, out.as_deref())
         }
+        Command::Sweep { file, many, placer } => {
+            let outcomes = sweep(&sized(&file, many.size)?, placer, &many)?;
+            println!("{} runs of {}", outcomes.len(), file.display());
+            print!("{}", compare::summary(&outcomes));
+            let name = file.display().to_string();
+            close(&[(&name, &outcomes)], many.out.as_deref())
+        }
+        Command::Compare { a, b, many } => {
+            let (left, right) = (side(&a, &many)?, side(&b, &many)?);
+            println!("A: {a}\nB: {b}\n{} seeds", left.len());
+            print!("{}", compare::side_by_side(&left, &right));
+            close(&[(&a, &left), (&b, &right)], many.out.as_deref())
+        }
         Command::Trace { command: TraceCommand::Check { files } } => Ok(traces::check(&files)),
         Command::Trace { command: TraceCommand::Import { files, on_fault, out } } => Ok(traces::import(&files, on_fault, &out)),
         Command::Trace { command: TraceCommand::Show { file, plot } } => Ok(traces::show(&file, plot.as_deref())),
-        Command::Trace { command: TraceCommand::Replay { file, scenario, seed, speed, out } } => {
-            if !(speed.is_finite() && speed > 0.0) {
-                return Err(vec![format!("--speed: {speed} must be over 0")]);
-            }
-            let source = run::Source::Workload(file, speed);
-            let result = run::once(load(&scenario)?, source, seed, out.as_deref()).map_err(|e| vec![e])?;
+        Command::Trace { command: TraceCommand::Replay { file, scenario, seed, speed, placer, size, out } } => {
+            let source = run::Source::Workload(replayed(file, speed, size)?);
+            let result = run::once(sized(&scenario, size)?, source, placer, seed, out.as_deref()).map_err(|e| vec![e])?;
             finish(&result, out.as_deref())
         }
     }
 }
 
+fn sweep(scenario: &Arc<Scenario>, placer: run::Placer, many: &Many) -> Result<Vec<run::Outcome>, Vec<String>> {
+    let workload = many.workload.clone().map(|file| replayed(file, many.speed, many.size)).transpose()?;
+    compare::sweep(scenario, placer, workload.as_ref(), &many.seeds, many.jobs).map_err(|e| vec![e])
+}
+
+/// Runs one side of a comparison.
+fn side(spec: &str, many: &Many) -> Result<Vec<run::Outcome>, Vec<String>> {
+    let (file, placer) = spec.split_once('@').unwrap_or((spec, "lemonweir"));
+    let placer = placer.parse().map_err(|e| vec![e])?;
+    sweep(&sized(Path::new(file), many.size)?, placer, many)
+}
+
+/// Writes what many runs gave; a broken rule in any of them is a failure.
+fn close(sides: &[(&String, &Vec<run::Outcome>)], out: Option<&Path>) -> Result<ExitCode, Vec<String>> {
+    if let Some(dir) = out {
+        output::write_all(sides, dir).map_err(|e| vec![format!("{}: {e}", dir.display())])?;
+        println!("reports and plots are in {}", dir.display());
+    }
+    let broken: Vec<String> = sides
+        .iter()
+        .flat_map(|(_, outcomes)| outcomes.iter())
+        .flat_map(|o| o.report.broken.iter().map(|b| format!("seed {}: rule broken: {b}", o.report.seed)))
+        .collect();
+    if broken.is_empty() { Ok(ExitCode::SUCCESS) } else { Err(broken) }
+}
+
 /// Prints a run's figures; a broken rule is a failure.
 fn finish(result: &run::Outcome, out: Option<&Path>) -> Result<ExitCode, Vec<String>> {
     print!("{}", output::table(&result.report));
--- a/crates/lab/src/output.rs
+++ b/crates/lab/src/output.rs
@@ -3,6 +3,7 @@
 use std::fmt::Write;
 use std::path::Path;
 
+use crate::compare;
 use crate::measures::{Report, Spread};
 use crate::plots;
 use crate::run::Outcome;
@@ -91,3 +92,17 @@
     }
     Ok(())
 }
+
+/// Writes the reports of many runs, and a plot of each side's allocation times.
+pub fn write_all(sides: &[(&String, &Vec<Outcome>)], dir: &Path) -> std::io::Result<()> {
+    std::fs::create_dir_all(dir)?;
+    let reports: Vec<&Report> = sides.iter().flat_map(|(_, outcomes)| outcomes.iter().map(|o| &o.report)).collect();
+    std::fs::write(dir.join("reports.json"), serde_json::to_string_pretty(&reports)?)?;
+    let lines: Vec<(&str, Vec<(f64, f64)>)> =
+        sides.iter().map(|(name, outcomes)| (name.as_str(), plots::distribution(&compare::merged(outcomes)))).collect();
+    for kind in ["svg", "png"] {
+        let file = dir.join(format!("allocation.{kind}"));
+        plots::allocation(&lines, &file).map_err(|e| std::io::Error::other(e.to_string()))?;
+    }
+    Ok(())
+}
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -1,11 +1,13 @@
 //! One run of a scenario, from its load to its figures.
 
 use std::path::{Path, PathBuf};
+use std::str::FromStr;
 use std::sync::Arc;
 use std::time::Instant;
 
 use hdrhistogram::Histogram;
 
+use crate::baseline;
 use crate::history::History;
 use crate::load;
 use crate::measures::{Report, report};
@@ -16,8 +18,44 @@
 pub enum Source {
     /// The scenario's classes.
     Synthetic,
-    /// A workload file, its submissions so many times as close together.
-    Workload(PathBuf, f64),
+    /// A workload file.
+    Workload(Replayed),
+}
+
+/// A workload to be replayed.
+#[derive(Clone, Debug)]
+pub struct Replayed {
+    /// The file.
+    pub file: PathBuf,
+    /// How many times as close together its submissions come.
+    pub speed: f64,
+    /// How many times each job comes.
+    pub copies: u32,
+}
+
+/// Who places.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Placer {
+    /// The scenario's controllers.
+    Lemonweir,
+    /// A baseline.
+    Baseline(baseline::Kind),
+}
+
+impl FromStr for Placer {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text.split_once(':').unwrap_or((text, "2")) {
+            ("lemonweir", _) => Ok(Self::Lemonweir),
+            ("central", _) => Ok(Self::Baseline(baseline::Kind::Central)),
+            ("sampler", d) => match d.parse() {
+                Ok(d @ 1..=64) => Ok(Self::Baseline(baseline::Kind::Sampler(d))),
+                _ => Err(format!("{d}: from 1 to 64 machines can be asked")),
+            },
+            _ => Err(format!("{text}: must be lemonweir, central, or sampler:N")),
+        }
+    }
 }
 
 /// What a run gave.
@@ -34,7 +72,7 @@
 
 /// Runs a scenario; the history goes to `out/history.txt` if there is a
 /// directory.
-pub fn once(scenario: Arc<Scenario>, source: Source, seed: u64, out: Option<&Path>) -> Result<Outcome, String> {
+pub fn once(scenario: Arc<Scenario>, source: Source, placer: Placer, seed: u64, out: Option<&Path>) -> Result<Outcome, String> {
     let sink = match out {
         None => None,
         Some(dir) => {
@@ -46,14 +84,17 @@
     };
     let load = match source {
         Source::Synthetic => load::synthetic(&scenario, seed),
-        Source::Workload(file, speed) => {
-            let (jobs, unknown) = load::replay(&file, &scenario, speed).map_err(|e| e.to_string())?;
+        Source::Workload(replayed) => {
+            let (jobs, unknown) = load::replay(&replayed, &scenario).map_err(|e| e.to_string())?;
             if unknown > 0 {
                 tracing::warn!(unknown, "constraints on attributes that the scenario's machines don't have are left out");
             }
             jobs
         }
     };
+    if let Placer::Baseline(kind) = placer {
+        return Ok(baseline::run(kind, &scenario, &load, seed));
+    }
     let began = Instant::now();
     let ms = (scenario.duration_s * 1e3) as u64;
     let mut world = World::new(scenario, load, seed, History::new(sink));
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -228,6 +228,22 @@
         if lines.is_empty() { Ok(scenario) } else { Err(lines) }
     }
 
+    /// The same with `factor` times the machines and the synthetic load, and
+    /// another number of controllers if wanted.
+    pub fn scaled(mut self, factor: f64, controllers: Option<u16>) -> Self {
+        let times = |n: u32| (f64::from(n) * factor).round() as u32;
+        for kind in &mut self.kinds {
+            kind.at_start = times(kind.at_start);
+            kind.capacity = (times(kind.capacity.0), times(kind.capacity.1));
+        }
+        for class in &mut self.classes {
+            class.per_min *= factor;
+            class.at_start = times(class.at_start);
+        }
+        self.parts = controllers.unwrap_or(self.parts);
+        self
+    }
+
     /// The catalog that the cloud tells.
     pub fn catalog(&self) -> Catalog {
         self.kinds.iter().map(|k| (k.machine.name.clone(), k.machine.clone())).collect()
--- a/crates/lab/src/traces.rs
+++ b/crates/lab/src/traces.rs
@@ -9,6 +9,7 @@
 use lemonweir_trace::{Fault, Format, OnFault};
 
 use crate::plots;
+use crate::run::Placer;
 
 /// Exit code of a check that found a fault.
 const FAULTY: u8 = 1;
@@ -57,12 +58,29 @@
         /// How many times as close together the submissions come.
         #[arg(long, default_value_t = 1.0)]
         speed: f64,
+        /// Who places: lemonweir, central, or sampler:N.
+        #[arg(long, default_value = "lemonweir")]
+        placer: Placer,
+        /// How large.
+        #[command(flatten)]
+        size: Size,
         /// Directory for report, plots and history.
         #[arg(long)]
         out: Option<PathBuf>,
     },
 }
 
+/// A scenario made larger.
+#[derive(Clone, Copy, clap::Args)]
+pub struct Size {
+    /// Times the machines and the load; of a workload, whole copies.
+    #[arg(long, default_value_t = 1.0)]
+    pub scale: f64,
+    /// Controllers in place of the scenario's.
+    #[arg(long, value_parser = clap::value_parser!(u16).range(1..=64))]
+    pub controllers: Option<u16>,
+}
+
 /// Files of a format.
 #[derive(clap::Args)]
 pub struct Files {
--- a/crates/lab/tests/replay.rs
+++ b/crates/lab/tests/replay.rs
@@ -4,7 +4,7 @@
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
-use lemonweir_lab::run::{self, Outcome, Source};
+use lemonweir_lab::run::{self, Outcome, Placer, Replayed, Source};
 use lemonweir_lab::scenario::Scenario;
 use lemonweir_model::Room;
 use lemonweir_trace::{Format, OnFault, import};
@@ -24,7 +24,14 @@
     let machine = Some(Room::offer(16.0, 4.0, 64.0));
     let result = import(format, &[example(sample)], machine, OnFault::Stop, &workload, &mut |f| panic!("{f}")).expect("readable");
     assert!(result.jobs > 0);
-    run::once(scenario("scenarios/replay.toml"), Source::Workload(workload, 1.0), seed, None).expect("replayed")
+    run::once(
+        scenario("scenarios/replay.toml"),
+        Source::Workload(Replayed { file: workload, speed: 1.0, copies: 1 }),
+        Placer::Lemonweir,
+        seed,
+        None,
+    )
+    .expect("replayed")
 }
 
 fn assert_replays(format: Format, sample: &str, digest: &str) {
@@ -97,7 +104,7 @@
 #[test]
 fn the_sample_scenario_keeps_the_rules() {
     for seed in 1..4 {
-        let outcome = run::once(scenario("scenarios/morning.toml"), Source::Synthetic, seed, None).expect("run");
+        let outcome = run::once(scenario("scenarios/morning.toml"), Source::Synthetic, Placer::Lemonweir, seed, None).expect("run");
         assert!(outcome.report.broken.is_empty(), "seed {seed}: {:?}", outcome.report.broken);
         assert!(outcome.report.starts > 300);
     }
