Fuzz targets for every edge; refusals and preemptions counted

Need: the readers, the wire formats, the settings and the scenarios had been tried with the faults that came to mind, and the fairness experiment of the design's source needs counts that only the owners know.

Change: fuzz/ holds bolero targets on the stable toolchain: good samples and messages with bytes changed, put in and cut off, for six trace readers, the workload, MessagePack edges, peer messages, settings and scenarios.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -57,6 +57,17 @@
     Release(Lot, Vec<MachineId>),
 }
 
+/// Counted work and judgements.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// Words of bits and machines that walks looked at.
+    pub looked: u64,
+    /// Placements refused for want of room.
+    pub refused: u64,
+    /// Attempts pushed out for others.
+    pub pushed_out: u64,
+}
+
 /// A part with the token under which something was asked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Lot {
@@ -601,10 +612,13 @@
             .any(|p| p.placer.wants_pass(now) || p.lines.iter().any(|l| l.dirty && !l.busy && l.failures < MAIL_AFTER_FAILURES))
     }
 
-    /// Words of bits and machines that the walks of all placers have looked at
-    /// so far; less after a part was given up.
-    pub fn looked(&self) -> u64 {
-        self.parts.values().map(|p| p.placer.looked()).sum()
+    /// Work and judgements of the parts held, counted since each was taken;
+    /// less after a part was given up.
+    pub fn tally(&self) -> Tally {
+        self.parts.values().fold(Tally::default(), |sum, part| {
+            let (refused, pushed_out) = part.owner.judged();
+            Tally { looked: sum.looked + part.placer.looked(), refused: sum.refused + refused, pushed_out: sum.pushed_out + pushed_out }
+        })
     }
 
     // ---- the pump ----------------------------------------------------------
--- a/crates/coordination/src/owner/eviction.rs
+++ b/crates/coordination/src/owner/eviction.rs
@@ -36,6 +36,7 @@
             free = free.plus(&room);
             victims.push(victim);
         }
+        self.pushed_out += victims.len() as u64;
         for victim in victims {
             if let Some(h) = self.held.get_mut(&victim) {
                 info!(attempt = %victim, machine = %want.machine, part = self.part, by = %id, "pushed out");
--- a/crates/coordination/src/owner/mod.rs
+++ b/crates/coordination/src/owner/mod.rs
@@ -161,6 +161,9 @@
     last_tick: u64,
     silent_floor: u64,
     dirty: BTreeSet<u16>,
+    /// Placements refused for want of room, and attempts pushed out, so far.
+    refused: u64,
+    pushed_out: u64,
 }
 
 impl Owner {
@@ -197,9 +200,16 @@
             last_tick: now,
             silent_floor: now,
             dirty: BTreeSet::new(),
+            refused: 0,
+            pushed_out: 0,
         }
     }
 
+    /// Placements refused for want of room, and attempts pushed out for others.
+    pub fn judged(&self) -> (u64, u64) {
+        (self.refused, self.pushed_out)
+    }
+
     /// Learns the machine types.
     pub fn set_types<'a>(&mut self, types: impl Iterator<Item = &'a lemonweir_model::MachineType>) {
         for t in types {
--- a/crates/coordination/src/owner/proof.rs
+++ b/crates/coordination/src/owner/proof.rs
@@ -50,6 +50,7 @@
         }
         if let Stage::Ended(standing) = stage {
             info!(attempt = %id, machine = %machine, part = self.part, ?standing, "attempt is over");
+            self.refused += u64::from(standing == Standing::Refused);
             self.note_end(&machine, id, standing);
         }
         self.dirty.insert(from);
--- a/crates/lab/src/compare.rs
+++ b/crates/lab/src/compare.rs
@@ -78,6 +78,8 @@
         ("money".to_owned(), r.money),
         ("useful share".to_owned(), r.useful),
         ("messages".to_owned(), r.work.messages as f64),
+        ("refusals".to_owned(), r.work.refusals as f64),
+        ("preemptions".to_owned(), r.work.preemptions as f64),
         ("rules broken".to_owned(), r.broken.len() as f64),
     ];
     for (class, s) in &r.waiting {
--- a/crates/lab/src/host.rs
+++ b/crates/lab/src/host.rs
@@ -7,7 +7,7 @@
 use lemonweir_coordination::membership::Membership;
 use lemonweir_coordination::owner::{CommandCall, CommandResult};
 use lemonweir_coordination::placer::TxnOutcome;
-use lemonweir_coordination::{Config, Core, Lot, RentResult};
+use lemonweir_coordination::{Config, Core, Lot, RentResult, Tally};
 use lemonweir_model::constants::BUDGET_PERCENT;
 use lemonweir_model::{JobId, MachineId};
 use lemonweir_protocol::cloud::{Rental, RentalEntry};
@@ -116,8 +116,8 @@
     pub cloud: Bucket,
     /// µs of work done, messages taken and sent, looks of walks.
     pub work: Work,
-    /// Looks counted at the core so far.
-    pub looked: u64,
+    /// What the core had counted when it was last charged.
+    pub tally: Tally,
 }
 
 /// Counted work of a controller.
@@ -133,6 +133,8 @@
     pub peer_bytes: u64,
     /// Words and machines that walks looked at.
     pub looks: u64,
+    /// Placements refused, and attempts pushed out.
+    pub judged: (u64, u64),
 }
 
 impl Host {
@@ -160,7 +162,7 @@
             writes: share(scenario.state.write_rps * most),
             cloud: share(scenario.cloud.rps),
             work: Work::default(),
-            looked: 0,
+            tally: Tally::default(),
         }
     }
 
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -124,8 +124,11 @@
     if !(size.scale > 0.0 && size.scale <= 1e5) {
         return Err(vec![format!("--scale: {} must be over 0 and at most 100,000", size.scale)]);
     }
+    if !(size.load > 0.0 && size.load <= 1e5) {
+        return Err(vec![format!("--load: {} must be over 0 and at most 100,000", size.load)]);
+    }
     let scenario = load(file)?;
-    Ok(Arc::new((*scenario).clone().scaled(size.scale, size.controllers)))
+    Ok(Arc::new((*scenario).clone().scaled(size.scale, size.load, size.controllers)))
 }
 
 /// A workload, if one is given.
--- a/crates/lab/src/measures.rs
+++ b/crates/lab/src/measures.rs
@@ -180,6 +180,10 @@
     pub peer_bytes: u64,
     /// Words of bits and machines that walks looked at.
     pub looks: u64,
+    /// Placements that owners refused for want of room.
+    pub refusals: u64,
+    /// Attempts pushed out for others.
+    pub preemptions: u64,
     /// Share of the time that the busiest controller was busy, as charged.
     pub busiest: f64,
     /// Requests that the store served.
@@ -323,6 +327,8 @@
             messages: world.hosts.iter().map(|h| h.work.messages).sum(),
             peer_bytes: world.hosts.iter().map(|h| h.work.peer_bytes).sum(),
             looks: world.hosts.iter().map(|h| h.work.looks).sum(),
+            refusals: world.hosts.iter().map(|h| h.work.judged.0).sum(),
+            preemptions: world.hosts.iter().map(|h| h.work.judged.1).sum(),
             busiest: world.hosts.iter().map(busy).fold(0.0, f64::max),
             store_requests: world.store.served.0,
             store_writes: world.store.served.1,
--- a/crates/lab/src/output.rs
+++ b/crates/lab/src/output.rs
@@ -56,10 +56,12 @@
     let w = r.work;
     let _ = writeln!(
         out,
-        "work: {} messages, {} KiB between controllers, {} looks, busiest controller {:.1} %; store {} requests, {} changes",
+        "work: {} messages, {} KiB between controllers, {} looks, {} refusals, {} preemptions, busiest controller {:.1} %; store {} requests, {} changes",
         w.messages,
         w.peer_bytes / 1024,
         w.looks,
+        w.refusals,
+        w.preemptions,
         w.busiest * 100.0,
         w.store_requests,
         w.store_writes
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -228,17 +228,23 @@
         if lines.is_empty() { Ok(scenario) } else { Err(lines) }
     }
 
-    /// The same with `factor` times the machines and the synthetic load, and
-    /// another number of controllers if wanted.
-    pub fn scaled(mut self, factor: f64, controllers: Option<u16>) -> Self {
+    /// The same with `factor` times the machines, the teams' amounts and the
+    /// synthetic load, that again `load` times, and another number of
+    /// controllers if wanted.
+    pub fn scaled(mut self, factor: f64, load: f64, controllers: Option<u16>) -> Self {
         let times = |n: u32| (f64::from(n) * factor).round() as u32;
         for kind in &mut self.kinds {
             kind.at_start = times(kind.at_start);
             kind.capacity = (times(kind.capacity.0), times(kind.capacity.1));
         }
         for class in &mut self.classes {
-            class.per_min *= factor;
-            class.at_start = times(class.at_start);
+            class.per_min *= factor * load;
+            class.at_start = (f64::from(class.at_start) * factor * load).round() as u32;
+        }
+        for team in &mut self.teams {
+            for amount in [&mut team.cpus, &mut team.cpus_max, &mut team.gpus, &mut team.gpus_max] {
+                *amount *= factor;
+            }
         }
         self.parts = controllers.unwrap_or(self.parts);
         self
--- a/crates/lab/src/traces.rs
+++ b/crates/lab/src/traces.rs
@@ -76,6 +76,9 @@
     /// Times the machines and the load; of a workload, whole copies.
     #[arg(long, default_value_t = 1.0)]
     pub scale: f64,
+    /// Times the synthetic load alone.
+    #[arg(long, default_value_t = 1.0)]
+    pub load: f64,
     /// Controllers in place of the scenario's.
     #[arg(long, value_parser = clap::value_parser!(u16).range(1..=64))]
     pub controllers: Option<u16>,
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -310,9 +310,13 @@
         let costs = self.scenario.costs;
         let now = self.now;
         let h = &mut self.hosts[host];
-        let looked = h.core.as_ref().map_or(0, |c| c.looked());
-        let looks = looked.checked_sub(h.looked).unwrap_or(looked);
-        h.looked = looked;
+        let tally = h.core.as_ref().map(|c| c.tally()).unwrap_or_default();
+        // Less than before: a part was given up.
+        let grown = |now: u64, before: u64| now.checked_sub(before).unwrap_or(now);
+        let looks = grown(tally.looked, h.tally.looked);
+        h.work.judged.0 += grown(tally.refused, h.tally.refused);
+        h.work.judged.1 += grown(tally.pushed_out, h.tally.pushed_out);
+        h.tally = tally;
         let ns = h.work.rest_ns + messages * costs.message_ns + looks * costs.look_ns;
         h.work.rest_ns = ns % 1_000;
         h.work.busy_us += ns / 1_000;
--- /dev/null
+++ b/fuzz/tests/edges.rs
@@ -0,0 +1,216 @@
+//! Whatever bytes come: an edge answers with a value or a fault, and never
+//! ends the process. Inputs are good messages and files with bytes changed,
+//! put in and cut off, since random bytes seldom get past the first check.
+
+use std::path::{Path, PathBuf};
+
+use bolero::check;
+use lemonweir_lab::scenario::Scenario;
+use lemonweir_model::settings::Settings;
+use lemonweir_model::{JobId, MachineId, Rank, Room, Shape};
+use lemonweir_protocol::peer::{self, Evict, Have, Span, Sync, View, Want};
+use lemonweir_protocol::state::{Changes, Page, TxnReply};
+use lemonweir_protocol::worker::{Commands, Report, ReportReply};
+use lemonweir_protocol::{cloud, decode, encode, users};
+use lemonweir_trace::{Fault, Format};
+
+/// Bytes to be put somewhere, and what is cut off.
+type Edits = (Vec<(u16, u8)>, Vec<(u16, Vec<u8>)>, Option<u16>);
+
+fn edited(good: &[u8], (changes, inserts, cut): &Edits) -> Vec<u8> {
+    let mut bytes = good.to_vec();
+    for (at, byte) in changes {
+        let n = bytes.len().max(1);
+        if let Some(b) = bytes.get_mut(usize::from(*at) % n) {
+            *b = *byte;
+        }
+    }
+    for (at, more) in inserts {
+        let at = usize::from(*at) % (bytes.len() + 1);
+        bytes.splice(at..at, more.iter().copied());
+    }
+    if let Some(cut) = cut {
+        bytes.truncate(usize::from(*cut) % (bytes.len() + 1));
+    }
+    bytes
+}
+
+fn example(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../examples").join(name)
+}
+
+/// Checks a changed sample: every fault has a field and a text, and checking
+/// the same bytes again says the same.
+fn trace(format: Format, sample: &str) {
+    let good = std::fs::read(example("traces").join(sample)).expect("sample");
+    let dir = tempfile::tempdir().expect("directory");
+    let file = dir.path().join(Path::new(sample).file_name().expect("name"));
+    check!().with_type::<Edits>().for_each(|edits| {
+        std::fs::write(&file, edited(&good, edits)).expect("written");
+        let run = || {
+            let mut faults: Vec<Fault> = Vec::new();
+            let machine = Some(Room::offer(16.0, 4.0, 64.0));
+            let result = lemonweir_trace::check(format, std::slice::from_ref(&file), machine, &mut |f| faults.push(f.clone()));
+            (result.map_err(|e| e.to_string()), faults)
+        };
+        let (result, faults) = run();
+        if let Ok(imported) = &result {
+            assert_eq!(imported.faults, faults.len() as u64);
+        }
+        assert!(faults.iter().all(|f| !f.field.is_empty() && !f.what.is_empty()));
+        assert_eq!(run(), (result, faults));
+    });
+}
+
+#[test]
+fn swf() {
+    trace(Format::Swf, "small.swf");
+}
+
+#[test]
+fn google_2011() {
+    trace(Format::Google2011, "google-2011/task_events-small.csv");
+}
+
+#[test]
+fn google_2019() {
+    trace(Format::Google2019, "google-2019/instance_events-small.json");
+}
+
+#[test]
+fn alibaba_2018() {
+    trace(Format::Alibaba2018, "alibaba-2018/batch_task-small.csv");
+}
+
+#[test]
+fn pai_2020() {
+    trace(Format::Pai2020, "pai-2020/pai_task_table-small.csv");
+}
+
+#[test]
+fn philly() {
+    trace(Format::Philly, "philly/cluster_job_log-small.json");
+}
+
+#[test]
+fn workload() {
+    let line = r#"{"at_ms":5,"id":"a","rank":"normal","shape":"array","tasks":2,"need":{"cpus":1,"gpus":0,"memory":0},"run_ms":[1,2],"from":"f:1"}"#;
+    let good = format!("{{\"format\":\"lemonweir-workload\",\"version\":1,\"source\":\"x\"}}\n{line}\n{line}\n");
+    let dir = tempfile::tempdir().expect("directory");
+    let file = dir.path().join("w.jsonl");
+    check!().with_type::<Edits>().for_each(|edits| {
+        std::fs::write(&file, edited(good.as_bytes(), edits)).expect("written");
+        let mut last = 0;
+        let read = lemonweir_trace::workload::read(&file, |e| {
+            assert!(e.at_ms >= last && e.tasks > 0);
+            last = e.at_ms;
+        });
+        assert!(read.is_ok_and(|h| h.version == 1) || !edits.0.is_empty() || !edits.1.is_empty() || edits.2.is_some());
+    });
+}
+
+#[test]
+fn message_pack() {
+    let spec = lemonweir_lab::sample::job(1, "red", Shape::Array, 3);
+    let report = Report {
+        machine: MachineId::from("n-000001"),
+        address: "10.0.0.1:9000".into(),
+        kind: "box".into(),
+        zone: "north".into(),
+        spot: true,
+        session: 1,
+        seq: 2,
+        token: 3,
+        notice_s: Some(1.5),
+        tasks: Vec::new(),
+    };
+    let goods = [encode(&spec), encode(&report)];
+    check!().with_type::<(bool, Edits)>().for_each(|(which, edits)| {
+        let bytes = edited(&goods[usize::from(*which)], edits);
+        if let Ok(spec) = users::read_submission(&bytes) {
+            assert!(JobId::parse(spec.id.as_str()).is_some() && spec.tasks > 0 && spec.need().cpus < u64::MAX);
+        }
+        // What is understood can be said again, and is understood the same.
+        if let Ok(report) = decode::<Report>(&bytes) {
+            let again = decode::<Report>(&encode(&report)).expect("what we wrote");
+            assert_eq!((again.machine, again.seq, again.token), (report.machine, report.seq, report.token));
+        }
+        let _ = (decode::<Commands>(&bytes).is_ok(), decode::<ReportReply>(&bytes).is_ok(), decode::<Page>(&bytes).is_ok());
+        let _ = (decode::<Changes>(&bytes).is_ok(), decode::<TxnReply>(&bytes).is_ok());
+        let _ = (decode::<cloud::CatalogReply>(&bytes).is_ok(), decode::<cloud::RentalList>(&bytes).is_ok());
+    });
+}
+
+#[test]
+fn peer_messages() {
+    let want = Want {
+        id: lemonweir_model::AttemptId { job: JobId::from("req-000001"), task: 1, attempt: 1 },
+        machine: MachineId::from("n-000001"),
+        need: Room::offer(1.0, 0.0, 1.0),
+        image: "i".into(),
+        image_mb: 1,
+        go: true,
+        kill: None,
+        team: "t".into(),
+        rank: Rank::Normal,
+        over: false,
+        grace: 0,
+        lasting: false,
+        evict: Evict::Nobody,
+    };
+    let good = peer::write(&Sync {
+        version: lemonweir_model::constants::PEER_VERSION,
+        from: 0,
+        from_token: 1,
+        to: 1,
+        to_token: 2,
+        seq: 3,
+        store_age_ms: 4,
+        span: Span { since: 0, upto: 1, last: true },
+        wants: vec![want],
+        dropped: Vec::new(),
+        stops: Vec::new(),
+        have: Have::default(),
+        rented: Vec::new(),
+        keep: Vec::new(),
+        notes: Vec::new(),
+    });
+    check!().with_type::<Edits>().for_each(|edits| {
+        let bytes = edited(&good, edits);
+        if let Ok(sync) = peer::read::<Sync>(&bytes) {
+            assert_eq!(peer::write(&sync), bytes, "one message, one form");
+        }
+        assert!(peer::read::<View>(&bytes).is_err() || !edits.0.is_empty() || !edits.1.is_empty() || edits.2.is_some());
+    });
+}
+
+#[test]
+fn settings() {
+    let good = r#"{"host_name":"h0","zone":"a","listen":"10.0.0.1:80","internal_addr":"10.0.0.1:81","seeds":[],
+        "services":{"cloud":"10.2.0.2:1","state":"10.2.0.1:1"},"cluster":{"zones":["a"],"teams":[{"name":"t"}],
+        "workers":{"report_s":3.0,"lease_s":14.0,"gang_wait_s":50.0,"gang_peer_s":8.0,"cancel_s":34.0},
+        "state":{"rps":200.0,"write_rps":80.0,"value_kb":8.0,"txn_ops":12},"cloud":{"rps":4.0,"list_lag_s":10.0},
+        "limits":{"cpu_share":0.1,"mem_mb":100.0,"fd_limit":1800}}}"#;
+    assert!(Settings::parse(good).is_ok());
+    check!().with_type::<Edits>().for_each(|edits| {
+        let bytes = edited(good.as_bytes(), edits);
+        let Ok(text) = std::str::from_utf8(&bytes) else { return };
+        match Settings::parse(text) {
+            Ok(settings) => assert!(!settings.members().is_empty()),
+            Err(faults) => assert!(!faults.is_empty() && faults.iter().all(|f| !f.is_empty())),
+        }
+    });
+}
+
+#[test]
+fn scenarios() {
+    let good = std::fs::read_to_string(example("scenarios/morning.toml")).expect("sample");
+    check!().with_type::<Edits>().for_each(|edits| {
+        let bytes = edited(good.as_bytes(), edits);
+        let Ok(text) = std::str::from_utf8(&bytes) else { return };
+        match Scenario::parse("s.toml", text) {
+            Ok(scenario) => assert!(!scenario.zones.is_empty() && scenario.parts > 0),
+            Err(faults) => assert!(faults.iter().all(|f| f.starts_with("s.toml:")) && !faults.is_empty()),
+        }
+    });
+}
