Settings: every field of the wrong form is named, by its path

Need: the check named the parser's column of the first fault alone, so a file with five faults took five rounds.

Change: each fault is noted by its path, mended from a pattern of the file, and the file is read again, up to 100 times; faults of range are told once all fields have their form, as before.

Measured: a file with five faults of form in as many places names cluster.state.txn_ops, cluster.teams[0].gpus, cluster.workers.lease_s, seeds[0].address and zone at once; a test holds it.

--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -6,6 +6,8 @@
 use std::path::Path;
 
 use serde::Deserialize;
+use serde_json::{Value, json};
+use serde_path_to_error::Segment;
 
 /// Another controller.
 #[derive(Clone, Debug, Deserialize)]
@@ -146,7 +148,8 @@
 
     /// Reads and checks the text of a file.
     pub fn parse(text: &str) -> Result<Self, Vec<String>> {
-        let settings: Self = serde_json::from_str(text).map_err(|e| vec![format!("settings: {e}")])?;
+        let value: Value = serde_json::from_str(text).map_err(|e| vec![format!("settings: not JSON: {e}")])?;
+        let settings = read(value)?;
         let faults = settings.faults();
         if faults.is_empty() { Ok(settings) } else { Err(faults) }
     }
@@ -216,3 +219,74 @@
         members
     }
 }
+
+/// Fields of the wrong form that are named at most.
+const FAULTS_MOST: usize = 100;
+
+/// A file that has every field, in its form.
+fn pattern() -> Value {
+    let address = "0.0.0.0:0";
+    json!({
+        "host_name": "", "zone": "", "listen": address, "internal_addr": address,
+        "seeds": [{"host_name": "", "zone": "", "address": address}],
+        "services": {"cloud": address, "state": address},
+        "cluster": {
+            "zones": [""],
+            "teams": [{"name": "", "cpus": 0.0, "cpus_max": 0.0, "gpus": 0.0, "gpus_max": 0.0}],
+            "objectives": [{"kind": "", "class": null, "within_s": null}],
+            "workers": {"report_s": 0.0, "lease_s": 0.0, "gang_wait_s": 0.0, "gang_peer_s": 0.0, "cancel_s": 0.0},
+            "state": {"rps": 0.0, "write_rps": 0.0, "value_kb": 0.0, "txn_ops": 0},
+            "cloud": {"rps": 0.0, "list_lag_s": 0.0},
+            "limits": {"cpu_share": 0.0, "mem_mb": 0.0, "fd_limit": 0},
+            "clock_off_ms": 0.0,
+        }
+    })
+}
+
+/// Reads the form of all fields. The parser stops at the first fault, so each
+/// one is noted by its path, mended from the pattern, and all is read again.
+fn read(mut value: Value) -> Result<Settings, Vec<String>> {
+    let pattern = pattern();
+    let mut faults = Vec::new();
+    while faults.len() < FAULTS_MOST {
+        let error = match serde_path_to_error::deserialize::<_, Settings>(&value) {
+            Ok(settings) if faults.is_empty() => return Ok(settings),
+            Ok(_) => break,
+            Err(error) => error,
+        };
+        let what = error.inner().to_string();
+        let missing = what.strip_prefix("missing field `").and_then(|rest| rest.split('`').next()).map(str::to_owned);
+        let mut path: Vec<Segment> = error.path().iter().cloned().collect();
+        path.extend(missing.clone().map(|key| Segment::Map { key }));
+        let name = path.iter().map(Segment::to_string).collect::<Vec<_>>().join(".").replace(".[", "[");
+        let name = if name.is_empty() { "settings" } else { &name };
+        faults.push(format!("{name}: {}", if missing.is_some() { "is missing" } else { &what }));
+        if !mend(&mut value, &pattern, &path) {
+            break;
+        }
+    }
+    Err(faults)
+}
+
+/// Puts the pattern's value where the path leads; false if it leads nowhere.
+fn mend(value: &mut Value, pattern: &Value, path: &[Segment]) -> bool {
+    let Some((first, rest)) = path.split_first() else {
+        *value = pattern.clone();
+        return true;
+    };
+    match (first, value, pattern) {
+        (Segment::Map { key }, Value::Object(map), Value::Object(good)) => {
+            let Some(good) = good.get(key) else { return false };
+            if rest.is_empty() {
+                map.insert(key.clone(), good.clone());
+                return true;
+            }
+            map.get_mut(key).is_some_and(|inner| mend(inner, good, rest))
+        }
+        (Segment::Seq { index }, Value::Array(list), Value::Array(good)) => match (list.get_mut(*index), good.first()) {
+            (Some(inner), Some(good)) => mend(inner, good, rest),
+            _ => false,
+        },
+        _ => false,
+    }
+}
--- a/tests/edges.rs
+++ b/tests/edges.rs
@@ -218,3 +218,21 @@
     assert!(mirror.jobs.is_empty() && mirror.parts.is_empty());
     assert_eq!(mirror.revision, Some(7));
 }
+
+/// Every field of the wrong form is named, not the first alone.
+#[test]
+fn settings_name_every_faulty_field() {
+    let text = settings_text(0, 3)
+        .replace(r#""zone":"south""#, r#""zone":7"#)
+        .replace(r#""lease_s":14.0,"#, "")
+        .replace(r#""txn_ops":12"#, r#""txn_ops":"many""#)
+        .replacen(r#""address":"10.0.0.2:81""#, r#""address":"here""#, 1)
+        .replace(r#""gpus":4.0"#, r#""gpus":[]"#);
+    let faults = Settings::parse(&text).expect_err("faulty");
+    let fields: Vec<&str> = faults.iter().filter_map(|f| f.split(": ").next()).collect();
+    let mut sorted = fields.clone();
+    sorted.sort_unstable();
+    assert_eq!(sorted, ["cluster.state.txn_ops", "cluster.teams[0].gpus", "cluster.workers.lease_s", "seeds[0].address", "zone"]);
+    assert_eq!(Settings::parse("[1]").expect_err("no map").len(), 1);
+    assert!(Settings::parse("{").expect_err("cut short")[0].contains("not JSON"));
+}
