--- a/crates/lab/src/measures.rs
+++ b/crates/lab/src/measures.rs
@@ -303,6 +303,8 @@
     let spreads = |map: Named| map.iter().map(|(k, h)| (k.clone(), Spread::of(h))).collect();
     let (lines, digest) = world.ground.history.digest();
     let paid: f64 = m.series.windows(2).map(|w| w[0].cpus * (w[1].at_s - w[0].at_s)).sum();
+    let serving: u128 = world.workers.iter().flatten().map(|w| w.serving(world.now, &world.ground)).sum();
+    let useful = (world.ground.useful + serving) as f64 / 1e9;
     let busy = |h: &crate::host::Host| h.work.busy_us as f64 / world.now.max(1) as f64;
     let report = Report {
         scenario: world.scenario.name.clone(),
@@ -322,7 +324,7 @@
         waiting: spreads(waiting),
         finished: spreads(finished),
         money: world.cloud.spent(world.now),
-        useful: if paid > 0.0 { world.ground.useful as f64 / 1e9 / paid } else { 0.0 },
+        useful: if paid > 0.0 { useful / paid } else { 0.0 },
         work: WorkReport {
             messages: world.hosts.iter().map(|h| h.work.messages).sum(),
             peer_bytes: world.hosts.iter().map(|h| h.work.peer_bytes).sum(),
--- a/crates/lab/src/worker.rs
+++ b/crates/lab/src/worker.rs
@@ -339,6 +339,13 @@
         self.tasks.iter().filter(|(_, t)| t.phase != TaskPhase::Exited).map(|(id, _)| &id.job)
     }
 
+    /// µs of run time of the replicas that run now, in thousandths of a processor.
+    pub fn serving(&self, now: u64, ground: &Ground) -> u128 {
+        let service = |id: &AttemptId| ground.jobs.get(&id.job).is_some_and(|l| l.spec.shape == Shape::Service);
+        let running = self.tasks.iter().filter(|(id, t)| t.phase == TaskPhase::Running && service(id));
+        running.map(|(_, t)| u128::from(now.saturating_sub(t.ran_from)) * u128::from(t.need.cpus)).sum()
+    }
+
     /// Room that is not taken.
     pub fn free(&self) -> Room {
         self.free
