A plot of the controllers' messages over time

Need: the reports counted messages in all, not when they come. Change: each sample of the fleet holds the count, and a plot shows the rate of all and of the busiest.

--- a/crates/lab/src/measures.rs
+++ b/crates/lab/src/measures.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::cloud::Cloud;
+use crate::host::Host;
 use crate::worker::{Ground, Worker};
 use crate::world::World;
 
@@ -65,6 +66,9 @@
     pub cpus: f64,
     /// Money spent so far.
     pub money: f64,
+    /// Messages that the controllers took and sent so far, the busiest alone
+    /// and all together.
+    pub messages: (u64, u64),
 }
 
 /// A distribution in figures, ms.
@@ -248,12 +252,15 @@
     }
 
     /// Looks at the fleet, now and then.
-    pub fn sample(&mut self, now: u64, workers: &[Option<Worker>], cloud: &Cloud) {
+    pub fn sample(&mut self, now: u64, workers: &[Option<Worker>], cloud: &Cloud, hosts: &[Host]) {
         if self.sampled_at.is_some_and(|at| now < at + SAMPLE_US) {
             return;
         }
         self.sampled_at = Some(now);
-        let mut sample = Sample { at_s: now as f64 / 1e6, machines: 0, up: 0, used_cpus: 0.0, cpus: 0.0, money: cloud.spent(now) };
+        let counts = || hosts.iter().map(|h| h.work.messages);
+        let messages = (counts().max().unwrap_or(0), counts().sum());
+        let mut sample =
+            Sample { at_s: now as f64 / 1e6, machines: 0, up: 0, used_cpus: 0.0, cpus: 0.0, money: cloud.spent(now), messages };
         for w in workers.iter().flatten() {
             sample.machines += 1;
             if w.up_at <= now {
--- a/crates/lab/src/output.rs
+++ b/crates/lab/src/output.rs
@@ -90,6 +90,7 @@
         let file = |name: &str| dir.join(format!("{name}.{kind}"));
         plots::allocation(&line, &file("allocation")).map_err(other)?;
         plots::fleet(&o.report, &file("fleet")).map_err(other)?;
+        plots::messages(&o.report, &file("messages")).map_err(other)?;
         plots::waiting(&o.report, &file("waiting")).map_err(other)?;
     }
     Ok(())
--- a/crates/lab/src/plots.rs
+++ b/crates/lab/src/plots.rs
@@ -7,7 +7,7 @@
 use plotters::prelude::*;
 use plotters::style::register_font;
 
-use crate::measures::Report;
+use crate::measures::{Report, Sample};
 
 type Fault = Box<dyn std::error::Error>;
 type Line<'a> = (&'a str, Vec<(f64, f64)>);
@@ -93,7 +93,7 @@
 
 /// Fleet and use over time, and money.
 pub fn fleet(report: &Report, path: &Path) -> Result<(), Fault> {
-    let line = |f: &dyn Fn(&crate::measures::Sample) -> f64| report.series.iter().map(|s| (s.at_s, f(s))).collect::<Vec<_>>();
+    let line = |f: &dyn Fn(&Sample) -> f64| report.series.iter().map(|s| (s.at_s, f(s))).collect::<Vec<_>>();
     let all = [
         ("machines rented", line(&|s| s.machines as f64)),
         ("machines up", line(&|s| s.up as f64)),
@@ -103,6 +103,16 @@
     lines(path, &Frame { title: "Fleet and money", x: "s", y: "machines, money", log_x: false }, &all)
 }
 
+/// Messages a second of all controllers together, and of the busiest.
+pub fn messages(report: &Report, path: &Path) -> Result<(), Fault> {
+    let rate = |f: &dyn Fn(&Sample) -> u64| {
+        let between = |w: &[Sample]| (w[1].at_s, f(&w[1]).saturating_sub(f(&w[0])) as f64 / (w[1].at_s - w[0].at_s));
+        report.series.windows(2).map(between).collect::<Vec<_>>()
+    };
+    let all = [("all controllers", rate(&|s| s.messages.1)), ("the busiest", rate(&|s| s.messages.0))];
+    lines(path, &Frame { title: "Controllers' messages", x: "s", y: "messages a second", log_x: false }, &all)
+}
+
 /// Half and 90 % of the waiting of each class.
 pub fn waiting(report: &Report, path: &Path) -> Result<(), Fault> {
     let steps =
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -1032,7 +1032,7 @@
             Event::Look => {
                 self.store.expire(now);
                 self.ground.checker.check_time(now);
-                self.measures.sample(now, &self.workers, &self.cloud);
+                self.measures.sample(now, &self.workers, &self.cloud, &self.hosts);
                 self.at(LOOK_US, Event::Look);
             }
         }
