An owner told through the store is asked again after the longer pause

Through the store an owner's state is 0.6 s old and more, so a try 40 ms after a refusal mostly meets the same, and each is written.

Change: the short pause holds for owners that are reached directly; for those told through the store it is 250 ms as before.

--- a/crates/coordination/src/placer/telling.rs
+++ b/crates/coordination/src/placer/telling.rs
@@ -288,7 +288,12 @@
                     job.reason = "its tasks failed; it is tried again after a pause";
                 }
             }
-            Standing::Refused => job.not_before = now + REFUSED_PAUSE_MS,
+            Standing::Refused => {
+                // Guards against asking an owner again and again whose state
+                // comes through the store, behind what others have taken.
+                let by_mail = self.links.get(usize::from(live.part)).is_some_and(|l| l.by_mail);
+                job.not_before = now + if by_mail { REFUSED_MAIL_PAUSE_MS } else { REFUSED_PAUSE_MS };
+            }
             Standing::Exited(Cause::NoRoom | Cause::InUse | Cause::Unknown | Cause::Alone) => job.not_before = now + START_REFUSED_PAUSE_MS,
             _ => {}
         }
--- a/crates/model/src/constants.rs
+++ b/crates/model/src/constants.rs
@@ -285,6 +285,9 @@
 /// gap between two syncs, so that what others took at the same time shows too;
 /// at six times that most starts among many controllers waited for this alone.
 pub const REFUSED_PAUSE_MS: u64 = 40;
+/// ms that it waits if the owner is told through the store: its state is older
+/// then, and each try is written.
+pub const REFUSED_MAIL_PAUSE_MS: u64 = 250;
 /// Jobs that failed in a row, with no success between, that quarantine a
 /// machine. Two: a gang that takes it whole is the only one there, and each
 /// that fails starts late.
