--- a/crates/lab/src/host.rs
+++ b/crates/lab/src/host.rs
@@ -64,7 +64,7 @@
     Announced,
     /// A reading that began at that time.
     Read(u64, Reading),
-    /// A user submits; the try's number.
+    /// A user submits.
     Submit(JobId),
     /// A user polls.
     Poll(JobId),
@@ -86,7 +86,7 @@
     pub life: u64,
     /// Which parts to take.
     pub membership: Membership,
-    /// Its hold at the store, and when that was renewed.
+    /// Its hold at the store.
     pub hold: Option<u64>,
     /// When the hold was last renewed, µs.
     pub renewed: u64,
@@ -98,23 +98,23 @@
     pub waking: bool,
     /// Something happened: pump once the inbox is empty.
     pub poked: bool,
-    /// A reading is wanted soon; one is under way.
+    /// A reading is wanted soon.
     pub read_wanted: bool,
     /// A reading is under way.
     pub reading: bool,
-    /// When the last reading ended, and when the next is due, µs.
+    /// When the last reading ended, µs.
     pub read_at: u64,
     /// When the next reading is due, µs.
     pub read_due: u64,
     /// Users who wait for a reading that began after they asked, and when they asked.
     pub waiting: Vec<(u64, JobId, bool)>,
-    /// Shares of the common limits.
+    /// Share of the store's requests a second.
     pub requests: Bucket,
-    /// Share of the changes a second.
+    /// Share of the store's changes a second.
     pub writes: Bucket,
     /// Share of the cloud's requests.
     pub cloud: Bucket,
-    /// µs of work done, messages taken and sent, looks of walks.
+    /// Counted work.
     pub work: Work,
     /// What the core had counted when it was last charged.
     pub tally: Tally,
--- a/crates/lab/src/measures.rs
+++ b/crates/lab/src/measures.rs
@@ -60,7 +60,7 @@
     pub machines: usize,
     /// Of these, up.
     pub up: usize,
-    /// Processors taken by tasks, and processors of all that are up.
+    /// Processors taken by tasks.
     pub used_cpus: f64,
     /// Processors of all machines that are up.
     pub cpus: f64,
@@ -78,7 +78,7 @@
     pub count: u64,
     /// Mean.
     pub mean: f64,
-    /// Percentiles.
+    /// Half.
     pub p50: f64,
     /// 90th.
     pub p90: f64,
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -78,7 +78,7 @@
     pub per_min: f64,
     /// Jobs at the start.
     pub at_start: u32,
-    /// All in one zone; at most half in one; may use spot machines.
+    /// All in one zone.
     pub one_zone: bool,
     /// At most half of the tasks in a zone.
     pub spread: bool,
