--- a/crates/trace/tests/readers.rs
+++ b/crates/trace/tests/readers.rs
@@ -246,3 +246,12 @@
     .expect("a workload");
     assert_eq!(next, ROWS);
 }
+
+/// The workload that the README replays is what its trace is imported to.
+#[test]
+fn the_sample_workload_is_the_sample_traces() {
+    let mut kept = Vec::new();
+    workload::read(&sample("../workloads/small.jsonl"), |e| kept.push(Entry { from: String::new(), ..e })).expect("a workload");
+    let fresh = entries(Format::Swf, &[sample("small.swf")], OnFault::Stop).expect("written");
+    assert_eq!(kept, fresh.into_iter().map(|e| Entry { from: String::new(), ..e }).collect::<Vec<_>>());
+}
