Laboratory and readers: one piece each where the same was written twice

Found on reading the whole change once more: the world's figures and the baselines' kept their histograms by name with two copies of the same code; the run time of a task was looked up in two ways; a reading of the followed keys was made and applied in two places; the SWF and the Google 2019 readers each checked lines for length and text; a share over 1 was refused in two places; a gang's members, calls to other machines and users who wait for a reading were spelled out three and four times. Every submission built the whole catalog anew, which the core has already, and a scenario was copied to be scaled.

Change: measures::Named, Load::run_us, Reading::apply with followed, input::rows, part, Gang::members, pass_calls and await_reading serve all of them; a submission is judged by the core's catalog.

--- a/crates/lab/src/baseline.rs
+++ b/crates/lab/src/baseline.rs
@@ -16,7 +16,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::history::History;
-use crate::measures::{Jobs, RecordUs, Report, Spread, WorkReport, histogram};
+use crate::measures::{Jobs, Named, RecordUs, Report, Spread, WorkReport, histogram};
 use crate::run::Outcome;
 use crate::scenario::Scenario;
 use crate::world::Planned;
@@ -300,8 +300,7 @@
         let load = &self.load[job].load;
         self.history.note(self.now, "up", &format!("{}/{task}", load.spec.id), &m);
         if load.spec.shape != Shape::Service {
-            let run = load.run_us.get(task as usize % load.run_us.len().max(1)).copied().unwrap_or(0);
-            self.push(self.now + run, Event::Ends(job, task, m));
+            self.push(self.now + load.run_us(task), Event::Ends(job, task, m));
         }
     }
 
@@ -326,24 +325,20 @@
 
     fn report(self, kind: Kind, seed: u64) -> (Report, hdrhistogram::Histogram<u64>) {
         let mut whole = histogram();
-        let mut pieces: BTreeMap<String, hdrhistogram::Histogram<u64>> = BTreeMap::new();
-        let mut waiting: BTreeMap<String, hdrhistogram::Histogram<u64>> = BTreeMap::new();
-        let mut finished: BTreeMap<String, hdrhistogram::Histogram<u64>> = BTreeMap::new();
+        let (mut pieces, mut waiting, mut finished) = (Named::default(), Named::default(), Named::default());
         for ((job, task), &at) in &self.launched {
             let planned = &self.load[*job];
             let (sent, pass) = self.sent.get(&(*job, *task)).copied().unwrap_or_default();
-            let mut note = |name: &str, us: u64| pieces.entry(name.into()).or_insert_with(histogram).record_us(us);
-            note("2 queueing", sent.saturating_sub(pass).saturating_sub(planned.at_us));
-            note("3 processing", pass);
-            note("5 ordering", at.saturating_sub(sent));
+            pieces.record("2 queueing", sent.saturating_sub(pass).saturating_sub(planned.at_us));
+            pieces.record("3 processing", pass);
+            pieces.record("5 ordering", at.saturating_sub(sent));
             whole.record_us(at - planned.at_us);
-            waiting.entry(planned.load.spec.class.clone()).or_insert_with(histogram).record_us(at - planned.at_us);
+            waiting.record(&planned.load.spec.class, at - planned.at_us);
         }
         for (job, at) in self.finished.iter().filter(|(j, _)| self.load[**j].load.spec.shape != Shape::Service) {
             let planned = &self.load[*job];
-            finished.entry(planned.load.spec.class.clone()).or_insert_with(histogram).record_us(at - planned.at_us);
+            finished.record(&planned.load.spec.class, at - planned.at_us);
         }
-        let spreads = |map: BTreeMap<String, hdrhistogram::Histogram<u64>>| map.iter().map(|(k, h)| (k.clone(), Spread::of(h))).collect();
         let (lines, digest) = self.history.digest();
         let submitted = self.load.iter().filter(|p| p.at_us <= self.now).count() as u64;
         let report = Report {
@@ -355,9 +350,9 @@
             jobs: Jobs { submitted, accepted: submitted, refused: 0, over: self.finished.len() as u64 },
             starts: self.launched.len() as u64,
             allocation: Spread::of(&whole),
-            pieces: spreads(pieces),
-            waiting: spreads(waiting),
-            finished: spreads(finished),
+            pieces: pieces.spreads(),
+            waiting: waiting.spreads(),
+            finished: finished.spreads(),
             money: 0.0,
             useful: 0.0,
             work: WorkReport { busiest: self.busy_us as f64 / self.now.max(1) as f64, ..self.work },
--- a/crates/lab/src/host.rs
+++ b/crates/lab/src/host.rs
@@ -14,6 +14,7 @@
 use lemonweir_protocol::peer::{Sync, View};
 use lemonweir_protocol::state::{Change, Entry, Txn};
 use lemonweir_protocol::worker::Report;
+use lemonweir_storage::Mirror;
 
 use crate::scenario::Scenario;
 
@@ -40,6 +41,24 @@
     Failed,
 }
 
+impl Reading {
+    /// Brings a copy up to date; tells whether it changed, `None` if the store
+    /// could not be had.
+    pub fn apply(self, mirror: &mut Mirror) -> Option<bool> {
+        match self {
+            Reading::Changes(changes, revision) => {
+                mirror.apply(&changes, revision);
+                Some(!changes.is_empty())
+            }
+            Reading::All(entries, revision) => {
+                mirror.replace(&entries, revision);
+                Some(true)
+            }
+            Reading::Failed => None,
+        }
+    }
+}
+
 /// A message that waits to be worked off.
 pub enum Input {
     /// A worker's report, sent at that time.
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -127,8 +127,7 @@
     if !(size.load > 0.0 && size.load <= 1e5) {
         return Err(vec![format!("--load: {} must be over 0 and at most 100,000", size.load)]);
     }
-    let scenario = load(file)?;
-    Ok(Arc::new((*scenario).clone().scaled(size.scale, size.load, size.controllers)))
+    Ok(Arc::new(load(file)?.scaled(size.scale, size.load, size.controllers)))
 }
 
 /// A workload, if one is given.
@@ -139,10 +138,10 @@
     Ok(run::Replayed { file, speed, copies: size.scale.round().max(1.0) as u32 })
 }
 
-fn load(file: &Path) -> Result<Arc<Scenario>, Vec<String>> {
+fn load(file: &Path) -> Result<Scenario, Vec<String>> {
     let name = file.display().to_string();
     let text = std::fs::read_to_string(file).map_err(|e| vec![format!("{name}: {e}")])?;
-    Scenario::parse(&name, &text).map(Arc::new)
+    Scenario::parse(&name, &text)
 }
 
 fn execute(command: Command) -> Result<ExitCode, Vec<String>> {
--- a/crates/lab/src/measures.rs
+++ b/crates/lab/src/measures.rs
@@ -38,7 +38,25 @@
 }
 
 /// Histograms by name.
-type Named = BTreeMap<String, Histogram<u64>>;
+#[derive(Default)]
+pub struct Named(BTreeMap<String, Histogram<u64>>);
+
+impl Named {
+    /// Records µs under a name.
+    pub fn record(&mut self, name: &str, us: u64) {
+        if !self.0.contains_key(name) {
+            self.0.insert(name.to_owned(), histogram());
+        }
+        if let Some(h) = self.0.get_mut(name) {
+            h.record_us(us);
+        }
+    }
+
+    /// All of them in figures.
+    pub fn spreads(&self) -> BTreeMap<String, Spread> {
+        self.0.iter().map(|(name, h)| (name.clone(), Spread::of(h))).collect()
+    }
+}
 
 /// Collects figures.
 #[derive(Default)]
@@ -274,13 +292,10 @@
 
     fn stages(&self, ground: &Ground) -> (Histogram<u64>, Named, Named) {
         let mut whole = histogram();
-        let mut pieces: Named = BTreeMap::new();
-        let mut waiting: Named = BTreeMap::new();
+        let (mut pieces, mut waiting) = (Named::default(), Named::default());
         for (key, &launched) in &ground.launched {
             let (Some(job), Some(stages)) = (self.jobs.get(&key.0), self.tasks.get(key)) else { continue };
-            let mut note = |name: &str, from: u64, to: u64| {
-                pieces.entry(String::from(name)).or_insert_with(histogram).record_us(to.saturating_sub(from));
-            };
+            let mut note = |name: &str, from: u64, to: u64| pieces.record(name, to.saturating_sub(from));
             note("1 accepting", job.first_try, job.accepted);
             note("2 queueing", job.accepted, stages.written.saturating_sub(stages.pass_us));
             note("3 processing", 0, stages.pass_us);
@@ -288,8 +303,7 @@
             note("5 ordering", stages.recorded, launched);
             whole.record_us(launched.saturating_sub(job.first_try));
             if let Some(&up) = ground.up.get(key) {
-                let h = waiting.entry(job.class.clone()).or_insert_with(histogram);
-                h.record_us(up.saturating_sub(job.first_try));
+                waiting.record(&job.class, up.saturating_sub(job.first_try));
             }
         }
         (whole, pieces, waiting)
@@ -300,14 +314,12 @@
 pub fn report(world: &World, seed: u64) -> (Report, Histogram<u64>) {
     let m = &world.measures;
     let (whole, pieces, waiting) = m.stages(&world.ground);
-    let mut finished: Named = BTreeMap::new();
+    let mut finished = Named::default();
     for job in m.jobs.values().filter(|j| !j.service) {
         if let Some(ended) = job.ended {
-            let h = finished.entry(job.class.clone()).or_insert_with(histogram);
-            h.record_us(ended.saturating_sub(job.first_try));
+            finished.record(&job.class, ended.saturating_sub(job.first_try));
         }
     }
-    let spreads = |map: Named| map.iter().map(|(k, h)| (k.clone(), Spread::of(h))).collect();
     let (lines, digest) = world.ground.history.digest();
     let paid: f64 = m.series.windows(2).map(|w| w[0].cpus * (w[1].at_s - w[0].at_s)).sum();
     let serving: u128 = world.workers.iter().flatten().map(|w| w.serving(world.now, &world.ground)).sum();
@@ -327,9 +339,9 @@
         },
         starts: world.ground.checker.starts,
         allocation: Spread::of(&whole),
-        pieces: spreads(pieces),
-        waiting: spreads(waiting),
-        finished: spreads(finished),
+        pieces: pieces.spreads(),
+        waiting: waiting.spreads(),
+        finished: finished.spreads(),
         money: world.cloud.spent(world.now),
         useful: if paid > 0.0 { useful / paid } else { 0.0 },
         work: WorkReport {
--- a/crates/lab/src/worker.rs
+++ b/crates/lab/src/worker.rs
@@ -31,7 +31,8 @@
 }
 
 impl Load {
-    fn run_us(&self, task: u32) -> u64 {
+    /// Run time of one task, µs.
+    pub fn run_us(&self, task: u32) -> u64 {
         self.run_us.get(task as usize % self.run_us.len().max(1)).copied().unwrap_or(0)
     }
 }
@@ -48,6 +49,13 @@
     over: bool,
 }
 
+impl Gang {
+    /// Its tasks that are there, with their machines.
+    fn members(&self) -> Vec<(u32, usize)> {
+        self.present.iter().map(|(task, machine)| (*task, *machine)).collect()
+    }
+}
+
 /// What a worker asks of others after something happened on it.
 pub enum Call {
     /// A gang's task runs until then.
@@ -151,7 +159,7 @@
         }
         gang.started = Some((now, base, slowest));
         let until = now + ((work.saturating_sub(base)) as f64 / slowest) as u64;
-        let members: Vec<(u32, usize)> = gang.present.iter().map(|(t, m)| (*t, *m)).collect();
+        let members = gang.members();
         self.calls.extend(members.into_iter().map(|(task, m)| Call::Run(m, AttemptId { task, ..id.clone() }, until)));
     }
 
@@ -164,7 +172,7 @@
         let Some((at, base, speed)) = gang.started.filter(|(at, _, _)| *at != NEVER && there && !gang.over) else { return };
         gang.over = true;
         let end = gang.stopping.unwrap_or(now);
-        let members: Vec<(u32, usize)> = gang.present.iter().map(|(t, m)| (*t, *m)).collect();
+        let members = gang.members();
         if let Some(spec) = spec {
             let progress = base + (end.saturating_sub(at) as f64 * speed) as u64;
             let kept = Self::checkpoint(&spec, progress).max(base);
@@ -182,7 +190,7 @@
         let first = *gang.stopping.get_or_insert(now);
         gang.told.insert(id.task);
         let whole = |task: u32| AttemptId { task, ..id.clone() };
-        let members: Vec<(u32, usize)> = gang.present.iter().map(|(t, m)| (*t, *m)).collect();
+        let members = gang.members();
         let complete = members.iter().all(|(t, _)| gang.told.contains(t));
         if complete && now <= first + peer_us && !gang.over {
             gang.over = true;
@@ -202,7 +210,7 @@
             return;
         }
         let told = gang.told.clone();
-        let members: Vec<(u32, usize)> = gang.present.iter().map(|(t, m)| (*t, *m)).collect();
+        let members = gang.members();
         self.lose(id, now);
         for (task, m) in members {
             let id = AttemptId { task, ..id.clone() };
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -504,6 +504,12 @@
         }
     }
 
+    /// A user's question is answered from a reading that begins from now on.
+    fn await_reading(&mut self, host: usize, id: JobId, withdraw: bool) {
+        self.hosts[host].waiting.push((self.now, id, withdraw));
+        self.want_reading(host);
+    }
+
     /// Works one message off.
     fn take(&mut self, host: usize, input: Input) {
         let ms = self.now / MS;
@@ -540,14 +546,8 @@
                 let phase = core.mirror.end(&id);
                 self.reply(host, id, phase, 200);
             }
-            Input::Poll(id) => {
-                h.waiting.push((self.now, id, false));
-                self.want_reading(host);
-            }
-            Input::Withdraw(id) => {
-                h.waiting.push((self.now, id, true));
-                self.want_reading(host);
-            }
+            Input::Poll(id) => self.await_reading(host, id, false),
+            Input::Withdraw(id) => self.await_reading(host, id, true),
             Input::Txn(whose, txn, outcome, versions) => self.txn_ended(host, whose, &txn, outcome, versions),
         }
     }
@@ -570,19 +570,9 @@
         h.reading = false;
         h.read_at = now;
         let mut effects = Vec::new();
-        let good = !matches!(reading, Reading::Failed);
-        if good {
-            let changed = match reading {
-                Reading::Changes(changes, revision) => {
-                    core.mirror.apply(&changes, revision);
-                    !changes.is_empty()
-                }
-                Reading::All(entries, revision) => {
-                    core.mirror.replace(&entries, revision);
-                    true
-                }
-                Reading::Failed => false,
-            };
+        let changed = reading.apply(&mut core.mirror);
+        let good = changed.is_some();
+        if let Some(changed) = changed {
             core.refreshed(began / MS, changed);
             effects = core.take_mail(now / MS);
         }
@@ -611,10 +601,7 @@
         let Some(core) = self.hosts[host].core.as_mut() else { return };
         // The jobs must be at least as new as the records: the reading of the
         // records is followed by one of the jobs, here at the same moment.
-        match core.mirror.revision.and_then(|after| self.store.changes(FOLLOWED, after)) {
-            Some(changes) => core.mirror.apply(&changes, self.store.revision),
-            None => core.mirror.replace(&self.store.list(FOLLOWED), self.store.revision),
-        }
+        followed(&self.store, core.mirror.revision).apply(&mut core.mirror);
         core.refreshed(ms, true);
         if core.mirror.parts.get(&lot.part).is_some_and(|p| p.token == lot.token) {
             core.adopt(lot, &chunks, images, ms);
@@ -647,10 +634,7 @@
                 }
                 // Made before, or changed meanwhile: what the store says now
                 // is the answer.
-                TxnOutcome::Conflict(_) => {
-                    self.hosts[host].waiting.push((self.now, id, withdraw));
-                    self.want_reading(host);
-                }
+                TxnOutcome::Conflict(_) => self.await_reading(host, id, withdraw),
                 TxnOutcome::Again if !withdraw => self.send_txn(host, For::User(id, withdraw), txn.clone()),
                 TxnOutcome::Again => self.reply(host, id, None, 503),
             },
@@ -666,10 +650,10 @@
         let Some(core) = h.core.as_ref() else { return };
         let known = core.mirror.jobs.contains_key(&id) || core.mirror.end(&id).is_some();
         let wait = h.writes.wait(self.now).max(h.requests.wait(self.now));
-        let catalog = self.scenario.catalog();
+        let never = |catalog| never_runs(&spec, &self.scenario.teams, &self.scenario.zones, catalog).is_some();
         if known {
             self.reply(host, id, Some(Phase::Queued), 200);
-        } else if never_runs(&spec, &self.scenario.teams, &self.scenario.zones, &catalog).is_some() {
+        } else if core.catalog.as_ref().is_some_and(never) {
             self.reply(host, id, None, 422);
         } else if wait > SUBMIT_WAIT_MS * MS || !core.ready(self.now / MS) {
             self.reply(host, id, None, 503);
@@ -810,15 +794,20 @@
         }
     }
 
+    /// What happened on one machine reaches others.
+    fn pass_calls(&mut self) {
+        for call in std::mem::take(&mut self.ground.calls) {
+            self.at(0, Event::Call(call));
+        }
+    }
+
     /// Lets a machine and whom it reaches go on.
     fn with_worker<T>(&mut self, number: usize, work: impl FnOnce(&mut Worker, &mut Ground) -> T) -> Option<T> {
         let mut w = self.workers.get_mut(number)?.take()?;
         let result = work(&mut w, &mut self.ground);
         self.workers[number] = Some(w);
         self.wake_worker(number);
-        for call in std::mem::take(&mut self.ground.calls) {
-            self.at(0, Event::Call(call));
-        }
+        self.pass_calls();
         Some(result)
     }
 
@@ -899,9 +888,7 @@
             w.kill_all(now, &mut self.ground);
             self.ground.history.note(now, "machine gone", &w.id, &"");
             self.cloud.gone(number, now);
-            for call in std::mem::take(&mut self.ground.calls) {
-                self.at(0, Event::Call(call));
-            }
+            self.pass_calls();
         }
     }
 
@@ -938,14 +925,8 @@
                 }
             }
             Event::Reading(host, life, after, began) => {
-                let reading = if !self.reach_store(host) || !self.store.admit(0, now) {
-                    Reading::Failed
-                } else {
-                    match after.and_then(|after| self.store.changes(FOLLOWED, after)) {
-                        Some(changes) => Reading::Changes(changes, self.store.revision),
-                        None => Reading::All(self.store.list(FOLLOWED), self.store.revision),
-                    }
-                };
+                let reading =
+                    if !self.reach_store(host) || !self.store.admit(0, now) { Reading::Failed } else { followed(&self.store, after) };
                 let at = now + self.travel();
                 self.push(at, Event::To(host, life, Box::new(Input::Read(began, reading))));
             }
@@ -976,9 +957,7 @@
             Event::Call(Call::Look(id, at)) if at > now => self.push(at, Event::Call(Call::Look(id, at))),
             Event::Call(Call::Look(id, _)) => {
                 self.ground.look(&id, now);
-                for call in std::mem::take(&mut self.ground.calls) {
-                    self.at(0, Event::Call(call));
-                }
+                self.pass_calls();
             }
             Event::Call(call) => {
                 let (Call::Run(number, ..) | Call::Peers(number, ..) | Call::Stopped(number, ..) | Call::Pause(number, _)) = &call else {
@@ -1247,6 +1226,14 @@
     }
 }
 
+/// What the store says of the followed keys since a revision, or of all.
+fn followed(store: &Store, after: Option<u64>) -> Reading {
+    match after.and_then(|after| store.changes(FOLLOWED, after)) {
+        Some(changes) => Reading::Changes(changes, store.revision),
+        None => Reading::All(store.list(FOLLOWED), store.revision),
+    }
+}
+
 fn machine_number(id: &MachineId) -> usize {
     id.as_str().get(2..).and_then(|n| n.parse().ok()).unwrap_or(0)
 }
--- a/crates/trace/src/formats/google.rs
+++ b/crates/trace/src/formats/google.rs
@@ -10,7 +10,7 @@
 use super::{rank, share, table};
 use crate::csv_rows::rows;
 use crate::fault::{Faults, Row, json_fault, shorten};
-use crate::input::{self, Line};
+use crate::input;
 use crate::life::{Asked, Event, Lives};
 use crate::workload::{Constraint, Entry};
 
@@ -41,8 +41,8 @@
             row.whole("machine id", f[1]);
             one_of(row, "event type", f[2], 2);
             for (name, text) in [("cpus", f[4]), ("memory", f[5])] {
-                if !text.is_empty() && row.number(name, text) > 1.0 {
-                    row.fault(name, format!("{text}: a share of the largest machine can't be over 1"));
+                if !text.is_empty() {
+                    part(row, name, text);
                 }
             }
         }),
@@ -175,20 +175,10 @@
         }
     };
     let mut lives = Lives::default();
-    input::lines(input, |number, line| {
-        let mut row = Row::new(file, number, faults);
-        let bytes = match line {
-            Line::TooLong => return row.fault("row", "line too long"),
-            Line::Bytes(bytes) if bytes.iter().all(u8::is_ascii_whitespace) => return,
-            Line::Bytes(bytes) => bytes,
-        };
-        if std::str::from_utf8(bytes).is_err() {
-            return row.fault("row", "not UTF-8 text");
-        }
-        match serde_json::from_slice::<EventLine>(bytes) {
-            Ok(event) => event_2019(&mut row, &event, instances, machine, &mut lives, file, out),
-            Err(e) => row.fault("row", json_fault(&e)),
-        }
+    input::rows(file, input, faults, |row, text| match serde_json::from_str::<EventLine>(text) {
+        _ if text.bytes().all(|b| b.is_ascii_whitespace()) => {}
+        Ok(event) => event_2019(row, &event, instances, machine, &mut lives, file, out),
+        Err(e) => row.fault("row", json_fault(&e)),
     })?;
     lives.finish(file, faults, out);
     Ok(())
--- a/crates/trace/src/formats/swf.rs
+++ b/crates/trace/src/formats/swf.rs
@@ -7,7 +7,7 @@
 use roaring::RoaringTreemap;
 
 use crate::fault::{Faults, Row};
-use crate::input::{self, Line};
+use crate::input;
 use crate::workload::Entry;
 
 const FIELDS: [&str; 18] = [
@@ -35,17 +35,10 @@
 pub fn read(file: &str, input: impl BufRead, faults: &mut Faults<'_>, out: &mut dyn FnMut(Entry)) -> io::Result<()> {
     let mut seen = RoaringTreemap::new();
     let mut last = 0;
-    input::lines(input, |number, line| {
-        let mut row = Row::new(file, number, faults);
-        let text = match line {
-            Line::TooLong => return row.fault("row", "line too long"),
-            Line::Bytes(bytes) => match std::str::from_utf8(bytes) {
-                Ok(text) => text.trim(),
-                Err(_) => return row.fault("row", "not UTF-8 text"),
-            },
-        };
+    input::rows(file, input, faults, |row, text| {
+        let text = text.trim();
         if !text.is_empty() && !text.starts_with(';') {
-            job(&mut row, text, &mut seen, &mut last, out);
+            job(row, text, &mut seen, &mut last, out);
         }
     })
 }
--- a/crates/trace/src/input.rs
+++ b/crates/trace/src/input.rs
@@ -4,6 +4,8 @@
 use std::io::{self, BufRead, BufReader, Read};
 use std::path::Path;
 
+use crate::fault::{Faults, Row};
+
 /// Bytes of one line or one object at most: longer than any row of the formats.
 pub const MAX_LINE: usize = 4 * 1024 * 1024;
 
@@ -47,6 +49,20 @@
     Ok(())
 }
 
+/// Calls `each` with every line that is text, as a row; what is not is a fault.
+pub fn rows<'f>(file: &str, input: impl BufRead, faults: &mut Faults<'f>, mut each: impl FnMut(&mut Row<'_, 'f>, &str)) -> io::Result<()> {
+    lines(input, |number, line| {
+        let mut row = Row::new(file, number, faults);
+        match line {
+            Line::TooLong => row.fault("row", "line too long"),
+            Line::Bytes(bytes) => match std::str::from_utf8(bytes) {
+                Ok(text) => each(&mut row, text),
+                Err(_) => row.fault("row", "not UTF-8 text"),
+            },
+        }
+    })
+}
+
 fn skip_line(input: &mut impl BufRead) -> io::Result<()> {
     loop {
         let buffer = input.fill_buf()?;
