An answer that prolongs a lease carries every stop that is due, whatever calls did

Ruled out: the placer (it let go within 0.1 s), a lost sync (the owner tried from then on), the worker (it took the first call that reached it).

Now only calls are spaced, and one that was not executed spaces nothing; every answer carries the stops, also one to a report that is not the newest or comes from a worker that has not shown our token, since those prolong the lease too. Two tests fail without it: a minute of calls without a socket, and 400 random orders of late reports, reports without our token and calls that fail.

--- a/crates/coordination/src/owner/mod.rs
+++ b/crates/coordination/src/owner/mod.rs
@@ -32,6 +32,34 @@
 use lemonweir_protocol::worker::{Commands, Order, Report, ReportReply, TaskPhase, Verb};
 use lemonweir_storage::records::ImagesRecord;
 
+/// What orders go out with.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Carrier {
+    /// A call: starts and stops.
+    Call,
+    /// The answer to a report: stops, and what may be forgotten.
+    Answer,
+    /// The same with starts, whose calls are of unknown fate.
+    AnswerWithStarts,
+    /// The answer to a report that is not the newest, or that does not show our
+    /// token: only stops.
+    LateAnswer,
+}
+
+impl Carrier {
+    fn is_answer(self) -> bool {
+        self != Carrier::Call
+    }
+
+    fn starts(self) -> bool {
+        matches!(self, Carrier::Call | Carrier::AnswerWithStarts)
+    }
+
+    fn forgets(self) -> bool {
+        matches!(self, Carrier::Answer | Carrier::AnswerWithStarts)
+    }
+}
+
 /// How far an attempt has come here.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Stage {
@@ -281,13 +309,15 @@
             return None;
         }
         m.answered = Some(now);
-        if !newer {
-            // A late report: the worker does not wait for this answer any more.
-            return Some(ReportReply { token: base + m.fence, orders: Vec::new() });
-        }
-        let with_starts = m.ambiguous.is_some() && !m.calling;
-        let orders =
-            if self.fresh(&self.machines[&report.machine]) { self.orders(&report.machine, now, with_starts, true) } else { Vec::new() };
+        // A late report may still be waited for, if the answer to a call came
+        // before it, and so may one of a worker that has not shown our token:
+        // both answers prolong the lease, so both carry the stops.
+        let by = match (newer && m.token_seen >= base, m.ambiguous.is_some() && !m.calling) {
+            (true, true) => Carrier::AnswerWithStarts,
+            (true, false) => Carrier::Answer,
+            (false, _) => Carrier::LateAnswer,
+        };
+        let orders = self.orders(&report.machine, now, by);
         let m = self.machines.get_mut(&report.machine)?;
         if orders.iter().any(|o| o.verb == Verb::Launch) {
             m.answered_with_starts = Some(report.seq);
--- a/crates/coordination/src/owner/orders.rs
+++ b/crates/coordination/src/owner/orders.rs
@@ -9,7 +9,12 @@
     }
 
     /// The orders that a machine needs now.
-    pub(super) fn orders(&mut self, machine: &MachineId, now: u64, starts: bool, forgets: bool) -> Vec<Order> {
+    ///
+    /// Guards against a stop that counts as told though its call never left,
+    /// as when a process has no socket for it: an answer to a report prolongs
+    /// the lease, so it carries every stop that is due, whatever calls were
+    /// made. Only calls are spaced. A stop may be repeated (protocol page).
+    pub(super) fn orders(&mut self, machine: &MachineId, now: u64, by: Carrier) -> Vec<Order> {
         let all_heard = self.all_heard();
         let Some(m) = self.machines.get(machine) else {
             return Vec::new();
@@ -21,7 +26,7 @@
         for (id, seen) in &m.tasks {
             match self.held.get(id) {
                 Some(h) => {
-                    let due = h.killed_at.is_none_or(|at| now >= at + KILL_REPEAT_MS);
+                    let due = by.is_answer() || h.killed_at.is_none_or(|at| now >= at + KILL_REPEAT_MS);
                     if let Some(grace) = h.ending()
                         && seen.phase != TaskPhase::Exited
                         && due
@@ -37,13 +42,13 @@
                 None if seen.phase != TaskPhase::Exited && all_heard => orders.push(order(Verb::Kill, id, Some(0))),
                 // Guards against a start that is repeated after its attempt
                 // was forgotten, which would run it again.
-                None if seen.phase == TaskPhase::Exited && all_heard && forgets && m.settled() => {
+                None if seen.phase == TaskPhase::Exited && all_heard && by.forgets() && m.settled() => {
                     orders.push(order(Verb::Forget, id, None))
                 }
                 None => {}
             }
         }
-        if starts {
+        if by.starts() {
             for (id, h) in self.here(machine) {
                 if h.want.go && h.ending().is_none() && matches!(h.stage, Stage::Accepted { seen: false, .. }) && !m.tasks.contains_key(id)
                 {
@@ -58,9 +63,11 @@
                 h.stage = Stage::Accepted { sent: Some(session), seen: false };
             }
         }
-        for id in killed {
-            if let Some(h) = self.held.get_mut(&id) {
-                h.killed_at = Some(now);
+        if by == Carrier::Call {
+            for id in killed {
+                if let Some(h) = self.held.get_mut(&id) {
+                    h.killed_at = Some(now);
+                }
             }
         }
         orders
@@ -86,7 +93,7 @@
             }
             let Some(addr) = m.addr else { continue };
             let fresh = self.fresh(m);
-            let orders = if fresh { self.orders(&id, now, true, false) } else { Vec::new() };
+            let orders = if fresh { self.orders(&id, now, Carrier::Call) } else { Vec::new() };
             if fresh && orders.is_empty() {
                 if self.stops_pending(&id) {
                     self.attention.insert(id);
@@ -121,7 +128,9 @@
         let failed = !matches!(result, CommandResult::Executed(_));
         if failed {
             m.call_after = now + COMMAND_RETRY_MS;
+            self.untell(call);
         }
+        let Some(m) = self.machines.get_mut(&call.machine) else { return };
         match result {
             CommandResult::Executed(report) => {
                 self.take_report(&report, now, false);
@@ -143,6 +152,16 @@
         self.judge(&call.machine, now);
     }
 
+    /// Takes back the notes of stops that may not have been executed: they are
+    /// due again as soon as the machine may be called.
+    fn untell(&mut self, call: &CommandCall) {
+        for o in call.commands.orders.iter().filter(|o| o.verb == Verb::Kill) {
+            if let Some(h) = AttemptId::parse(&o.piece, o.attempt).and_then(|id| self.held.get_mut(&id)) {
+                h.killed_at = None;
+            }
+        }
+    }
+
     /// Takes back the notes of starts that were surely not executed.
     pub(super) fn unsend(&mut self, call: &CommandCall) {
         let ambiguous = self.machines.get(&call.machine).is_some_and(|m| m.ambiguous.is_some());
--- a/crates/coordination/tests/changes.rs
+++ b/crates/coordination/tests/changes.rs
@@ -1,19 +1,22 @@
 //! Change messages compared with a slow plain model that knows whole states,
 //! and what they cost as the fleet grows.
 
+mod support;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use lemonweir_coordination::changes::ChangeLog;
-use lemonweir_coordination::owner::{Owner, SyncRefusal, Timing};
+use lemonweir_coordination::owner::{Owner, SyncRefusal};
 use lemonweir_coordination::placer::{Placer, Terms, TxnOutcome};
-use lemonweir_model::{AttemptId, JobId, JobSpec, MachineId, Rank, Room, Shape};
+use lemonweir_model::{AttemptId, JobId, JobSpec, Rank, Room, Shape};
 use lemonweir_protocol::cloud::RentalEntry;
-use lemonweir_protocol::peer::{AttemptView, Evict, Follow, Have, MachineView, Span, Standing, Sync, View, Want};
-use lemonweir_protocol::worker::{Report, TaskPhase, TaskReport, Verb};
+use lemonweir_protocol::peer::{AttemptView, Follow, Have, MachineView, Span, Standing, View, Want};
+use lemonweir_protocol::worker::{Report, Verb};
 use lemonweir_storage::mirror::MirroredJob;
 use lemonweir_storage::records::{ImagesRecord, JobRecord};
 use proptest::prelude::*;
+use support::*;
 
 // ---- the log -----------------------------------------------------------------
 
@@ -165,91 +168,6 @@
 
 // ---- an owner and what it tells ------------------------------------------------
 
-const TIMING: Timing = Timing { lease_ms: 14_000, report_ms: 3_000 };
-const TOKEN: u64 = 40;
-
-fn machine(n: usize) -> MachineId {
-    MachineId::from(format!("n-{n:06}").as_str())
-}
-
-fn report(n: usize, seq: u64) -> Report {
-    Report {
-        machine: machine(n),
-        address: "10.1.0.1:9000".into(),
-        kind: "box".into(),
-        zone: "north".into(),
-        spot: false,
-        session: 1,
-        seq,
-        token: TOKEN << lemonweir_model::constants::FENCE_BITS,
-        notice_s: None,
-        tasks: Vec::new(),
-    }
-}
-
-fn fleet(machines: usize) -> Owner {
-    let mut owner = Owner::new(0, TOKEN, 1, TIMING, lemonweir_policy::embedded().expect("policy"), 0);
-    let kind = lemonweir_model::MachineType {
-        name: "box".into(),
-        room: Room::offer(16.0, 4.0, 64.0),
-        cache_gb: 100.0,
-        fetch_gb_per_s: 1.0,
-        price: 4.0,
-        spot_price: 1.0,
-        boot_s: 20.0,
-        zones: vec!["north".into()],
-    };
-    owner.set_types([kind].iter());
-    for n in 0..machines {
-        assert!(owner.report(&report(n, 1), 10).is_some());
-    }
-    owner
-}
-
-fn want(n: u32, on: usize) -> Want {
-    Want {
-        id: AttemptId { job: JobId::from("req-000001"), task: n, attempt: 1 },
-        machine: machine(on),
-        need: Room::offer(4.0, 1.0, 8.0),
-        image: "img".into(),
-        image_mb: 2_000,
-        go: true,
-        kill: None,
-        team: "red".into(),
-        rank: Rank::Normal,
-        over: true,
-        grace: 0,
-        lasting: false,
-        evict: Evict::Nobody,
-    }
-}
-
-fn sync(seq: u64, span: Span, wants: Vec<Want>, have: Have) -> Sync {
-    Sync {
-        version: lemonweir_model::constants::PEER_VERSION,
-        from: 0,
-        from_token: TOKEN,
-        to: 0,
-        to_token: TOKEN,
-        seq,
-        store_age_ms: 0,
-        span,
-        wants,
-        dropped: Vec::new(),
-        stops: Vec::new(),
-        have,
-        rented: Vec::new(),
-        keep: Vec::new(),
-        notes: Vec::new(),
-    }
-}
-
-fn have(view: &View) -> Have {
-    Have { machines: view.machines_span.upto, attempts: view.attempts_span.upto }
-}
-
-const ROOM: usize = 1 << 20;
-
 /// The work for one start is the same whatever the fleet's size: one machine
 /// is told anew, and one is called.
 #[test]
@@ -291,10 +209,6 @@
     assert!(reply.orders.is_empty());
 }
 
-fn running_task(n: usize) -> TaskReport {
-    TaskReport { piece: format!("req-000001/{n}"), attempt: 1, phase: TaskPhase::Running, cause: None, saved: None }
-}
-
 /// A state that does not fit one message comes in several, and all of it comes.
 #[test]
 fn a_whole_state_comes_in_pieces() {
--- /dev/null
+++ b/crates/coordination/tests/stops.rs
@@ -0,0 +1,112 @@
+//! Stops reach their machines whatever becomes of the calls to them.
+
+mod support;
+
+use lemonweir_coordination::owner::{CommandResult, Owner};
+use lemonweir_model::constants::FENCE_BITS;
+use lemonweir_protocol::peer::{Have, Span, Want};
+use lemonweir_protocol::worker::{Report, ReportReply, Verb};
+use proptest::prelude::*;
+use support::*;
+
+/// An owner with one task on its machine 0 that shall end.
+fn stopping(now: u64) -> Owner {
+    let mut owner = fleet(1);
+    let on = |since, upto| Span { since, upto, last: true };
+    owner.sync(&sync(1, on(0, 1), vec![want(0, 0)], Have::default()), ROOM, now).expect("taken");
+    let start = owner.calls(now).pop().expect("started");
+    owner.call_done(&start, CommandResult::Executed(Report { tasks: vec![running_task(0)], ..report(0, 2) }), now);
+    let stop = Want { kill: Some(0), ..want(0, 0) };
+    owner.sync(&sync(2, on(1, 2), vec![stop], Have::default()), ROOM, now).expect("taken");
+    owner
+}
+
+fn stops(reply: &ReportReply) -> bool {
+    reply.orders.iter().any(|o| o.verb == Verb::Kill)
+}
+
+/// Found on zone of zeltplatz-rechen-fleet with twice the machines: a process
+/// without a socket for calls noted each try of a stop as told, so the answers
+/// to reports, which did arrive, left it out for a minute.
+#[test]
+fn a_stop_whose_call_never_left_is_in_the_next_answer() {
+    let mut owner = stopping(30);
+    let (mut seq, mut tries) = (2, 0);
+    for now in (40..60_000).step_by(20) {
+        for call in owner.calls(now) {
+            tries += 1;
+            owner.call_done(&call, CommandResult::NotSent, now + 10);
+        }
+        if now % 5_000 == 0 {
+            seq += 1;
+            let reply = owner.report(&Report { tasks: vec![running_task(0)], ..report(0, seq) }, now).expect("answered");
+            assert!(stops(&reply), "at {now} ms, after {tries} tries");
+        }
+    }
+    assert!(tries > 30, "it is tried all the same, {tries} times");
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// A report; it may be older than what a call has brought.
+    Report {
+        late: bool,
+        shows_token: bool,
+    },
+    /// The call under way, or the next one, ends.
+    Call(u8),
+    Pass(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (any::<bool>(), any::<bool>()).prop_map(|(late, shows_token)| Step::Report { late, shows_token }),
+        4 => (0..3u8).prop_map(Step::Call),
+        2 => (1..4_000u64).prop_map(Step::Pass),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, rng_seed: proptest::test_runner::RngSeed::Fixed(11), ..ProptestConfig::default() })]
+
+    /// While a machine shows a task that shall end, every answer that prolongs
+    /// its lease stops it: in any order of late reports, reports of a worker
+    /// that has not shown our token, and calls that fail in any way.
+    #[test]
+    fn no_answer_prolongs_a_lease_without_a_stop_that_is_due(steps in prop::collection::vec(step(), 1..60)) {
+        let mut owner = stopping(30);
+        let (mut now, mut seq, mut call, mut answers) = (40, 10, None, 0);
+        for step in steps {
+            match step {
+                Step::Pass(ms) => now += ms,
+                Step::Call(fate) => {
+                    call = call.or_else(|| owner.calls(now).into_iter().next());
+                    let Some(call) = call.take() else { continue };
+                    let result = match fate {
+                        0 => CommandResult::NotSent,
+                        1 => CommandResult::Unknown,
+                        _ => {
+                            seq += 2;
+                            CommandResult::Refused(Report { tasks: vec![running_task(0)], ..report(0, seq) })
+                        }
+                    };
+                    owner.call_done(&call, result, now);
+                }
+                Step::Report { late, shows_token } => {
+                    if !late {
+                        seq += 2;
+                    }
+                    let token = if shows_token { TOKEN << FENCE_BITS } else { 0 };
+                    let said = Report { tasks: vec![running_task(0)], token, ..report(0, if late { seq - 1 } else { seq }) };
+                    if let Some(reply) = owner.report(&said, now) {
+                        answers += 1;
+                        prop_assert!(stops(&reply), "{said:?}");
+                    }
+                }
+            }
+        }
+        seq += 2;
+        let reply = owner.report(&Report { tasks: vec![running_task(0)], ..report(0, seq) }, now);
+        prop_assert!(reply.is_some_and(|r| stops(&r)), "after {answers} answers");
+    }
+}
