A withdrawal is told once its last attempt is proven over; blind owners answer for 60 s

Now a withdrawal marks the job's key, its placer stops the attempts and writes the end under its token once none is live, and only an end is told: what is told runs nowhere. blind_s of the policy (60 s) bounds how long a blind owner answers; the old bound holds while a node of an earlier format lives.

--- a/crates/coordination/src/job.rs
+++ b/crates/coordination/src/job.rs
@@ -7,6 +7,7 @@
 use lemonweir_model::constants::*;
 use lemonweir_model::{AttemptId, JobSpec, MachineId, Rank, Room, Shape};
 use lemonweir_protocol::peer::{Evict, Standing};
+use lemonweir_protocol::users::Phase;
 use lemonweir_storage::records::{ChunkRecord, JobRecord, LiveRecord};
 
 /// An attempt not proven to be over.
@@ -121,6 +122,25 @@
         self.record.as_ref().map(|r| &r.spec)
     }
 
+    /// Nothing of it shall run any more: it is over, or will be once no attempt
+    /// is left.
+    pub(super) fn stopping(&self) -> bool {
+        self.over || self.record.as_ref().is_some_and(|r| r.withdrawn)
+    }
+
+    /// The end that may be written now. Guards against telling a user that a
+    /// job is withdrawn while a machine out of sight still runs it: every
+    /// attempt must be proven over first.
+    pub(super) fn finished(&self) -> Option<Phase> {
+        if self.over || self.record.is_none() || self.refused_end == Some(self.version) {
+            None
+        } else if self.complete() {
+            Some(Phase::Done)
+        } else {
+            (self.stopping() && self.live.is_empty()).then_some(Phase::Withdrawn)
+        }
+    }
+
     pub(super) fn is(&self, shape: Shape) -> bool {
         self.spec().is_some_and(|s| s.shape == shape)
     }
@@ -163,7 +183,9 @@
     pub(super) fn progress(&self) -> (u32, &'static str) {
         let running = self.live.values().filter(|l| l.standing == Some(Standing::Running)).count() as u32;
         let unwritten = || self.live.iter().any(|(&task, l)| !self.recorded(task, l));
-        let reason = if self.waiting() > 0 {
+        let reason = if self.stopping() {
+            "withdrawn; its last attempts are being stopped"
+        } else if self.waiting() > 0 {
             self.reason
         } else if unwritten() {
             "its start waits to be written to the store"
@@ -257,7 +279,7 @@
         (self.cursor < self.tasks).then_some(self.cursor)
     }
 
-    pub(super) fn complete(&self) -> bool {
+    fn complete(&self) -> bool {
         self.record.is_some() && self.done_count >= self.tasks && !self.lasting()
     }
 
@@ -268,7 +290,7 @@
 
     /// True if some task of it can be placed now.
     pub(super) fn placeable(&self) -> bool {
-        !self.over && self.waiting() > 0 && (self.live.is_empty() || !self.is(Shape::Gang))
+        !self.stopping() && self.waiting() > 0 && (self.live.is_empty() || !self.is(Shape::Gang))
     }
 
     /// Chunks of a job that is over are removed once nothing is live there.
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -146,8 +146,8 @@
     /// Times of the workers.
     pub timing: Timing,
     /// ms after the last proof of the store's word for which reports may be
-    /// answered without a newer one.
-    pub blind_ms: u64,
+    /// answered without a newer one while a node of an earlier format lives.
+    pub short_blind_ms: u64,
     /// Bytes that a value in the store may have.
     pub value_bytes: usize,
     /// Time of day at the steady clock's zero, ms.
@@ -178,10 +178,11 @@
             zones: settings.cluster.zones.clone(),
             teams,
             timing: Timing { lease_ms: ms(w.lease_s), report_ms: ms(w.report_s) },
-            // A cancellation told by another node right after our last word
-            // from the store must still be carried out in time: whatever we
-            // keep alive until then ends with its lease.
-            blind_ms: ms(w.cancel_s - w.lease_s).saturating_sub(BLIND_MARGIN_MS),
+            // A node of an earlier format tells of a cancellation before its
+            // tasks have ended. One told right after our last word from the
+            // store must still be carried out in time: whatever we keep alive
+            // until then ends with its lease.
+            short_blind_ms: ms(w.cancel_s - w.lease_s).saturating_sub(BLIND_MARGIN_MS),
             value_bytes,
             wall_offset_ms: 0,
             txn_ops,
@@ -385,7 +386,7 @@
     /// A worker reported.
     pub fn report(&mut self, report: &Report, now: u64) -> ReportAnswer {
         let index = self.config.part_of(&report.zone, &report.machine);
-        let blind = self.store_heard.is_none_or(|at| now > at + self.config.blind_ms);
+        let blind = self.store_heard.is_none_or(|at| now > at + self.blind_ms());
         match self.parts.get_mut(&index) {
             Some(_) if blind => ReportAnswer::Unable,
             Some(part) => part.owner.report(report, now).map_or(ReportAnswer::Unable, ReportAnswer::Orders),
@@ -398,6 +399,15 @@
         }
     }
 
+    /// ms after the last word from the store for which reports are answered.
+    /// Without it withdrawals may be asked for that we don't see; none is told
+    /// to its user before its last attempt is proven over (`Job::finished`), so
+    /// what runs on meanwhile breaks no promise.
+    fn blind_ms(&self) -> u64 {
+        let alike = self.mirror.nodes.values().all(|&format| format >= PEER_VERSION);
+        if alike { self.policy.blind_ms } else { self.config.short_blind_ms.min(self.policy.blind_ms) }
+    }
+
     /// A call to a worker ended.
     pub fn command_done(&mut self, lot: Lot, call: &CommandCall, result: CommandResult, now: u64) {
         if let Some(part) = self.part(lot) {
@@ -496,8 +506,8 @@
             return TxnVerdict::Fine;
         };
         let (verdict, ends) = part.placer.txn_done(outcome, now);
-        for id in ends {
-            self.mirror.settle(&id, Phase::Done);
+        for (id, phase) in ends {
+            self.mirror.settle(&id, phase);
         }
         if verdict == TxnVerdict::Lost {
             self.abandon(lot.part);
--- a/crates/coordination/src/placer/mod.rs
+++ b/crates/coordination/src/placer/mod.rs
@@ -58,7 +58,7 @@
 /// A transaction under way, with what it writes.
 struct Pending {
     chunks: Vec<(JobId, u32, u64, bool)>,
-    ends: Vec<(JobId, u64)>,
+    ends: Vec<(JobId, u64, Phase)>,
 }
 
 /// What a transaction's end means for the part.
@@ -317,7 +317,7 @@
         if job.not_before > 0 {
             self.asleep.insert((job.not_before, id.clone()));
         }
-        let to_write = job.chunks.values().any(Chunk::unsaved) || job.complete() && !job.over && job.refused_end != Some(job.version);
+        let to_write = job.chunks.values().any(Chunk::unsaved) || job.finished().is_some();
         if to_write {
             self.unsaved.entry(id.clone()).or_insert(now);
         } else {
@@ -363,6 +363,9 @@
                 job.reason = "not looked at yet";
                 self.regauge.insert(spec.team.clone());
                 self.place_again = true;
+                if m.record.withdrawn {
+                    self.drop_unrecorded(id);
+                }
             }
             None => {
                 let Some(job) = self.jobs.get_mut(id) else { return };
@@ -375,6 +378,24 @@
         self.settle(id, now);
     }
 
+    /// Takes back attempts of a job that are neither recorded nor in the
+    /// transaction under way: no owner has heard of them.
+    fn drop_unrecorded(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.get(id) else { return };
+        info!(job = %id, part = self.part, live = job.live.len(), "job is withdrawn");
+        let writing = |task: &u32| {
+            let chunk = task / CHUNK_TASKS;
+            self.pending.iter().flat_map(|p| &p.chunks).any(|(j, index, _, _)| j == id && *index == chunk)
+        };
+        let tasks: Vec<u32> = job.live.iter().filter(|(t, l)| !job.recorded(**t, l) && !writing(t)).map(|(t, _)| *t).collect();
+        for task in tasks {
+            self.leave(id, task);
+            if let Some(job) = self.jobs.get_mut(id) {
+                job.touch(task);
+            }
+        }
+    }
+
     /// Machines of all parts, as they were told.
     pub fn machines(&self) -> impl Iterator<Item = &lemonweir_protocol::peer::MachineView> {
         self.fields.iter().flat_map(Field::machines)
@@ -427,7 +448,7 @@
     let mut wants = Vec::new();
     for (&task, l) in job.live.iter().filter(|(t, l)| job.recorded(**t, l)) {
         let id = AttemptId { job: id.clone(), task, attempt: l.attempt };
-        let kill = if job.over { Some(0) } else { l.kill };
+        let kill = if job.stopping() { Some(0) } else { l.kill };
         let want = Want { go, kill, over: l.over, grace, lasting: job.lasting(), evict: l.evict, ..want(id, &l.machine) };
         wants.push((l.part, want));
     }
--- a/crates/coordination/src/placer/moves.rs
+++ b/crates/coordination/src/placer/moves.rs
@@ -22,8 +22,9 @@
         }
         // Look again soon, but not at every event: the look walks everything.
         self.moved_at = (now + COPY_REFRESH_MS).saturating_sub(MOVE_GAP_MS);
-        let moving =
-            |job: &Job| job.lasting() && !job.over && job.live.values().any(|l| l.kill.is_some() || l.standing != Some(Standing::Running));
+        let moving = |job: &Job| {
+            job.lasting() && !job.stopping() && job.live.values().any(|l| l.kill.is_some() || l.standing != Some(Standing::Running))
+        };
         if self.jobs.values().any(moving) {
             return;
         }
@@ -32,7 +33,7 @@
             let Some(tasks) = self.on.get(&slot.id) else { continue };
             let settled = tasks.iter().all(|(id, t)| {
                 let Some(job) = self.jobs.get(id) else { return false };
-                job.lasting() && !job.over && job.live.get(t).is_some_and(|l| now >= l.since + STAY_MS)
+                job.lasting() && !job.stopping() && job.live.get(t).is_some_and(|l| now >= l.since + STAY_MS)
             });
             if settled && tasks.len() as u32 == slot.busy {
                 candidates.push((slot.busy, slot.id.clone()));
@@ -41,7 +42,7 @@
         candidates.sort_by(|a, b| a.0.cmp(&b.0).then(b.1.cmp(&a.1)));
         // Those with most tasks are the least likely to fit elsewhere.
         candidates.truncate(MOVE_TRIES);
-        let replicas: usize = self.jobs.values().filter(|j| j.lasting() && !j.over).map(|j| j.live.len()).sum();
+        let replicas: usize = self.jobs.values().filter(|j| j.lasting() && !j.stopping()).map(|j| j.live.len()).sum();
         let mut left = (replicas as f64 * MOVE_SHARE) as u32;
         let mut leaving: Vec<MachineId> = Vec::new();
         let mut taken: Vec<(MachineId, u16)> = Vec::new();
--- a/crates/coordination/src/placer/records.rs
+++ b/crates/coordination/src/placer/records.rs
@@ -53,9 +53,9 @@
         let mut due: Vec<(u8, Rank, u64, &JobId)> = Vec::new();
         for (id, &since) in &self.unsaved {
             let Some(job) = self.jobs.get(id) else { continue };
-            let class = if !job.over && job.chunks.values().any(|c| c.saved < c.start) {
+            let class = if !job.stopping() && job.chunks.values().any(|c| c.saved < c.start) {
                 0
-            } else if job.complete() && !job.over {
+            } else if job.finished().is_some() {
                 1
             } else if now >= since + END_LAG_MS {
                 2
@@ -73,14 +73,14 @@
         let mut bytes = 0;
         'jobs: for (_, _, _, id) in due {
             let Some(job) = self.jobs.get(id) else { continue };
-            if job.complete() && !job.over && job.refused_end != Some(job.version) {
+            if let Some(phase) = job.finished() {
                 if txn.writes.len() + 2 > self.txn_ops {
                     break;
                 }
                 txn.conditions.push(Condition { key: job_key(id), version: job.version });
                 txn.writes.push(Write::Delete { key: job_key(id) });
-                txn.writes.push(Write::put(end_key(id), &EndRecord { phase: Phase::Done }));
-                pending.ends.push((id.clone(), job.version));
+                txn.writes.push(Write::put(end_key(id), &EndRecord { phase }));
+                pending.ends.push((id.clone(), job.version, phase));
                 // Its chunks go once the job is over; no need to write them.
                 continue;
             }
@@ -131,17 +131,17 @@
     }
 
     /// A transaction ended. Returns the jobs whose end is now written.
-    pub fn txn_done(&mut self, outcome: TxnOutcome, now: u64) -> (TxnVerdict, Vec<JobId>) {
+    pub fn txn_done(&mut self, outcome: TxnOutcome, now: u64) -> (TxnVerdict, Vec<(JobId, Phase)>) {
         let Some(pending) = self.pending.take() else {
             return (TxnVerdict::Fine, Vec::new());
         };
         match outcome {
             TxnOutcome::Done(revision) => {
                 self.apply_saved(&pending, revision, now);
-                let ends: Vec<JobId> = pending.ends.into_iter().map(|(id, _)| id).collect();
-                for id in &ends {
+                let ends: Vec<(JobId, Phase)> = pending.ends.into_iter().map(|(id, _, phase)| (id, phase)).collect();
+                for (id, phase) in &ends {
                     if let Some(job) = self.jobs.get_mut(id) {
-                        info!(job = %id, part = self.part, "job is done");
+                        info!(job = %id, part = self.part, ?phase, "job is over");
                         job.over = true;
                         let indices: Vec<u32> = job.chunks.keys().copied().collect();
                         for index in indices {
@@ -155,7 +155,7 @@
             }
             TxnOutcome::Conflict(keys) if keys.contains(&part_key(self.part)) => (TxnVerdict::Lost, Vec::new()),
             TxnOutcome::Conflict(keys) => {
-                for (id, version) in pending.ends {
+                for (id, version, _) in pending.ends {
                     if keys.contains(&job_key(&id)) {
                         if let Some(job) = self.jobs.get_mut(&id) {
                             job.refused_end = Some(version);
--- a/crates/coordination/src/placer/telling.rs
+++ b/crates/coordination/src/placer/telling.rs
@@ -246,7 +246,7 @@
     pub(super) fn empty(&mut self, machine: &MachineId, part: u16, now: u64) {
         let ids: BTreeSet<JobId> = self.on.get(machine).into_iter().flatten().map(|(id, _)| id.clone()).collect();
         for id in ids {
-            let Some(job) = self.jobs.get_mut(&id).filter(|j| !j.over) else { continue };
+            let Some(job) = self.jobs.get_mut(&id).filter(|j| !j.stopping()) else { continue };
             let Some(grace) = job.spec().map(JobSpec::grace_s) else { continue };
             let gang = job.is(Shape::Gang);
             for l in job.live.values_mut().filter(|l| gang || l.part == part && &l.machine == machine) {
@@ -297,7 +297,7 @@
             Standing::Exited(Cause::NoRoom | Cause::InUse | Cause::Unknown | Cause::Alone) => job.not_before = now + START_REFUSED_PAUSE_MS,
             _ => {}
         }
-        if gang && !job.over {
+        if gang && !job.stopping() {
             // Without one task the rest can't go on: they stop, and the gang
             // starts anew once all of them are gone.
             let grace = job.spec().map(JobSpec::grace_s).unwrap_or(0);
--- a/crates/coordination/tests/changes.rs
+++ b/crates/coordination/tests/changes.rs
@@ -296,7 +296,7 @@
         save_s: 0.0,
         deadline_s: None,
     };
-    let mirrored = MirroredJob { record: Arc::new(JobRecord { spec, at: 0 }), version: 1 };
+    let mirrored = MirroredJob { record: Arc::new(JobRecord { spec, at: 0, withdrawn: false }), version: 1 };
     placer.set_job(&JobId::from("req-000001"), Some(&mirrored), 0);
     let machine = |gpus: u64| MachineView {
         id: machine(0),
--- a/crates/lab/src/checker.rs
+++ b/crates/lab/src/checker.rs
@@ -97,7 +97,19 @@
         for w in &txn.writes {
             let Write::Put { key, value, .. } = w else { continue };
             let Some(id) = key.strip_prefix("end/").map(JobId::from) else { continue };
-            let Some(EndRecord { phase: Phase::Done }) = from_value(value) else { continue };
+            match from_value(value) {
+                Some(EndRecord { phase: Phase::Done }) => {}
+                Some(EndRecord { phase: Phase::Withdrawn }) => {
+                    // Any node may tell it from now on. Stricter than the page:
+                    // nothing of it may be on a machine even now.
+                    if self.tasks_on(&id) > 0 {
+                        self.fault(now, format!("ran_cancelled: {id} is called withdrawn with {} tasks on machines", self.tasks_on(&id)));
+                    }
+                    self.withdrawn(&id, now);
+                    continue;
+                }
+                _ => continue,
+            }
             let tasks = self.specs.get(&id).map_or(0, |s| s.tasks);
             let done = self.done.remove(&id).map_or(0, |d| d.len() as u64);
             if done < tasks {
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -198,6 +198,11 @@
         self.plan.insert(id, planned);
     }
 
+    /// A job's user asks for its end now, and again until it is told.
+    pub fn withdraw(&mut self, id: &JobId) {
+        self.push(self.now, Event::Withdraw(id.clone()));
+    }
+
     fn start_machines(&mut self) {
         let scenario = self.scenario.clone();
         for (k, kind) in scenario.kinds.iter().enumerate() {
@@ -624,9 +629,9 @@
             For::Part(_) => self.want_reading(host),
             For::User(id, withdraw) => match outcome {
                 TxnOutcome::Done(_) if withdraw => {
-                    core.mirror.settle(&id, Phase::Withdrawn);
+                    // Its end is told to a later question.
                     self.announce(host, &id);
-                    self.reply(host, id, Some(Phase::Withdrawn), 200);
+                    self.reply(host, id, None, 503);
                 }
                 TxnOutcome::Done(_) => {
                     self.announce(host, &id);
@@ -658,7 +663,7 @@
         } else if wait > SUBMIT_WAIT_MS * MS || !core.ready(self.now / MS) {
             self.reply(host, id, None, 503);
         } else {
-            let record = JobRecord { spec: (*spec).clone(), at: self.now / MS };
+            let record = JobRecord { spec: (*spec).clone(), at: self.now / MS, withdrawn: false };
             self.send_txn(host, For::User(id, false), accept_job(&record));
         }
     }
@@ -670,10 +675,11 @@
             return self.reply_to(host, id, None, 503, asked);
         }
         if let Some(job) = core.mirror.jobs.get(&id) {
-            let txn = withdraw.then(|| withdraw_job(&id, job.version));
+            let txn = (withdraw && !job.record.withdrawn).then(|| withdraw_job(&job.record, job.version));
             let phase = core.progress(&id).0;
             return match txn {
                 Some(txn) => self.send_txn(host, For::User(id, true), txn),
+                None if withdraw => self.reply_to(host, id, None, 503, asked),
                 None => self.reply_to(host, id, Some(phase), 200, asked),
             };
         }
@@ -1072,10 +1078,6 @@
                 self.ground.checker.written(&txn, now);
                 self.measures.recorded(&txn, now);
                 self.note_ends(&txn, revision);
-                if let (For::User(id, true), false) = (&whose, late) {
-                    // It counts from when the user hears of it at the latest.
-                    self.ground.checker.withdrawn(id, now);
-                }
                 TxnOutcome::Done(revision)
             }
         };
--- a/crates/lab/tests/rules.rs
+++ b/crates/lab/tests/rules.rs
@@ -321,3 +321,58 @@
     assert_eq!(world.phase(&id(1)), Some(Phase::Done));
     assert_eq!(world.phase(&id(2)), Some(Phase::Done));
 }
+
+// ---- withdrawals and blindness ---------------------------------------------------
+
+/// Works a site until a service of 4 replicas is up on both sides, then cuts
+/// controller 1 from the store and from the other one.
+fn cut_off(seed: u64) -> World {
+    let mut world = world(seed, 2, 12, NO_FAULTS);
+    let service = JobSpec { spread: true, spot: false, ..job(1, "red", Shape::Service, 4) };
+    submit(&mut world, service, 1, None);
+    world.run(60_000);
+    assert_eq!(live(&world), 4, "the service must be up on both sides");
+    world.refused.insert(1);
+    world.cut.insert((0, 1));
+    world
+}
+
+/// An owner that is cut off keeps its tasks; a withdrawal is told only once the
+/// last of them is proven over, and not before.
+#[test]
+fn a_withdrawal_is_not_told_while_an_owner_out_of_reach_may_run_it() {
+    let mut world = cut_off(73);
+    world.run(5_000);
+    world.withdraw(&id(1));
+    world.run(20_000);
+    assert!(live(&world) > 0, "behind the cut they go on: the owner there knows of nothing");
+    assert_eq!(world.phase(&id(1)), None, "so it is told to nobody");
+    world.refused.clear();
+    world.cut.clear();
+    world.run(20_000);
+    assert_eq!(live(&world), 0);
+    assert_eq!(world.phase(&id(1)), Some(Phase::Withdrawn));
+    assert_kept(&world);
+}
+
+/// A store that is away for longer than a lease costs no task: what is kept
+/// alive by workers' reports needs no word from it for that long.
+#[test]
+fn an_outage_of_the_store_longer_than_a_lease_costs_no_task() {
+    let mut world = world(74, 3, 12, NO_FAULTS);
+    let service = JobSpec { spot: false, ..job(1, "red", Shape::Service, 4) };
+    submit(&mut world, service, 1, None);
+    world.run(60_000);
+    let starts = world.ground.checker.starts;
+    assert_eq!(live(&world), 4);
+    world.store.down = true;
+    for _ in 0..45 {
+        world.run(1_000);
+        assert_eq!(live(&world), 4);
+    }
+    let now = world.now;
+    world.store.recover(now);
+    world.run(30_000);
+    assert_eq!((live(&world), world.ground.checker.starts), (4, starts));
+    assert_kept(&world);
+}
--- a/crates/model/src/constants.rs
+++ b/crates/model/src/constants.rs
@@ -73,7 +73,8 @@
 /// counter. 2^20 fences a holder's life, while revisions stay below 2^44.
 pub const FENCE_BITS: u32 = 20;
 /// ms of the time that a cancellation allows which are kept for delivery when
-/// a node answers reports without knowing the store.
+/// a node answers reports without knowing the store, while some node still
+/// tells of withdrawals before the last attempt's end.
 pub const BLIND_MARGIN_MS: u64 = 2_000;
 
 // ---- peers -----------------------------------------------------------------
@@ -95,7 +96,7 @@
 /// Bytes of a mailbox value left for its other fields and its encoding.
 pub const MAIL_OVERHEAD_BYTES: usize = 512;
 /// Version of the format between controllers.
-pub const PEER_VERSION: u8 = 2;
+pub const PEER_VERSION: u8 = 3;
 /// Bytes of changes in one direct message between controllers: some hundred
 /// machines, so that one message does not hold up reports for long.
 pub const SYNC_BYTES: usize = 128 * 1024;
@@ -181,6 +182,9 @@
 /// ms that a submission may have to wait for its turn to be written; beyond
 /// that it is refused at once.
 pub const SUBMIT_WAIT_MS: u64 = 800;
+/// ms that the request which asks for a withdrawal waits for the last attempt's
+/// end, as long as a stop usually takes: later ones are answered at once.
+pub const WITHDRAW_WAIT_MS: u64 = 500;
 /// ms a user request may wait for the store before it is refused.
 pub const USER_TIMEOUT_MS: u64 = 1_600;
 /// ms a connection may be idle before it is closed.
--- a/crates/model/src/policy.rs
+++ b/crates/model/src/policy.rs
@@ -14,6 +14,9 @@
     pub silent_ms: u64,
     /// A machine that boots this many times as long as usual is released.
     pub boot_patience: f64,
+    /// ms after the last word from the store for which workers' reports are
+    /// answered, so that their tasks go on.
+    pub blind_ms: u64,
     /// Spare room kept per expected arrival while a machine boots.
     pub spare: f64,
 }
--- a/crates/node/src/web.rs
+++ b/crates/node/src/web.rs
@@ -140,7 +140,7 @@
         return Reply::busy(RETRY_AFTER_S.max(wait.as_secs_f64().ceil() as u64).min(RETRY_AFTER_MOST_S));
     }
     let at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO).as_millis() as u64;
-    let record = JobRecord { spec, at };
+    let record = JobRecord { spec, at, withdrawn: false };
     let txn = accept_job(&record);
     let deadline = node.now() + USER_TIMEOUT_MS;
     loop {
@@ -184,11 +184,16 @@
         .detach();
 }
 
+/// Asks for a job's end, and tells the user of it once it is written: its
+/// placer does that when every attempt is proven over. That takes a moment
+/// where the machines can be reached; until then the user is told when to ask
+/// again.
 async fn withdraw(node: &Rc<Node>, id: &str) -> Reply {
     let Some(id) = JobId::parse(id) else {
         return Reply::empty(404);
     };
     let deadline = node.now() + USER_TIMEOUT_MS;
+    let mut until = None;
     loop {
         match look_up(node, &id).await {
             Ok(None) => return Reply::empty(404),
@@ -201,13 +206,18 @@
         let Some(job) = node.core().mirror.jobs.get(&id).cloned() else {
             continue;
         };
-        let txn = withdraw_job(&id, job.version);
-        match node.state.txn(&txn).await {
+        if job.record.withdrawn {
+            if until.is_none_or(|until| node.now() >= until) {
+                return Reply::busy(RETRY_AFTER_S);
+            }
+            smol::Timer::after(Duration::from_millis(TICK_MS)).await;
+            continue;
+        }
+        match node.state.txn(&withdraw_job(&job.record, job.version)).await {
             Ok(TxnResult::Done(_)) => {
-                info!(job = %id, "job withdrawn");
-                node.core().mirror.settle(&id, Phase::Withdrawn);
+                info!(job = %id, "withdrawal asked for");
                 announce(node, &job.record.spec.team);
-                return state_reply(200, &JobState::plain(id, Phase::Withdrawn));
+                until = Some(node.now() + WITHDRAW_WAIT_MS);
             }
             Ok(TxnResult::Conflict(_)) | Err(StateError::Unknown) if node.now() < deadline => {}
             _ => return Reply::busy(RETRY_AFTER_S),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -38,7 +38,7 @@
 
 fn read(table: &Table) -> Result<Policy, Vec<String>> {
     let mut faults = Vec::new();
-    let names = ["idle", "idle_spot", "silent_s", "boot_patience", "spare"];
+    let names = ["idle", "idle_spot", "silent_s", "boot_patience", "blind_s", "spare"];
     for pair in table.pairs::<Value, Value>() {
         match pair {
             Ok((Value::String(key), _)) if names.iter().any(|n| key.as_bytes() == n.as_bytes()) => {}
@@ -59,6 +59,7 @@
         idle_spot: number("idle_spot", 0.0, 1_000.0),
         silent_ms: (number("silent_s", 1.0, 3_600.0) * 1000.0) as u64,
         boot_patience: number("boot_patience", 1.5, 100.0),
+        blind_ms: (number("blind_s", 0.0, 3_600.0) * 1000.0) as u64,
         spare: number("spare", 0.0, 10.0),
     };
     if faults.is_empty() { Ok(policy) } else { Err(faults) }
--- a/crates/policy/src/policy.lua
+++ b/crates/policy/src/policy.lua
@@ -10,6 +10,11 @@
   silent_s = 9,
   -- how many times the usual boot time a machine may take
   boot_patience = 3.0,
+  -- seconds for which a controller without word from the store goes on answering
+  -- its workers, so that their tasks outlive a cut or an outage; withdrawals are
+  -- told only once the last attempt has ended, so this breaks no promise, but
+  -- what runs out of sight is moved that much later
+  blind_s = 60,
   -- room kept for each task expected to arrive while a machine boots and
   -- fetches, of classes whose starts are awaited
   spare = 0.5,
--- a/crates/storage/src/mirror.rs
+++ b/crates/storage/src/mirror.rs
@@ -7,7 +7,7 @@
 
 use base64::prelude::{BASE64_STANDARD, Engine};
 
-use crate::records::{JobRecord, MailLine, MailRecord, PartRecord, TeamRecord, parse_mail_key};
+use crate::records::{JobRecord, MailLine, MailRecord, NodeRecord, PartRecord, TeamRecord, parse_mail_key};
 use lemonweir_model::JobId;
 use lemonweir_model::constants::ENDS_REMEMBERED;
 use lemonweir_protocol::state::{Change, Entry, from_value};
@@ -40,8 +40,8 @@
     pub jobs: BTreeMap<JobId, MirroredJob>,
     /// Owners of parts.
     pub parts: BTreeMap<u16, Holder>,
-    /// Living nodes.
-    pub nodes: BTreeMap<String, u64>,
+    /// Living nodes, with the format of messages that each speaks.
+    pub nodes: BTreeMap<String, u8>,
     /// Parts of teams.
     pub teams: BTreeMap<String, u16>,
     /// Jobs that came, changed or went since they were last looked at.
@@ -95,10 +95,13 @@
                 }
                 _ => false,
             },
-            Some(("node", host)) => {
-                self.nodes.insert(host.to_owned(), version);
-                true
-            }
+            Some(("node", host)) => match from_value::<NodeRecord>(value) {
+                Some(record) => {
+                    self.nodes.insert(host.to_owned(), record.format);
+                    true
+                }
+                None => false,
+            },
             Some(("team", team)) => match from_value::<TeamRecord>(value) {
                 Some(record) => {
                     self.teams.insert(team.to_owned(), record.part);
--- a/crates/storage/src/records.rs
+++ b/crates/storage/src/records.rs
@@ -17,6 +17,7 @@
 use base64::prelude::{BASE64_STANDARD, Engine};
 use serde::{Deserialize, Serialize};
 
+use lemonweir_model::constants::PEER_VERSION;
 use lemonweir_model::{JobId, JobSpec, MachineId, Room};
 use lemonweir_protocol::state::{Condition, Txn, Write, to_value};
 use lemonweir_protocol::users::Phase;
@@ -74,6 +75,10 @@
     pub spec: JobSpec,
     /// Time of day of the submission, ms.
     pub at: u64,
+    /// Its user asked to withdraw it: nothing of it starts any more, and once
+    /// no attempt is left its end is written.
+    #[serde(default)]
+    pub withdrawn: bool,
 }
 
 /// A part's owner.
@@ -88,6 +93,10 @@
 pub struct NodeRecord {
     /// Zone.
     pub zone: String,
+    /// Format of the messages between controllers that it speaks; 0: an earlier
+    /// one than the first that is told here.
+    #[serde(default)]
+    pub format: u8,
 }
 
 /// Prefix of what an owner knows of its machines' images.
@@ -169,13 +178,13 @@
     }
 }
 
-/// Withdraws a job whose key has this version: if it has ended meanwhile, the
-/// key has another.
-pub fn withdraw_job(id: &JobId, version: u64) -> Txn {
-    Txn {
-        conditions: vec![Condition { key: job_key(id), version }],
-        writes: vec![Write::Delete { key: job_key(id) }, Write::put(end_key(id), &EndRecord { phase: Phase::Withdrawn })],
-    }
+/// Asks for the end of a job whose key has this version: if it has ended
+/// meanwhile, the key has another. Its placer writes the end once every attempt
+/// is proven to be over.
+pub fn withdraw_job(record: &JobRecord, version: u64) -> Txn {
+    let key = job_key(&record.spec.id);
+    let asked = JobRecord { withdrawn: true, ..record.clone() };
+    Txn { conditions: vec![Condition { key: key.clone(), version }], writes: vec![Write::put(key, &asked)] }
 }
 
 /// Takes a part whose key has this version (0: no key), to live with a hold.
@@ -194,7 +203,7 @@
 
 /// Shows a node's presence, to live with its hold.
 pub fn show_node(host: &str, zone: &str, hold: u64) -> Txn {
-    let record = NodeRecord { zone: zone.to_owned() };
+    let record = NodeRecord { zone: zone.to_owned(), format: PEER_VERSION };
     Txn { conditions: Vec::new(), writes: vec![Write::Put { key: node_key(host), value: to_value(&record), hold: Some(hold) }] }
 }
 
