One judgement on machines out of sight; the end of what earlier owners kept alive

A hall whose first half was back lost the other half at once, since only the moment's majority counted.

Now `evidence` holds since when a machine shows no sign of life (heard, an attempt on record, a note of its images, the cloud's list) and which zones are out of sight; silence, give-back, idleness, renting and what a waiting job says read its judgement. A zone out of sight is waited for until its leases are over and then as long as new machines would cost twice over. Nothing is rented there, nothing new placed on silent machines.

A successor infers the end of leases it never gave, from the longest an earlier owner may answer (60 s) and a lease; a blind owner makes no calls. An owner that the store refuses alone learns from its peers that its part has another holder, and sends its workers there.

--- /dev/null
+++ b/crates/coordination/src/evidence.rs
@@ -0,0 +1,182 @@
+//! Evidence of loss: what is known of the machines of a part and since when,
+//! and the one judgement that everything asks which waits for a silent machine.
+//!
+//! A machine has shown a sign of life if it was heard, or if something on
+//! record says that it ran before this owner took the part: an attempt that a
+//! placer wants there, a note of its images, the cloud's list. What nobody ever
+//! saw running only boots. A machine that is silent among others in sight is
+//! judged for itself. Where most of a zone's machines are silent at once, the
+//! zone is out of sight: that is mostly a cut, its machines run on behind it,
+//! and giving them back would end what runs there and cost a boot and a fetch
+//! each.
+
+use std::collections::BTreeMap;
+
+use tracing::info;
+
+use crate::machine::{Machine, Timing};
+use lemonweir_model::constants::*;
+use lemonweir_protocol::peer::Hidden;
+
+/// How a machine stands as far as this owner can tell.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Judgement {
+    /// Nothing says that it ever ran.
+    Booting,
+    /// Heard within the usual time.
+    InSight,
+    /// Silent, others of its zone are not.
+    Silent,
+    /// Out of sight with its zone.
+    Hidden,
+    /// Silent for longer than it is worth waiting for.
+    GiveBack,
+}
+
+/// What is known of one zone.
+#[derive(Clone, Debug, Default)]
+struct Zone {
+    /// Machines with a sign of life, and those of them that are silent.
+    ran: usize,
+    silent: usize,
+    /// When the leases of these have surely run out.
+    over_at: u64,
+    /// Silence before this moment proves nothing.
+    floor: u64,
+    /// Since when it is out of sight.
+    hidden: Option<u64>,
+    /// When it came back last.
+    returned: Option<u64>,
+    /// How long it was out of sight at most.
+    longest_ms: u64,
+}
+
+/// What an owner knows of its zones.
+#[derive(Debug)]
+pub struct Sight {
+    started: u64,
+    timing: Timing,
+    /// Silence from which on a machine is not in sight, ms.
+    silent_ms: u64,
+    zones: BTreeMap<String, Zone>,
+}
+
+impl Sight {
+    /// The sight of an owner that takes its part now.
+    pub(crate) fn new(timing: Timing, silent_ms: u64, now: u64) -> Self {
+        let silent_ms = silent_ms.max(2 * timing.report_ms + SILENT_SLACK_MS);
+        Self { started: now, timing, silent_ms, zones: BTreeMap::new() }
+    }
+
+    /// This process stood still: silence meanwhile proves nothing.
+    pub(crate) fn stood_still(&mut self, now: u64) {
+        self.zones.values_mut().for_each(|z| z.floor = now);
+    }
+
+    /// ms since a machine last showed a sign of life; `None`: it never did.
+    fn silence(m: &Machine, zone: &Zone, now: u64) -> Option<u64> {
+        m.heard.or(m.ran).map(|at| now.saturating_sub(at.max(zone.floor)))
+    }
+
+    /// When its lease has surely run out, if no other owner takes the part.
+    fn over_at(&self, m: &Machine) -> u64 {
+        m.answered.map_or(self.started + self.timing.inherited_ms(), |at| at + self.timing.dead_after_ms())
+    }
+
+    /// Looks at all machines again; true if a zone came into sight or went.
+    pub(crate) fn survey<'a>(&mut self, machines: impl Iterator<Item = &'a Machine>, now: u64) -> bool {
+        for zone in self.zones.values_mut() {
+            (zone.ran, zone.silent, zone.over_at) = (0, 0, 0);
+        }
+        let silent_ms = self.silent_ms;
+        for m in machines {
+            if !self.zones.contains_key(&m.zone) {
+                self.zones.insert(m.zone.clone(), Zone::default());
+            }
+            let Some(zone) = self.zones.get(&m.zone) else { continue };
+            let Some(silence) = Self::silence(m, zone, now) else { continue };
+            let over_at = self.over_at(m);
+            if let Some(zone) = self.zones.get_mut(&m.zone) {
+                zone.ran += 1;
+                if silence > silent_ms {
+                    zone.silent += 1;
+                    zone.over_at = zone.over_at.max(over_at);
+                }
+            }
+        }
+        let mut changed = false;
+        for (name, zone) in &mut self.zones {
+            // Half of a zone does not fail machine by machine within seconds.
+            let out = zone.silent > MASS_SILENT && zone.silent * 2 > zone.ran;
+            match (zone.hidden, out) {
+                (None, true) => {
+                    info!(zone = name, silent = zone.silent, of = zone.ran, "zone is out of sight");
+                    zone.hidden = Some(now.saturating_sub(silent_ms));
+                }
+                (Some(since), false) => {
+                    info!(zone = name, silent = zone.silent, of = zone.ran, "zone is in sight again");
+                    zone.hidden = None;
+                    zone.returned = Some(now);
+                    zone.longest_ms = zone.longest_ms.max(now.saturating_sub(since));
+                    // Guards against giving back what comes back a moment after
+                    // the first half: its silence counts from now.
+                    zone.floor = now;
+                }
+                _ => continue,
+            }
+            changed = true;
+        }
+        changed
+    }
+
+    /// ms of silence after which a machine of a zone that is out of sight is
+    /// given back. Until the lease is surely over, what runs there may run on.
+    /// From then on waiting costs rent, and giving back costs a boot and a
+    /// fetch: who waits for as long as that costs pays at most twice the least,
+    /// whenever the cut ends; and no less than the longest cut that was seen.
+    fn wait_ms(&self, m: &Machine, zone: &Zone, rebuild_ms: u64) -> u64 {
+        let over_ms = if m.answered.is_some() { self.timing.dead_after_ms() } else { self.timing.inherited_ms() };
+        over_ms + (2 * rebuild_ms).max(zone.longest_ms)
+    }
+
+    /// The judgement of one machine. `rebuild_ms`: what booting a new one and
+    /// fetching an image takes.
+    pub(crate) fn judge(&self, m: &Machine, rebuild_ms: u64, now: u64) -> Judgement {
+        let fallback = Zone::default();
+        let zone = self.zones.get(&m.zone).unwrap_or(&fallback);
+        let Some(silence) = Self::silence(m, zone, now) else { return Judgement::Booting };
+        if silence <= self.silent_ms {
+            return Judgement::InSight;
+        }
+        // A spot machine that is silent was mostly taken without notice. An
+        // ordinary one mostly lost its network: its tasks go on until their
+        // lease ends, and it may come back with its images.
+        let (patience, state) = match zone.hidden {
+            Some(_) => (self.wait_ms(m, zone, rebuild_ms), Judgement::Hidden),
+            None if m.spot => (self.silent_ms, Judgement::Silent),
+            None => (self.timing.dead_after_ms() + 2 * self.silent_ms, Judgement::Silent),
+        };
+        if silence > patience { Judgement::GiveBack } else { state }
+    }
+
+    /// True for a machine whose zone came back a moment ago: work that was lost
+    /// there is about to begin anew, so that it is empty says nothing yet.
+    pub(crate) fn recovering(&self, m: &Machine, now: u64) -> bool {
+        self.zones.get(&m.zone).and_then(|z| z.returned).is_some_and(|at| now < at + RETURN_KEEP_MS)
+    }
+
+    /// Zones that are out of sight.
+    pub(crate) fn hidden(&self, now: u64) -> Vec<Hidden> {
+        let told = |(name, z): (&String, &Zone)| {
+            let since = z.hidden?;
+            Some(Hidden { zone: name.clone(), for_ms: now.saturating_sub(since), over_in_ms: z.over_at.saturating_sub(now) })
+        };
+        self.zones.iter().filter_map(told).collect()
+    }
+
+    /// True once every lease that an earlier owner of the part could prolong
+    /// has surely run out (`docs/design.md`, proof of end).
+    pub(crate) fn inherited_over(&self, now: u64) -> bool {
+        now > self.started + self.timing.inherited_ms()
+    }
+}
--- a/crates/coordination/src/fleet.rs
+++ b/crates/coordination/src/fleet.rs
@@ -1,6 +1,6 @@
 //! What to rent: room for what the queues lack, less what is already booting.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use lemonweir_model::constants::{MAX_RENT, NO_CAPACITY_MS};
 use lemonweir_model::{Catalog, Room};
@@ -55,11 +55,14 @@
     }
 }
 
-/// The machines to rent now: (type, zone, spot) and how many.
+/// The machines to rent now: (type, zone, spot) and how many. Nothing is rented
+/// in zones that are `hidden`, and machines there only count for those who may
+/// run nowhere else.
 pub fn plan(
     lacking: &[Demand],
     booting: &[Bin],
     count_by_zone: &BTreeMap<String, usize>,
+    hidden: &BTreeSet<&str>,
     catalog: &Catalog,
     shortage: &Shortage,
     now: u64,
@@ -74,6 +77,7 @@
             let fit =
                 |zone: &str| bins.iter().filter(|b| b.zone == zone && (d.spot || !b.spot)).map(|b| tasks_in(&b.free, &d.need)).sum::<u64>();
             let mut zones: Vec<&String> = catalog.values().flat_map(|t| &t.zones).collect();
+            zones.retain(|z| !hidden.contains(z.as_str()));
             zones.sort_unstable();
             zones.dedup();
             forced = zones.into_iter().max_by_key(|z| (fit(z), std::cmp::Reverse(zones_used.get(*z).copied().unwrap_or(0)))).cloned();
@@ -88,7 +92,11 @@
                 if left == 0 {
                     break;
                 }
-                if forced.as_ref().is_some_and(|z| z != &b.zone) || d.types.as_ref().is_some_and(|t| !t.contains(&b.kind)) {
+                let elsewhere = match &forced {
+                    Some(zone) => *zone != b.zone,
+                    None => hidden.contains(b.zone.as_str()),
+                };
+                if elsewhere || d.types.as_ref().is_some_and(|t| !t.contains(&b.kind)) {
                     continue;
                 }
                 let n = tasks_in(&b.free, &d.need).min(left);
@@ -103,7 +111,7 @@
                     continue;
                 }
                 for zone in &t.zones {
-                    if forced.as_ref().is_some_and(|z| z != zone) {
+                    if hidden.contains(zone.as_str()) || forced.as_ref().is_some_and(|z| z != zone) {
                         continue;
                     }
                     for spot in [true, false] {
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod budget;
 pub mod changes;
+mod evidence;
 pub mod fleet;
 mod job;
 mod machine;
@@ -26,11 +27,12 @@
 use lemonweir_model::settings::{Member, Settings};
 use lemonweir_model::{Catalog, JobId, MachineId, Room};
 use lemonweir_protocol::cloud::{Rental, RentalEntry};
-use lemonweir_protocol::peer::{self, JobNote, Rented, Sync, View};
+use lemonweir_protocol::peer::{self, JobNote, Rented, Superseded, Sync, View};
 use lemonweir_protocol::state::{Condition, Txn, Write};
 use lemonweir_protocol::users::{Phase, team_limit};
 use lemonweir_protocol::worker::{Report, ReportReply};
 use lemonweir_storage::Mirror;
+use lemonweir_storage::mirror::Holder;
 use lemonweir_storage::records::{ChunkRecord, ImagesRecord, MailKind, images_key, part_key};
 
 /// What the process has to do. Each names the part and its token, so that an
@@ -373,8 +375,8 @@
     }
 
     /// Phase and counts of an unfinished job, as far as this node knows.
-    pub fn progress(&self, id: &JobId) -> (Phase, u64, u64, String) {
-        let own = self.parts.values().find_map(|p| p.placer.job_note(id));
+    pub fn progress(&self, id: &JobId, now: u64) -> (Phase, u64, u64, String) {
+        let own = self.parts.values().find_map(|p| p.placer.job_note(id, now));
         let (done, running, reason) = own
             .or_else(|| self.notes.get(id).map(|n| (u64::from(n.done), u64::from(n.running), n.reason.clone())))
             .unwrap_or_else(|| (0, 0, "its team's controller has not taken it up yet".into()));
@@ -386,7 +388,7 @@
     /// A worker reported.
     pub fn report(&mut self, report: &Report, now: u64) -> ReportAnswer {
         let index = self.config.part_of(&report.zone, &report.machine);
-        let blind = self.store_heard.is_none_or(|at| now > at + self.blind_ms());
+        let blind = self.blind(now);
         match self.parts.get_mut(&index) {
             Some(_) if blind => ReportAnswer::Unable,
             Some(part) => part.owner.report(report, now).map_or(ReportAnswer::Unable, ReportAnswer::Orders),
@@ -399,6 +401,11 @@
         }
     }
 
+    /// Too long without word from the store to act for a part.
+    fn blind(&self, now: u64) -> bool {
+        self.store_heard.is_none_or(|at| now > at + self.blind_ms())
+    }
+
     /// ms after the last word from the store for which reports are answered.
     /// Without it withdrawals may be asked for that we don't see; none is told
     /// to its user before its last attempt is proven over (`Job::finished`), so
@@ -417,6 +424,12 @@
 
     /// A placer on another node says what it wants.
     pub fn sync_in(&mut self, sync: &Sync, now: u64) -> Result<View, SyncRefusal> {
+        // Guards against a controller that the store refuses alone and that
+        // goes on answering its workers, while its successor waits for them.
+        if let Some(holder) = self.mirror.parts.get(&sync.from).filter(|h| h.token > sync.from_token) {
+            let (token, host) = (holder.token, holder.host.clone());
+            return Err(SyncRefusal::Superseded(Superseded { version: PEER_VERSION, part: sync.from, token, host }));
+        }
         for note in &sync.notes {
             if self.mirror.jobs.contains_key(&note.job) {
                 self.notes.insert(note.job.clone(), note.clone());
@@ -432,6 +445,20 @@
         part.owner.sync(sync, room, now).map(|view| View { store_age_ms, ..view })
     }
 
+    /// Another node says who holds a part now; if that is ours by an older
+    /// token, it is given up, and its workers are sent there.
+    pub fn superseded(&mut self, by: Superseded) {
+        let known = self.mirror.parts.get(&by.part).map_or(0, |h| h.token);
+        if by.token <= known || usize::from(by.part) >= self.config.members.len() {
+            return;
+        }
+        if self.parts.get(&by.part).is_some_and(|p| p.lot.token < by.token) {
+            info!(part = by.part, host = by.host, "another controller has taken the part");
+            self.abandon(by.part);
+        }
+        self.mirror.parts.insert(by.part, Holder { host: by.host, token: by.token });
+    }
+
     fn store_age(&self, now: u64) -> u64 {
         self.store_heard.map_or(u64::MAX, |at| now.saturating_sub(at))
     }
@@ -591,9 +618,7 @@
             by_part.entry(self.config.part_of(&e.zone, &e.id)).or_default().push(e.clone());
         }
         for (index, part) in &mut self.parts {
-            if let Some(entries) = by_part.get(index) {
-                part.owner.listed(entries, now);
-            }
+            part.owner.listed(by_part.get(index).map_or(&[], Vec::as_slice), now);
         }
     }
 
@@ -648,6 +673,7 @@
 
     fn pump_once(&mut self, now: u64, effects: &mut Vec<Effect>) -> bool {
         let mut again = false;
+        let blind = self.blind(now);
         let indices: Vec<u16> = self.parts.keys().copied().collect();
         for &index in &indices {
             let Some(part) = self.parts.get_mut(&index) else {
@@ -664,7 +690,11 @@
                 };
                 effects.push(Effect::Note(Txn { conditions: vec![owned], writes: pages.into_iter().map(write).collect() }));
             }
-            effects.extend(part.owner.calls(now).into_iter().map(|c| Effect::Command(lot, c)));
+            // Guards against a start by an owner that has been blind for so long
+            // that its successor may infer the end of all it kept alive.
+            if !blind {
+                effects.extend(part.owner.calls(now).into_iter().map(|c| Effect::Command(lot, c)));
+            }
             let names = part.owner.releases();
             if !names.is_empty() {
                 effects.push(Effect::Release(lot, names));
@@ -785,6 +815,9 @@
         if self.placer.lacking.is_empty() {
             return Vec::new();
         }
+        // What boots in a zone out of sight can't be heard; what is there
+        // already is waited for by those who may run nowhere else.
+        let hidden = self.placer.hidden_zones();
         let bin = |kind: &str, zone: &str, spot: bool| {
             let free = catalog.get(kind).map(|t| t.room).unwrap_or_default();
             Bin { kind: kind.to_owned(), zone: zone.to_owned(), spot, free }
@@ -796,7 +829,7 @@
                 Some(n) => *n += 1,
                 None => drop(zones.insert(m.zone.clone(), 1)),
             }
-            if !m.up && m.open && m.renter.is_none_or(|r| r == index) {
+            if !m.up && (m.open || hidden.contains(m.zone.as_str())) && m.renter.is_none_or(|r| r == index) {
                 bins.push(bin(&m.kind, &m.zone, m.spot));
             }
         }
@@ -804,6 +837,6 @@
         for (r, _) in &self.rentals {
             bins.extend((0..r.count).map(|_| bin(&r.kind, &r.zone, r.spot)));
         }
-        plan(&self.placer.lacking, &bins, &zones, catalog, &self.shortage, now)
+        plan(&self.placer.lacking, &bins, &zones, &hidden, catalog, &self.shortage, now)
     }
 }
--- a/crates/coordination/src/machine.rs
+++ b/crates/coordination/src/machine.rs
@@ -24,6 +24,15 @@
     pub fn dead_after_ms(&self) -> u64 {
         self.lease_ms + self.lease_ms * DRIFT_PER_MILLE / 1000 + LEASE_MARGIN_MS
     }
+
+    /// ms after taking a part from which on every lease that an earlier owner
+    /// could prolong has surely run out: its last word from the store that
+    /// showed it as the owner began before the part was taken, it answered for
+    /// [`BLIND_MOST_MS`] after that at most, and a lease runs from a report that
+    /// was sent before its answer.
+    pub fn inherited_ms(&self) -> u64 {
+        BLIND_MOST_MS + BLIND_MOST_MS * DRIFT_PER_MILLE / 1000 + self.dead_after_ms()
+    }
 }
 
 /// A task seen on a machine.
@@ -65,8 +74,11 @@
     /// Images with their sizes, most recently used first.
     pub(super) images: VecDeque<(String, u64)>,
     pub(super) notice: bool,
-    /// Listed as running, but never heard.
-    pub(super) unheard: bool,
+    /// Since when something on record says that it runs, though we have not
+    /// heard it: an attempt there, a note of its images, the cloud's list.
+    pub(super) ran: Option<u64>,
+    /// Not heard for longer than usual: nothing new goes there.
+    pub(super) silent: bool,
     pub(super) closing: bool,
     pub(super) quarantined: bool,
     pub(super) releasing: bool,
@@ -100,7 +112,8 @@
             tasks: BTreeMap::new(),
             images: VecDeque::new(),
             notice: false,
-            unheard: false,
+            ran: None,
+            silent: false,
             closing: false,
             quarantined: false,
             releasing: false,
@@ -114,7 +127,7 @@
     }
 
     pub(super) fn open(&self) -> bool {
-        !(self.notice || self.unheard || self.closing || self.quarantined || self.release_wanted)
+        !(self.notice || self.silent || self.closing || self.quarantined || self.release_wanted)
     }
 
     /// No order that could start something is of unknown fate.
--- a/crates/coordination/src/owner/mod.rs
+++ b/crates/coordination/src/owner/mod.rs
@@ -22,13 +22,14 @@
 use tracing::{info, warn};
 
 use crate::changes::ChangeLog;
+use crate::evidence::{Judgement, Sight};
 pub use crate::machine::Timing;
 use crate::machine::{Machine, Seen};
 use lemonweir_model::constants::*;
 use lemonweir_model::policy::Policy;
 use lemonweir_model::{AttemptId, MachineId, Rank, Room};
 use lemonweir_protocol::cloud::RentalEntry;
-use lemonweir_protocol::peer::{AttemptView, Cause, Follow, MachineView, Rented, Standing, Sync, View, Want, written};
+use lemonweir_protocol::peer::{AttemptView, Cause, Follow, MachineView, Rented, Standing, Superseded, Sync, View, Want, written};
 use lemonweir_protocol::worker::{Commands, Order, Report, ReportReply, TaskPhase, Verb};
 use lemonweir_storage::records::ImagesRecord;
 
@@ -145,6 +146,9 @@
     /// Older than one already taken.
     #[error("late message")]
     Late,
+    /// From a controller that has lost its part without knowing.
+    #[error("the sender's part has another holder")]
+    Superseded(Superseded),
 }
 
 /// The owner of a part.
@@ -178,7 +182,13 @@
     noted_at: u64,
     /// When an attempt was last given room, ms.
     accepted_at: u64,
+    /// Machines that somebody counts on and nobody has seen.
     missing: BTreeMap<MachineId, u64>,
+    /// When the cloud's list was last read.
+    listed_at: u64,
+    sight: Sight,
+    /// The proof from time of what earlier owners kept alive has been used.
+    inherited_judged: bool,
     /// Empty machines whose time is over.
     to_close: BTreeSet<MachineId>,
     releasing: bool,
@@ -187,7 +197,6 @@
     /// Tick for which releases were looked for.
     released_tick: u64,
     last_tick: u64,
-    silent_floor: u64,
     dirty: BTreeSet<u16>,
     /// Placements refused for want of room, and attempts pushed out, so far.
     refused: u64,
@@ -202,7 +211,6 @@
             token,
             started: now,
             timing,
-            policy,
             parts,
             rooms: BTreeMap::new(),
             boot_ms: BTreeMap::new(),
@@ -221,12 +229,15 @@
             noted_at: now,
             accepted_at: now,
             missing: BTreeMap::new(),
+            listed_at: 0,
+            sight: Sight::new(timing, policy.silent_ms, now),
+            inherited_judged: false,
+            policy,
             to_close: BTreeSet::new(),
             releasing: false,
             summed_at: now,
             released_tick: now,
             last_tick: now,
-            silent_floor: now,
             dirty: BTreeSet::new(),
             refused: 0,
             pushed_out: 0,
@@ -354,7 +365,10 @@
         m.session = report.session;
         m.seq = report.seq;
         m.heard = Some(now);
-        m.unheard = false;
+        if std::mem::take(&mut m.silent) {
+            // It is wanted again: it is not empty since it was last seen.
+            m.idle_since = m.idle_since.map(|_| now);
+        }
         m.token_seen = m.token_seen.max(report.token);
         if report.notice_s.is_some() && !m.notice {
             m.notice = true;
--- a/crates/coordination/src/owner/telling.rs
+++ b/crates/coordination/src/owner/telling.rs
@@ -42,6 +42,7 @@
         self.dirty.remove(&sync.from);
         let mut view = self.view(sync, room);
         view.wants_at = wants_at;
+        view.hidden = self.sight.hidden(now);
         Ok(view)
     }
 
@@ -98,8 +99,12 @@
                 held.want = w.clone();
             }
             touched.insert(w.machine.clone());
-            if !self.machines.contains_key(&w.machine) && !self.gone.contains(&w.machine) {
-                self.missing.entry(w.machine.clone()).or_insert(now);
+            match self.machines.get_mut(&w.machine) {
+                // Placed there while an earlier owner saw it run.
+                Some(m) if m.heard.is_none() => drop(m.ran.get_or_insert(now)),
+                Some(_) => {}
+                None if self.gone.contains(&w.machine) => {}
+                None => drop(self.missing.entry(w.machine.clone()).or_insert(now)),
             }
         }
         for machine in touched {
@@ -188,6 +193,7 @@
             seq: sync.seq,
             store_age_ms: u64::MAX,
             wants_at: 0,
+            hidden: Vec::new(),
             machines_span,
             machines,
             gone,
--- a/crates/coordination/src/owner/upkeep.rs
+++ b/crates/coordination/src/owner/upkeep.rs
@@ -9,12 +9,15 @@
         if self.gone.contains(&said.machine) {
             return None;
         }
+        // An attempt there or a note of its images: it ran before.
+        let ran = self.missing.get(&said.machine).copied().or(self.earlier.contains_key(&said.machine).then_some(now));
         let room = self.rooms.get(&said.kind).copied().unwrap_or_default();
         let stale = &mut self.stale;
         let m = self.machines.entry(said.machine.clone()).or_insert_with(|| {
             stale.insert(said.machine.clone());
             let mut m = Machine::new(&said.kind, &said.zone, said.spot, room, now);
             m.booked = now.saturating_sub(said.age_ms);
+            m.ran = ran;
             m
         });
         Some(m)
@@ -30,6 +33,7 @@
 
     /// A page of the rental list, reduced to this part's machines.
     pub fn listed(&mut self, entries: &[RentalEntry], now: u64) {
+        self.listed_at = now;
         for e in entries {
             let said = Rented {
                 machine: e.id.clone(),
@@ -38,16 +42,15 @@
                 spot: e.spot,
                 age_ms: (e.age_s * 1000.0) as u64,
             };
-            let dead_after = self.timing.dead_after_ms();
             let Some(m) = self.introduce(&said, now) else { continue };
-            // Guards against waiting for machines that are no more: the list
-            // lags, and a restarted owner does not know what its predecessor
-            // gave back. One that runs reports; until then it is no room.
-            let unheard = e.phase == "running" && m.heard.is_none() && !m.unheard && now > m.since + dead_after;
-            let failed = e.phase == "failed";
-            m.unheard |= unheard;
-            m.release_wanted |= failed;
-            if unheard || failed {
+            if e.phase == "running" && m.heard.is_none() {
+                // Guards against waiting for machines that are no more: the
+                // list lags, and a restarted owner does not know what its
+                // predecessor gave back. One that runs reports soon.
+                m.ran.get_or_insert(now);
+            }
+            if e.phase == "failed" {
+                m.release_wanted = true;
                 self.stale.insert(e.id.clone());
             }
             self.missing.remove(&e.id);
@@ -60,51 +63,47 @@
             return;
         }
         if now.saturating_sub(self.last_tick) > STOOD_STILL_MS {
-            // This process stood still: silence meanwhile proves nothing.
-            self.silent_floor = now;
+            self.sight.stood_still(now);
         }
         self.last_tick = now;
         self.summarize(now);
-        let (dead_after, silent_ms) = (self.timing.dead_after_ms(), self.policy.silent_ms.max(2 * self.timing.report_ms + SILENT_SLACK_MS));
-        // A spot machine that is silent was mostly taken without notice. An
-        // ordinary one mostly lost its network: its tasks go on until their
-        // lease ends, and it may come back with its images, so it is only
-        // given back some time after that.
-        let floor = self.silent_floor;
-        let patience = move |m: &Machine| if m.spot { silent_ms } else { dead_after + 2 * silent_ms };
-        let silent = move |m: &Machine, after: u64| m.heard.is_some_and(|at| now > at.max(floor) + after);
-        let (silent_count, up_count) =
-            self.machines.values().filter(|m| m.heard.is_some()).fold((0, 0), |(s, u), m| (s + usize::from(silent(m, silent_ms)), u + 1));
-        // Many silent machines at once mean that this node is cut off, not
-        // that all of them died: giving them back would end all their work.
-        let mass = silent_count > MASS_SILENT && silent_count * 2 > up_count;
+        self.sight.survey(self.machines.values().filter(|m| !m.release_wanted), now);
+        let dead_after = self.timing.dead_after_ms();
         let base = self.base();
         let mut dead = Vec::new();
         let surplus = self.surplus();
+        let inherited_over = self.sight.inherited_over(now);
         for (id, m) in &mut self.machines {
             if m.releasing || m.release_wanted {
                 continue;
             }
-            if silent(m, patience(m)) && !mass {
-                info!(machine = %id, part = self.part, "machine is silent; giving it back");
+            let boot_ms = self.boot_ms.get(&m.kind).copied().unwrap_or(BOOT_UNKNOWN_MS);
+            let restart = boot_ms + m.fetch_ms(self.fetch.get(&m.kind).copied());
+            let judgement = self.sight.judge(m, restart, now);
+            let silent = matches!(judgement, Judgement::Silent | Judgement::Hidden);
+            if silent != m.silent {
+                m.silent = silent;
+                self.stale.insert(id.clone());
+            }
+            let patience = (boot_ms as f64 * self.policy.boot_patience) as u64;
+            let since = m.booked.max(self.started.saturating_sub(patience)).max(m.since.saturating_sub(patience));
+            let unborn = judgement == Judgement::Booting && now > since + patience + self.timing.lease_ms;
+            if unborn || judgement == Judgement::GiveBack {
+                let why = if unborn { "never came up" } else { "is silent" };
+                info!(machine = %id, part = self.part, why, "machine is given back");
                 m.release_wanted = true;
                 self.stale.insert(id.clone());
             }
-            if m.dead(now, &self.timing) && m.token_seen >= base && m.dead_session < m.session {
+            // Whoever kept it alive: none of its answers can do so any longer.
+            if m.dead(now, &self.timing) && (m.token_seen >= base || inherited_over) && m.dead_session < m.session {
                 dead.push(id.clone());
             }
-            if m.heard.is_none() {
-                let patience = (self.boot_ms.get(&m.kind).copied().unwrap_or(BOOT_UNKNOWN_MS) as f64 * self.policy.boot_patience) as u64;
-                let since = m.booked.max(self.started.saturating_sub(patience)).max(m.since.saturating_sub(patience));
-                if now > since + patience + self.timing.lease_ms {
-                    info!(machine = %id, part = self.part, "machine never came up; giving it back");
-                    m.release_wanted = true;
-                    self.stale.insert(id.clone());
-                }
-            }
-            let restart = self.boot_ms.get(&m.kind).copied().unwrap_or(BOOT_UNKNOWN_MS) + m.fetch_ms(self.fetch.get(&m.kind).copied());
             let lull = if now > self.accepted_at + LULL_MS || surplus.contains(id) { LULL_KEEP } else { 1.0 };
             let keep = (restart as f64 * lull * if m.spot { self.policy.idle_spot } else { self.policy.idle }) as u64;
+            if silent || self.sight.recovering(m, now) {
+                // What is out of sight is not idle, nor what has just come back.
+                continue;
+            }
             if m.idle_since.is_some_and(|at| now > at + keep) || (m.quarantined || m.notice) && m.idle_since.is_some() {
                 m.closing = true;
                 self.to_close.insert(id.clone());
@@ -120,17 +119,26 @@
             }
             self.judge(&id, now);
         }
-        // A machine that somebody counts on and nobody has seen: only the
-        // cloud's answer proves that it is gone.
+        if inherited_over && !self.inherited_judged {
+            self.inherited_judged = true;
+            let unheard: Vec<MachineId> =
+                self.on.keys().filter(|id| self.machines.get(*id).is_none_or(|m| m.heard.is_none())).cloned().collect();
+            for id in unheard {
+                self.judge(&id, now);
+            }
+        }
+        // A machine that somebody counts on and that not even the cloud lists:
+        // only the cloud's answer proves that it is gone. Without a list it may
+        // only be out of sight.
         for (id, since) in &self.missing {
-            if now > since + dead_after && !self.machines.contains_key(id) {
+            if now > since + dead_after && self.listed_at > *since && !self.machines.contains_key(id) {
                 let mut m = Machine::new("", "", false, Room::default(), now);
                 m.release_wanted = true;
                 self.machines.insert(id.clone(), m);
             }
         }
         let machines = &self.machines;
-        self.missing.retain(|id, _| !machines.get(id).is_some_and(|m| m.release_wanted));
+        self.missing.retain(|id, _| !machines.contains_key(id));
     }
 
     /// Empty machines beyond what a fleet of this size needs at hand, those
--- a/crates/coordination/src/placer/mod.rs
+++ b/crates/coordination/src/placer/mod.rs
@@ -10,6 +10,7 @@
 mod records;
 mod telling;
 
+use std::borrow::Cow;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
@@ -22,7 +23,7 @@
 use crate::placement::{Ask, Field, Image};
 use lemonweir_model::constants::*;
 use lemonweir_model::{AttemptId, Catalog, JobId, JobSpec, MachineId, MachineType, Rank, Room, Shape};
-use lemonweir_protocol::peer::{Cause, Evict, Follow, Have, JobNote, Rented, Standing, Sync, View, Want, written};
+use lemonweir_protocol::peer::{Cause, Evict, Follow, Have, Hidden, JobNote, Rented, Standing, Sync, View, Want, written};
 use lemonweir_protocol::state::{Condition, Txn, Write};
 use lemonweir_protocol::users::Phase;
 use lemonweir_storage::mirror::MirroredJob;
@@ -133,7 +134,9 @@
     regauge: BTreeSet<String>,
     /// Jobs with something to write, and since when.
     unsaved: BTreeMap<JobId, u64>,
-    notes: ChangeLog<JobId, (u32, u32, &'static str)>,
+    notes: ChangeLog<JobId, (u32, u32, Cow<'static, str>)>,
+    /// Zones out of sight, by the part whose owner said so.
+    hidden: Vec<BTreeMap<String, HiddenZone>>,
     limits: HashMap<String, Room>,
     guarantees: HashMap<String, Room>,
     /// Seconds within which tasks of a class should start.
@@ -192,6 +195,7 @@
             regauge: BTreeSet::new(),
             unsaved: BTreeMap::new(),
             notes: ChangeLog::default(),
+            hidden: (0..parts).map(|_| BTreeMap::new()).collect(),
             limits,
             guarantees,
             start_within: HashMap::new(),
@@ -406,14 +410,66 @@
         self.fields.iter().map(Field::looked).sum()
     }
 
-    /// The counts of one job, if it is this part's.
-    pub fn job_note(&self, id: &JobId) -> Option<(u64, u64, String)> {
+    /// The counts of one job, if it is this part's, and why it waits.
+    pub fn job_note(&self, id: &JobId, now: u64) -> Option<(u64, u64, String)> {
         let job = self.jobs.get(id).filter(|j| !j.over)?;
-        let (running, reason) = job.progress();
-        Some((u64::from(job.done_count), u64::from(running), reason.to_owned()))
+        let (running, mut reason) = reason_of(job, &self.hidden);
+        if let Some(zone) = hidden_of(job, &self.hidden) {
+            let (s, over_s) = (now.saturating_sub(zone.since) / 1_000, zone.over_at.saturating_sub(now).div_ceil(1_000));
+            reason = format!("{reason} since {s} s, its attempts there end by proof in at most {over_s} s").into();
+        }
+        Some((u64::from(job.done_count), u64::from(running), reason.into_owned()))
+    }
+
+    /// Zones that their owners can't see.
+    pub fn hidden_zones(&self) -> BTreeSet<&str> {
+        self.hidden.iter().flat_map(|zones| zones.keys().map(String::as_str)).collect()
+    }
+
+    /// Takes what an owner says of its zones out of sight.
+    fn take_hidden(&mut self, part: u16, told: Vec<Hidden>, now: u64) {
+        let Some(before) = self.hidden.get_mut(usize::from(part)) else { return };
+        let zone = |h: Hidden| (h.zone, HiddenZone { since: now.saturating_sub(h.for_ms), over_at: now + h.over_in_ms });
+        let after: BTreeMap<String, HiddenZone> = told.into_iter().map(zone).collect();
+        if before.keys().eq(after.keys()) {
+            *before = after;
+            return;
+        }
+        let before = std::mem::replace(before, after);
+        let after = &self.hidden[usize::from(part)];
+        let turned = |zone: &String| before.contains_key(zone) != after.contains_key(zone);
+        // What is told of their jobs changes, and where room may be asked for.
+        for (id, job) in &self.jobs {
+            if job.live.values().any(|l| l.part == part && turned(&l.zone)) {
+                self.changed.insert(id.clone());
+            }
+        }
+        self.place_again = true;
     }
 }
 
+/// A zone that its owner can't see.
+#[derive(Clone, Copy, Debug)]
+struct HiddenZone {
+    /// Since when, ms.
+    since: u64,
+    /// When what ran there is proven over.
+    over_at: u64,
+}
+
+/// The zone out of sight that an attempt of a job is in.
+fn hidden_of<'a>(job: &Job, hidden: &'a [BTreeMap<String, HiddenZone>]) -> Option<&'a HiddenZone> {
+    job.live.values().find_map(|l| hidden.get(usize::from(l.part))?.get(&l.zone))
+}
+
+/// Tasks of a job that run, and why the others wait or may not be what they
+/// seem.
+fn reason_of(job: &Job, hidden: &[BTreeMap<String, HiddenZone>]) -> (u32, Cow<'static, str>) {
+    let (running, reason) = job.progress();
+    let out = job.live.values().find(|l| hidden.get(usize::from(l.part)).is_some_and(|zones| zones.contains_key(&l.zone)));
+    (running, out.map_or(Cow::Borrowed(reason), |l| format!("zone {} out of sight", l.zone).into()))
+}
+
 fn drop_place(index: &mut BTreeMap<String, BTreeSet<Place>>, team: &str, place: &Place) {
     if let Some(queue) = index.get_mut(team) {
         queue.remove(place);
--- a/crates/coordination/src/placer/telling.rs
+++ b/crates/coordination/src/placer/telling.rs
@@ -24,7 +24,7 @@
             if job.over {
                 self.notes.erase(&id);
             } else {
-                let (running, reason) = job.progress();
+                let (running, reason) = reason_of(job, &self.hidden);
                 self.notes.put(&id, (job.done_count, running, reason));
             }
         }
@@ -105,7 +105,12 @@
             told = changes
                 .into_iter()
                 .filter_map(|(job, note)| {
-                    note.map(|&(done, running, reason)| JobNote { job: job.clone(), done, running, reason: reason.to_owned() })
+                    note.map(|(done, running, reason)| JobNote {
+                        job: job.clone(),
+                        done: *done,
+                        running: *running,
+                        reason: reason.clone().into_owned(),
+                    })
                 })
                 .collect();
         }
@@ -151,6 +156,8 @@
             (link.token, link.have) = (view.token, Have::default());
         }
         link.got = view.seq;
+        self.take_hidden(view.part, view.hidden.clone(), now);
+        let Some(link) = self.links.get_mut(usize::from(view.part)) else { return false };
         if view.token == link.to_token {
             // An owner that has less than it once said starts from nothing.
             link.acked = if view.wants_at < link.acked { 0 } else { view.wants_at };
--- a/crates/lab/src/host.rs
+++ b/crates/lab/src/host.rs
@@ -11,7 +11,7 @@
 use lemonweir_model::constants::BUDGET_PERCENT;
 use lemonweir_model::{JobId, MachineId};
 use lemonweir_protocol::cloud::{Rental, RentalEntry};
-use lemonweir_protocol::peer::{Sync, View};
+use lemonweir_protocol::peer::{Superseded, Sync, View};
 use lemonweir_protocol::state::{Change, Entry, Txn};
 use lemonweir_protocol::worker::Report;
 use lemonweir_storage::Mirror;
@@ -77,6 +77,8 @@
     Released(Lot, Vec<MachineId>),
     /// The list of rentals.
     Listed(Vec<RentalEntry>),
+    /// The same, refused since our part has another holder.
+    Superseded(Superseded),
     /// An owner has news for a part.
     Nudge(u16, u16),
     /// A job came elsewhere.
--- a/crates/model/src/constants.rs
+++ b/crates/model/src/constants.rs
@@ -72,6 +72,12 @@
 /// Bits of a machine token below the part's token: a machine's own fence
 /// counter. 2^20 fences a holder's life, while revisions stay below 2^44.
 pub const FENCE_BITS: u32 = 20;
+/// ms for which any owner answers reports without word from the store, at most:
+/// `blind_s` of the policy can't be longer, since a successor that can't hear
+/// the machines infers their end from it whatever its own policy says. Longer
+/// than cuts seen so far (30 to 52 s); each second of it is one that work
+/// behind a lost hall waits to begin anew.
+pub const BLIND_MOST_MS: u64 = 60_000;
 /// ms of the time that a cancellation allows which are kept for delivery when
 /// a node answers reports without knowing the store, while some node still
 /// tells of withdrawals before the last attempt's end.
@@ -279,6 +285,10 @@
 pub const STOOD_STILL_MS: u64 = 1_000;
 /// ms added to two report intervals before a machine counts as silent.
 pub const SILENT_SLACK_MS: u64 = 500;
+/// ms after the return of a zone in which none of its empty machines is given
+/// back: hundreds of tasks begin anew there, and are written to the store some
+/// ten a transaction, some ten transactions a second.
+pub const RETURN_KEEP_MS: u64 = 30_000;
 /// Silent machines up to which each counts as lost for itself.
 pub const MASS_SILENT: usize = 3;
 /// ms that an attempt waits for those pushed out for it; longer than any save
--- a/crates/node/src/carry.rs
+++ b/crates/node/src/carry.rs
@@ -6,11 +6,11 @@
 
 use crate::state::{StateError, TxnResult};
 use crate::{Node, peer_address};
-use lemonweir_coordination::owner::{CommandCall, CommandResult};
+use lemonweir_coordination::owner::{CommandCall, CommandResult, SyncRefusal};
 use lemonweir_coordination::placer::{TxnOutcome, TxnVerdict};
 use lemonweir_coordination::{Effect, mail_piece_bytes};
 use lemonweir_model::constants::*;
-use lemonweir_protocol::peer::{self, Sync, View};
+use lemonweir_protocol::peer::{self, Superseded, Sync, View};
 use lemonweir_protocol::state::Txn;
 use lemonweir_protocol::worker::Report;
 use lemonweir_protocol::{decode, encode};
@@ -132,6 +132,12 @@
     let host = node.core().mirror.parts.get(&sync.to)?.host.clone();
     let addr = peer_address(node, &host)?;
     let response = node.http.call(addr, "POST", "/peer/sync", &peer::write(sync), SYNC_TIMEOUT_MS).await.ok()?;
+    if response.status == 409
+        && let Ok(by) = peer::read::<Superseded>(&response.body)
+    {
+        node.core().superseded(by);
+        return None;
+    }
     if response.status != 200 {
         debug!(part = sync.from, to = sync.to, status = response.status, "sync refused");
         return None;
@@ -195,7 +201,10 @@
                         Ok(view) => Reply::new(200, peer::write(&view)),
                         Err(refusal) => {
                             debug!(from = sync.from, to = sync.to, %refusal, "sync not taken");
-                            Reply::empty(409)
+                            match refusal {
+                                SyncRefusal::Superseded(by) => Reply::new(409, peer::write(&by)),
+                                _ => Reply::empty(409),
+                            }
                         }
                     }
                 }
--- a/crates/node/src/web.rs
+++ b/crates/node/src/web.rs
@@ -67,9 +67,10 @@
 
 /// The state of an unfinished job.
 fn unfinished(node: &Node, id: &JobId) -> Option<JobState> {
+    let now = node.now();
     let core = node.core();
     core.mirror.jobs.get(id)?;
-    let (phase, done, running, reason) = core.progress(id);
+    let (phase, done, running, reason) = core.progress(id, now);
     Some(JobState { id: id.clone(), phase, done: Some(done), running: Some(running), reason: (!reason.is_empty()).then_some(reason) })
 }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,7 +6,7 @@
 
 use std::time::{Duration, Instant};
 
-use lemonweir_model::constants::{POLICY_LOOK_INSTRUCTIONS, POLICY_MEMORY_BYTES, POLICY_TIME_MS};
+use lemonweir_model::constants::{BLIND_MOST_MS, POLICY_LOOK_INSTRUCTIONS, POLICY_MEMORY_BYTES, POLICY_TIME_MS};
 use lemonweir_model::policy::Policy;
 use mlua::{HookTriggers, Lua, LuaOptions, StdLib, Table, Value, VmState};
 
@@ -59,7 +59,7 @@
         idle_spot: number("idle_spot", 0.0, 1_000.0),
         silent_ms: (number("silent_s", 1.0, 3_600.0) * 1000.0) as u64,
         boot_patience: number("boot_patience", 1.5, 100.0),
-        blind_ms: (number("blind_s", 0.0, 3_600.0) * 1000.0) as u64,
+        blind_ms: (number("blind_s", 0.0, BLIND_MOST_MS as f64 / 1000.0) * 1000.0) as u64,
         spare: number("spare", 0.0, 10.0),
     };
     if faults.is_empty() { Ok(policy) } else { Err(faults) }
--- a/crates/policy/src/policy.lua
+++ b/crates/policy/src/policy.lua
@@ -13,7 +13,7 @@
   -- seconds for which a controller without word from the store goes on answering
   -- its workers, so that their tasks outlive a cut or an outage; withdrawals are
   -- told only once the last attempt has ended, so this breaks no promise, but
-  -- what runs out of sight is moved that much later
+  -- what runs out of sight is moved that much later; at most 60
   blind_s = 60,
   -- room kept for each task expected to arrive while a machine boots and
   -- fetches, of classes whose starts are awaited
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -83,6 +83,20 @@
     pub notes: Vec<JobNote>,
 }
 
+/// Why a sync was not answered: its sender's part has been taken by another
+/// controller since.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct Superseded {
+    /// Format.
+    pub version: u8,
+    /// The sender's part.
+    pub part: u16,
+    /// Its token now.
+    pub token: u64,
+    /// Who holds it.
+    pub host: String,
+}
+
 /// How much of an owner's state a placer has.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub struct Have {
@@ -197,6 +211,8 @@
     pub store_age_ms: u64,
     /// State of the asker's wants that the owner has; 0: it needs all.
     pub wants_at: u64,
+    /// Zones of the part that are out of its owner's sight.
+    pub hidden: Vec<Hidden>,
     /// Which changes of machines follow.
     pub machines_span: Span,
     /// Machines that are new or changed.
@@ -209,6 +225,17 @@
     pub attempts: Vec<AttemptView>,
 }
 
+/// A zone whose machines are mostly silent to their owner.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct Hidden {
+    /// The zone.
+    pub zone: String,
+    /// ms since when.
+    pub for_ms: u64,
+    /// ms until what ran there is proven over, if none of it is heard again.
+    pub over_in_ms: u64,
+}
+
 /// A machine as its owner sees it.
 #[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
 pub struct MachineView {
