--- a/crates/coordination/src/evidence.rs
+++ b/crates/coordination/src/evidence.rs
@@ -36,9 +36,9 @@
 /// What is known of one zone.
 #[derive(Clone, Debug, Default)]
 struct Zone {
-    /// Machines with a sign of life, and those of them that are silent.
+    /// Machines with a sign of life, and those of them that are late.
     ran: usize,
-    silent: usize,
+    late: usize,
     /// When the leases of these have surely run out.
     over_at: u64,
     /// Silence before this moment proves nothing.
@@ -86,9 +86,9 @@
     /// Looks at all machines again; true if a zone came into sight or went.
     pub(crate) fn survey<'a>(&mut self, machines: impl Iterator<Item = &'a Machine>, now: u64) -> bool {
         for zone in self.zones.values_mut() {
-            (zone.ran, zone.silent, zone.over_at) = (0, 0, 0);
+            (zone.ran, zone.late, zone.over_at) = (0, 0, 0);
         }
-        let silent_ms = self.silent_ms;
+        let late_ms = self.timing.report_ms + self.timing.report_ms / 2;
         for m in machines {
             if !self.zones.contains_key(&m.zone) {
                 self.zones.insert(m.zone.clone(), Zone::default());
@@ -98,8 +98,8 @@
             let over_at = self.over_at(m);
             if let Some(zone) = self.zones.get_mut(&m.zone) {
                 zone.ran += 1;
-                if silence > silent_ms {
-                    zone.silent += 1;
+                if silence > late_ms {
+                    zone.late += 1;
                     zone.over_at = zone.over_at.max(over_at);
                 }
             }
@@ -107,14 +107,16 @@
         let mut changed = false;
         for (name, zone) in &mut self.zones {
             // Half of a zone does not fail machine by machine within seconds.
-            let out = zone.silent > MASS_SILENT && zone.silent * 2 > zone.ran;
+            // One missed report each is enough to say so, and it must be: the
+            // first of them are given up for themselves soon after.
+            let out = zone.late > MASS_SILENT && zone.late * 2 > zone.ran;
             match (zone.hidden, out) {
                 (None, true) => {
-                    info!(zone = name, silent = zone.silent, of = zone.ran, "zone is out of sight");
-                    zone.hidden = Some(now.saturating_sub(silent_ms));
+                    info!(zone = name, late = zone.late, of = zone.ran, "zone is out of sight");
+                    zone.hidden = Some(now.saturating_sub(late_ms));
                 }
                 (Some(since), false) => {
-                    info!(zone = name, silent = zone.silent, of = zone.ran, "zone is in sight again");
+                    info!(zone = name, late = zone.late, of = zone.ran, "zone is in sight again");
                     zone.hidden = None;
                     zone.returned = Some(now);
                     zone.longest_ms = zone.longest_ms.max(now.saturating_sub(since));
@@ -175,8 +177,9 @@
     }
 
     /// True once every lease that an earlier owner of the part could prolong
-    /// has surely run out (`docs/design.md`, proof of end).
-    pub(crate) fn inherited_over(&self, now: u64) -> bool {
-        now > self.started + self.timing.inherited_ms()
+    /// has surely run out (`docs/design.md`, proof of end); `word`: when the
+    /// last reading of the store began that showed us as the owner.
+    pub(crate) fn inherited_over(&self, word: u64) -> bool {
+        word > self.started + self.timing.inherited_ms()
     }
 }
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -674,13 +674,14 @@
     fn pump_once(&mut self, now: u64, effects: &mut Vec<Effect>) -> bool {
         let mut again = false;
         let blind = self.blind(now);
+        let word = self.store_heard.unwrap_or(0);
         let indices: Vec<u16> = self.parts.keys().copied().collect();
         for &index in &indices {
             let Some(part) = self.parts.get_mut(&index) else {
                 continue;
             };
             let lot = part.lot;
-            part.owner.tick(now);
+            part.owner.tick(now, word);
             let pages = part.owner.images_note(now, self.config.value_bytes, self.config.txn_ops);
             if !pages.is_empty() {
                 let owned = Condition { key: part_key(index), version: lot.token };
--- a/crates/coordination/src/machine.rs
+++ b/crates/coordination/src/machine.rs
@@ -156,8 +156,11 @@
         self.images.truncate(IMAGES_REMEMBERED);
     }
 
-    /// True if the lease has surely run out since we last answered.
-    pub(super) fn dead(&self, now: u64, timing: &Timing) -> bool {
-        self.answered.is_some_and(|at| now > at + timing.dead_after_ms())
+    /// True if the lease has surely run out since we last answered. Guards
+    /// against a controller that stood still, or that the store refuses, while
+    /// its successor keeps the machine's tasks alive: only a `word` from the
+    /// store that began after the lease's end shows that nobody else answered.
+    pub(super) fn dead(&self, word: u64, timing: &Timing) -> bool {
+        self.answered.is_some_and(|at| word > at + timing.dead_after_ms())
     }
 }
--- a/crates/coordination/src/owner/mod.rs
+++ b/crates/coordination/src/owner/mod.rs
@@ -197,6 +197,8 @@
     /// Tick for which releases were looked for.
     released_tick: u64,
     last_tick: u64,
+    /// When the last reading of the store began that showed us as the owner.
+    word: u64,
     dirty: BTreeSet<u16>,
     /// Placements refused for want of room, and attempts pushed out, so far.
     refused: u64,
@@ -238,6 +240,7 @@
             summed_at: now,
             released_tick: now,
             last_tick: now,
+            word: now,
             dirty: BTreeSet::new(),
             refused: 0,
             pushed_out: 0,
--- a/crates/coordination/src/owner/proof.rs
+++ b/crates/coordination/src/owner/proof.rs
@@ -63,7 +63,7 @@
         if self.gone.contains(&held.want.machine) {
             return Stage::Ended(Standing::Gone);
         }
-        let inherited = || if self.sight.inherited_over(now) { Stage::Ended(Standing::Gone) } else { held.stage };
+        let inherited = || if self.sight.inherited_over(self.word) { Stage::Ended(Standing::Gone) } else { held.stage };
         let Some(m) = self.machines.get(&held.want.machine) else {
             return inherited();
         };
@@ -99,7 +99,7 @@
                 if free.covers(&held.want.need) { Stage::Accepted { sent: None, seen: false } } else { held.stage }
             }
             Stage::Accepted { sent: None, .. } if held.ending().is_some() => Stage::Ended(Standing::Gone),
-            Stage::Accepted { sent: None, .. } if m.dead(now, &self.timing) => Stage::Ended(Standing::Gone),
+            Stage::Accepted { sent: None, .. } if m.dead(self.word, &self.timing) => Stage::Ended(Standing::Gone),
             Stage::Accepted { sent: Some(session), .. } if session < m.session || session <= m.dead_session => Stage::Ended(Standing::Gone),
             Stage::Accepted { sent: Some(_), seen } if m.settled() => {
                 // Guards against a start order that arrives late: only a
--- a/crates/coordination/src/owner/upkeep.rs
+++ b/crates/coordination/src/owner/upkeep.rs
@@ -57,8 +57,10 @@
         }
     }
 
-    /// Looks for machines whose time has come; call about every tick.
-    pub fn tick(&mut self, now: u64) {
+    /// Looks for machines whose time has come; call about every tick. `word`:
+    /// when the last reading of the store began that showed us as the owner, ms.
+    pub fn tick(&mut self, now: u64, word: u64) {
+        self.word = word;
         if now < self.last_tick + TICK_MS {
             return;
         }
@@ -72,7 +74,10 @@
         let base = self.base();
         let mut dead = Vec::new();
         let surplus = self.surplus();
-        let inherited_over = self.sight.inherited_over(now);
+        let inherited_over = self.sight.inherited_over(word);
+        // Guards against an owner that gives back what its successor uses: it
+        // gives nothing back without word from the store.
+        let sure = now <= word + UNREADY_MS;
         for (id, m) in &mut self.machines {
             if m.releasing || m.release_wanted {
                 continue;
@@ -88,19 +93,19 @@
             let patience = (boot_ms as f64 * self.policy.boot_patience) as u64;
             let since = m.booked.max(self.started.saturating_sub(patience)).max(m.since.saturating_sub(patience));
             let unborn = judgement == Judgement::Booting && now > since + patience + self.timing.lease_ms;
-            if unborn || judgement == Judgement::GiveBack {
+            if sure && (unborn || judgement == Judgement::GiveBack) {
                 let why = if unborn { "never came up" } else { "is silent" };
                 info!(machine = %id, part = self.part, why, "machine is given back");
                 m.release_wanted = true;
                 self.stale.insert(id.clone());
             }
             // Whoever kept it alive: none of its answers can do so any longer.
-            if m.dead(now, &self.timing) && (m.token_seen >= base || inherited_over) && m.dead_session < m.session {
+            if m.dead(word, &self.timing) && (m.token_seen >= base || inherited_over) && m.dead_session < m.session {
                 dead.push(id.clone());
             }
             let lull = if now > self.accepted_at + LULL_MS || surplus.contains(id) { LULL_KEEP } else { 1.0 };
             let keep = (restart as f64 * lull * if m.spot { self.policy.idle_spot } else { self.policy.idle }) as u64;
-            if silent || self.sight.recovering(m, now) {
+            if !sure || silent || self.sight.recovering(m, now) {
                 // What is out of sight is not idle, nor what has just come back.
                 continue;
             }
--- a/crates/coordination/tests/changes.rs
+++ b/crates/coordination/tests/changes.rs
@@ -375,12 +375,12 @@
         view.machines.iter().find(|m| m.id == machine(5)).map(|m| m.open)
     };
     owner.listed(&[entry("starting")], 1_000);
-    owner.tick(30_000);
+    owner.tick(30_000, 30_000);
     assert_eq!(open(&mut owner), Some(true), "it boots");
     owner.listed(&[entry("running")], 30_000);
-    owner.tick(31_000);
+    owner.tick(31_000, 31_000);
     assert_eq!(open(&mut owner), Some(true), "it may just be up");
-    (31_000..45_000).step_by(500).for_each(|now| owner.tick(now));
+    (31_000..45_000).step_by(500).for_each(|now| owner.tick(now, now));
     assert_eq!(open(&mut owner), Some(false));
     assert!(owner.report(&report(5, 1), 46_000).is_some());
     assert_eq!(open(&mut owner), Some(true), "it was only late");
--- a/crates/coordination/tests/evidence.rs
+++ b/crates/coordination/tests/evidence.rs
@@ -34,6 +34,8 @@
     ended: Option<(u64, Standing)>,
     have: Have,
     cloud: bool,
+    /// The store answers.
+    word: bool,
     /// Machines whose first session was heard.
     heard: BTreeSet<usize>,
 }
@@ -42,8 +44,17 @@
     fn new(cloud: bool) -> Self {
         let mut owner = Owner::new(0, NEXT, 1, TIMING, lemonweir_policy::embedded().expect("policy"), 0);
         owner.set_types([kind()].iter());
-        let mut day =
-            Self { owner, now: 0, seq: 0, released: Vec::new(), ended: None, have: Have::default(), cloud, heard: BTreeSet::new() };
+        let mut day = Self {
+            owner,
+            now: 0,
+            seq: 0,
+            released: Vec::new(),
+            ended: None,
+            have: Have::default(),
+            cloud,
+            word: true,
+            heard: BTreeSet::new(),
+        };
         let wants = (0..MACHINES).map(|n| want(n as u32, n)).collect();
         day.tell(Span { since: 0, upto: 40, last: true }, wants);
         day
@@ -86,7 +97,8 @@
                     self.owner.report(&said, self.now);
                 }
             }
-            self.owner.tick(self.now);
+            let word = if self.word { self.now } else { 0 };
+            self.owner.tick(self.now, word);
             let names = self.owner.releases();
             if !names.is_empty() {
                 self.released.extend(names.iter().map(|id| (self.now, id.clone())));
@@ -181,6 +193,26 @@
     assert_eq!(day.ended, None, "it runs on");
 }
 
+/// Found on apart of zeltplatz-rechen-fleet: a controller that had stood still
+/// for 32 s woke, and before it read that its part had another holder took
+/// 3,392 attempts for ended that the successor kept alive.
+#[test]
+fn nothing_is_proven_from_time_without_a_later_word_from_the_store() {
+    let mut day = Day::new(true);
+    day.pass(12_000, all);
+    day.word = false;
+    day.pass(110_000, nobody);
+    assert_eq!(day.ended, None, "who answered them meanwhile is not known");
+    day.word = true;
+    day.pass(110_200, nobody);
+    assert_eq!(day.ended, Some((110_100, Standing::Gone)));
+
+    let mut day = Day::new(true);
+    day.word = false;
+    day.pass(110_000, nobody);
+    assert_eq!(day.ended, None, "the same for what earlier owners kept alive");
+}
+
 /// A zone out of sight is told with the time until its work is proven over.
 #[test]
 fn what_is_out_of_sight_is_told() {
