--- a/crates/coordination/src/placer/telling.rs
+++ b/crates/coordination/src/placer/telling.rs
@@ -24,7 +24,7 @@
             if job.over {
                 self.notes.erase(&id);
             } else {
-                let (running, reason) = job.progress();
+                let (running, reason) = reason_of(job, &self.hidden);
                 self.notes.put(&id, (job.done_count, running, reason));
             }
         }
@@ -105,7 +105,12 @@
             told = changes
                 .into_iter()
                 .filter_map(|(job, note)| {
-                    note.map(|&(done, running, reason)| JobNote { job: job.clone(), done, running, reason: reason.to_owned() })
+                    note.map(|(done, running, reason)| JobNote {
+                        job: job.clone(),
+                        done: *done,
+                        running: *running,
+                        reason: reason.clone().into_owned(),
+                    })
                 })
                 .collect();
         }
@@ -151,6 +156,8 @@
             (link.token, link.have) = (view.token, Have::default());
         }
         link.got = view.seq;
+        self.take_hidden(view.part, view.hidden.clone(), now);
+        let Some(link) = self.links.get_mut(usize::from(view.part)) else { return false };
         if view.token == link.to_token {
             // An owner that has less than it once said starts from nothing.
             link.acked = if view.wants_at < link.acked { 0 } else { view.wants_at };
@@ -246,7 +253,7 @@
     pub(super) fn empty(&mut self, machine: &MachineId, part: u16, now: u64) {
         let ids: BTreeSet<JobId> = self.on.get(machine).into_iter().flatten().map(|(id, _)| id.clone()).collect();
         for id in ids {
-            let Some(job) = self.jobs.get_mut(&id).filter(|j| !j.over) else { continue };
+            let Some(job) = self.jobs.get_mut(&id).filter(|j| !j.stopping()) else { continue };
             let Some(grace) = job.spec().map(JobSpec::grace_s) else { continue };
             let gang = job.is(Shape::Gang);
             for l in job.live.values_mut().filter(|l| gang || l.part == part && &l.machine == machine) {
@@ -297,7 +304,7 @@
             Standing::Exited(Cause::NoRoom | Cause::InUse | Cause::Unknown | Cause::Alone) => job.not_before = now + START_REFUSED_PAUSE_MS,
             _ => {}
         }
-        if gang && !job.over {
+        if gang && !job.stopping() {
             // Without one task the rest can't go on: they stop, and the gang
             // starts anew once all of them are gone.
             let grace = job.spec().map(JobSpec::grace_s).unwrap_or(0);
