A holder that can't hear its machines while a peer can leaves its part to its peers

Now each controller tells an owner how many of its machines come to it. An owner that has held its part for 10 s, most of whose machines missed a report and half of whose machines came to one peer, gives the part up and shows with its presence that it leaves it, for 60 s, doubled each time. A machine that comes back to a node that sent it on is not sent to the same holder again.

--- a/crates/coordination/src/evidence.rs
+++ b/crates/coordination/src/evidence.rs
@@ -131,6 +131,12 @@
         changed
     }
 
+    /// Machines with a sign of life, if most of them missed a report.
+    pub(crate) fn dark(&self) -> Option<usize> {
+        let (ran, late) = self.zones.values().fold((0, 0), |(ran, late), z| (ran + z.ran, late + z.late));
+        (late > MASS_SILENT && late * 2 > ran).then_some(ran)
+    }
+
     /// ms of silence after which a machine of a zone that is out of sight is
     /// given back. Until the lease is surely over, what runs there may run on.
     /// From then on waiting costs rent, and giving back costs a boot and a
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -230,6 +230,8 @@
     policy: Policy,
     parts: BTreeMap<u16, Part>,
     notes: HashMap<JobId, JobNote>,
+    /// Machines of parts that others hold which reported here, and when.
+    strays: BTreeMap<u16, HashMap<MachineId, u64>>,
     /// When the last successful reading of the store began, ms.
     store_heard: Option<u64>,
     /// When another node surely had word from the store, as far as they say.
@@ -246,6 +248,7 @@
             policy,
             parts: BTreeMap::new(),
             notes: HashMap::new(),
+            strays: BTreeMap::new(),
             store_heard: None,
             others_heard: None,
         }
@@ -394,7 +397,13 @@
             Some(part) => part.owner.report(report, now).map_or(ReportAnswer::Unable, ReportAnswer::Orders),
             None => match self.mirror.parts.get(&index) {
                 Some(holder) if holder.host != self.config.members[usize::from(self.config.me)].host => {
-                    ReportAnswer::Elsewhere(holder.host.clone())
+                    let before = self.strays.entry(index).or_default().insert(report.machine.clone(), now);
+                    // One that is back so soon could not reach the holder: it is
+                    // not sent there once more, but tries whoever is next.
+                    match before.is_some_and(|at| now < at + 2 * self.config.timing.report_ms) {
+                        true => ReportAnswer::Unable,
+                        false => ReportAnswer::Elsewhere(holder.host.clone()),
+                    }
                 }
                 _ => ReportAnswer::Unable,
             },
@@ -411,7 +420,7 @@
     /// to its user before its last attempt is proven over (`Job::finished`), so
     /// what runs on meanwhile breaks no promise.
     fn blind_ms(&self) -> u64 {
-        let alike = self.mirror.nodes.values().all(|&format| format >= PEER_VERSION);
+        let alike = self.mirror.nodes.values().all(|n| n.format >= PEER_VERSION);
         if alike { self.policy.blind_ms } else { self.config.short_blind_ms.min(self.policy.blind_ms) }
     }
 
@@ -733,10 +742,28 @@
         again
     }
 
+    /// Machines of a part that reported here of late though another holds it.
+    fn strays(&mut self, part: u16, now: u64) -> u32 {
+        let Some(strays) = self.strays.get_mut(&part) else { return 0 };
+        if self.parts.contains_key(&part) {
+            self.strays.remove(&part);
+            return 0;
+        }
+        strays.retain(|_, at| now <= *at + 2 * self.config.timing.report_ms);
+        strays.len() as u32
+    }
+
+    /// True if a part that we hold had better be held by a node that hears its
+    /// machines.
+    pub fn deaf(&self, part: u16, now: u64) -> bool {
+        self.parts.get(&part).is_some_and(|p| p.owner.deaf(now))
+    }
+
     fn pump_syncs(&mut self, index: u16, now: u64, effects: &mut Vec<Effect>) -> bool {
         let mut again = false;
         let age = self.store_age(now);
         for to in 0..self.config.members.len() as u16 {
+            let strays = self.strays(to, now);
             let Some(holder) = self.mirror.parts.get(&to) else {
                 continue;
             };
@@ -750,7 +777,9 @@
             let mail = local.is_none() && line.failures >= MAIL_AFTER_FAILURES;
             part.placer.by_mail(to, mail);
             let gap = if mail { MAIL_GAP_MS } else { SYNC_GAP_MS };
-            let due = now >= line.last + COPY_REFRESH_MS || line.dirty && now >= line.last + gap;
+            let due = now >= line.last + COPY_REFRESH_MS
+                || line.dirty && now >= line.last + gap
+                || strays > 0 && now >= line.last + gap.max(STRAYS_GAP_MS);
             let direct = !mail || !line.busy && now >= line.last_direct + DIRECT_RETRY_MS;
             if !due || line.busy && !mail {
                 continue;
@@ -763,7 +792,7 @@
             // them, and the regular refresh.
             let sync = part.placer.sync_for(to, token, room, local.is_none() && !by_mail, now);
             if local.is_none() {
-                let sync = Sync { store_age_ms: age, ..sync };
+                let sync = Sync { store_age_ms: age, strays, ..sync };
                 if direct {
                     line.busy = true;
                     line.last_direct = now;
--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -1,11 +1,15 @@
-//! Which parts a node takes, and which it hands back.
+//! Which parts a node takes, which it hands back, and which it leaves to others.
 //!
 //! A part's key lives with its owner's hold, so a node that is gone leaves its
 //! part without a holder. Its home takes it first; another node takes it once
-//! the home has stayed away, and hands it back when the home lives again.
+//! the home has stayed away, and hands it back when the home lives again. A
+//! holder that can't hear the part's machines while a peer can leaves it to its
+//! peers for a while, and shows that with its presence.
+
+use std::collections::BTreeMap;
 
 use crate::{Core, Lot};
-use lemonweir_model::constants::TAKEOVER_WAIT_MS;
+use lemonweir_model::constants::{DEAF_MOST_MS, DEAF_MS, TAKEOVER_WAIT_MS};
 
 /// What a node should do about a part now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -19,6 +23,8 @@
     },
     /// Hand it back to its home.
     HandBack(Lot),
+    /// Leave it to a node that hears its machines.
+    Leave(Lot),
 }
 
 /// What a node remembers about parts that it does not hold.
@@ -26,12 +32,14 @@
 pub struct Membership {
     /// Since when a part has had no holder, ms.
     empty_since: Vec<Option<u64>>,
+    /// Parts left to others: until when, and for how long the last time, ms.
+    left: BTreeMap<u16, (u64, u64)>,
 }
 
 impl Membership {
     /// Knows nothing yet of this many parts.
     pub fn new(parts: usize) -> Self {
-        Self { empty_since: vec![None; parts] }
+        Self { empty_since: vec![None; parts], left: BTreeMap::new() }
     }
 
     /// Number of parts.
@@ -39,13 +47,21 @@
         self.empty_since.len() as u16
     }
 
+    /// Parts that this node leaves to others now.
+    pub fn left(&self, now: u64) -> Vec<u16> {
+        self.left.iter().filter(|(_, (until, _))| now < *until).map(|(part, _)| *part).collect()
+    }
+
     /// What to do about one part, as far as the node's copy shows. Call it for
     /// each part in turn, since what is held already counts for the next.
     pub fn claim(&mut self, core: &Core, part: u16, now: u64) -> Option<Claim> {
         let members = &core.config.members;
         let home = &members.get(usize::from(part))?.host;
         let me = &members[usize::from(core.config.me)].host;
-        let home_alive = core.mirror.nodes.contains_key(home);
+        let leaves = |host: &str| core.mirror.nodes.get(host).is_some_and(|n| n.deaf.contains(&part));
+        let home_serves = core.mirror.nodes.contains_key(home) && !leaves(home);
+        // Where all that live leave it, somebody must hold it all the same.
+        let spared = self.left.get(&part).is_some_and(|(until, _)| now < *until) && core.mirror.nodes.keys().any(|n| !leaves(n));
         let held = core.held();
         let lot = held.iter().find(|l| l.part == part).copied();
         let slot = self.empty_since.get_mut(usize::from(part))?;
@@ -54,14 +70,24 @@
                 let since = *slot.get_or_insert(now);
                 // Nodes with more parts wait longer, so that parts spread.
                 let wait = TAKEOVER_WAIT_MS * (held.len() as u64).max(1);
-                (home == me || !home_alive && now >= since + wait).then_some(Claim::Take { part, version: 0 })
+                let mine = home == me || !home_serves && now >= since + wait;
+                (mine && !spared).then_some(Claim::Take { part, version: 0 })
             }
             // Left by an earlier process of this name, which is no more.
             (Some(h), None) if h.host == *me => Some(Claim::Take { part, version: h.token }),
-            (Some(_), Some(lot)) if home != me && home_alive => {
+            (Some(_), Some(lot)) if home != me && home_serves => {
                 *slot = None;
                 Some(Claim::HandBack(lot))
             }
+            // Guards against a whole part whose leases run out since its holder
+            // alone is cut from the workers.
+            (Some(_), Some(lot)) if core.deaf(part, now) && core.mirror.nodes.keys().any(|n| n != me && !leaves(n)) => {
+                *slot = None;
+                let before = self.left.get(&part).map_or(DEAF_MS / 2, |(_, length)| *length);
+                let length = (2 * before).min(DEAF_MOST_MS);
+                self.left.insert(part, (now + length, length));
+                Some(Claim::Leave(lot))
+            }
             _ => {
                 *slot = None;
                 None
--- a/crates/coordination/src/owner/mod.rs
+++ b/crates/coordination/src/owner/mod.rs
@@ -184,6 +184,9 @@
     accepted_at: u64,
     /// Machines that somebody counts on and nobody has seen.
     missing: BTreeMap<MachineId, u64>,
+    /// How many of our machines come to the nodes of other parts' placers, and
+    /// when they said so.
+    strays: BTreeMap<u16, (u32, u64)>,
     /// When the cloud's list was last read.
     listed_at: u64,
     sight: Sight,
@@ -231,6 +234,7 @@
             noted_at: now,
             accepted_at: now,
             missing: BTreeMap::new(),
+            strays: BTreeMap::new(),
             listed_at: 0,
             sight: Sight::new(timing, policy.silent_ms, now),
             inherited_judged: false,
@@ -306,6 +310,13 @@
         std::mem::take(&mut self.dirty)
     }
 
+    /// True if this node can't hear its machines while a peer can: most of them
+    /// are late, and as many have come to the peer.
+    pub fn deaf(&self, now: u64) -> bool {
+        let heard = self.strays.values().filter(|(_, at)| now <= at + VOUCH_MS).map(|(n, _)| *n as usize).max().unwrap_or(0);
+        now > self.started + DEAF_AFTER_MS && self.sight.dark().is_some_and(|ran| heard * 2 > ran)
+    }
+
     /// A report came in; `None` means that it must not be answered with 200.
     pub fn report(&mut self, report: &Report, now: u64) -> Option<ReportReply> {
         if self.gone.contains(&report.machine) {
--- a/crates/coordination/src/owner/telling.rs
+++ b/crates/coordination/src/owner/telling.rs
@@ -30,6 +30,7 @@
         asker.token = sync.from_token;
         asker.seq = sync.seq;
         asker.have = sync.have.machines;
+        self.strays.insert(sync.from, (sync.strays, now));
         for r in &sync.rented {
             self.expect(r, sync.from, now);
         }
--- a/crates/coordination/src/placer/telling.rs
+++ b/crates/coordination/src/placer/telling.rs
@@ -134,6 +134,7 @@
             dropped,
             stops,
             have: if link.token == to_token { link.have } else { Have::default() },
+            strays: 0,
             rented,
             keep: self.keep.iter().filter(|m| field.find(m).is_some()).cloned().collect(),
             notes: told,
--- a/crates/coordination/tests/support/mod.rs
+++ b/crates/coordination/tests/support/mod.rs
@@ -83,6 +83,7 @@
         dropped: Vec::new(),
         stops: Vec::new(),
         have,
+        strays: 0,
         rented: Vec::new(),
         keep: Vec::new(),
         notes: Vec::new(),
--- a/crates/lab/tests/rules.rs
+++ b/crates/lab/tests/rules.rs
@@ -188,6 +188,30 @@
     }
 }
 
+/// Found on apart of zeltplatz-rechen-fleet: a controller that was cut from the
+/// workers alone kept its part, and 552 machines killed 2,600 tasks with their
+/// leases though both other controllers heard them.
+#[test]
+fn a_part_goes_to_who_hears_its_machines() {
+    let mut world = world(75, 3, 12, NO_FAULTS);
+    let service = JobSpec { spread: true, spot: false, ..job(1, "blue", Shape::Service, 40) };
+    submit(&mut world, service, 1, None);
+    world.run(60_000);
+    assert!(world.hosts[1].holds(1));
+    world.unreached.insert(1);
+    for _ in 0..40 {
+        world.run(1_000);
+        assert_eq!(live(&world), 40);
+    }
+    assert!(world.hosts[0].holds(1) || world.hosts[2].holds(1), "another holds the part");
+    world.unreached.clear();
+    world.run(40_000);
+    assert!(world.hosts[1].holds(1), "it is handed back after a while");
+    assert_eq!(live(&world), 40);
+    assert!(world.workers.iter().flatten().all(|w| w.session() == 1), "no lease ran out");
+    assert_kept(&world);
+}
+
 // ---- the checker itself ----------------------------------------------------
 
 fn checker() -> Checker {
--- a/crates/model/src/constants.rs
+++ b/crates/model/src/constants.rs
@@ -83,6 +83,19 @@
 /// tells of withdrawals before the last attempt's end.
 pub const BLIND_MARGIN_MS: u64 = 2_000;
 
+/// ms that an owner must have held its part before peers' word that its machines
+/// come to them counts: a restart sends them round for some seconds.
+pub const DEAF_AFTER_MS: u64 = 10_000;
+/// ms for which a node leaves a part whose machines it can't hear to others at
+/// first; longer than cuts usually last. Doubled each time it is so again.
+pub const DEAF_MS: u64 = 60_000;
+/// ms that the doubling stops at.
+pub const DEAF_MOST_MS: u64 = 600_000;
+/// ms between two messages to an owner whose machines come to us.
+pub const STRAYS_GAP_MS: u64 = 500;
+/// ms for which a peer's word on an owner's machines counts.
+pub const VOUCH_MS: u64 = 5_000;
+
 // ---- peers -----------------------------------------------------------------
 
 /// ms between two refreshes of a copy of another part (design page).
--- a/crates/node/src/holds.rs
+++ b/crates/node/src/holds.rs
@@ -14,7 +14,8 @@
 use lemonweir_model::constants::*;
 use lemonweir_protocol::state::from_value;
 use lemonweir_storage::records::{
-    ChunkRecord, ImagesRecord, assign_teams, hand_back, images_prefix, parse_images_key, parse_run_key, run_prefix, show_node, take_part,
+    ChunkRecord, ImagesRecord, assign_teams, hand_back, images_prefix, leave_part, parse_images_key, parse_run_key, run_prefix, show_node,
+    take_part,
 };
 
 /// Keeps the hold alive and takes and gives up parts, for ever.
@@ -62,7 +63,7 @@
 /// Gets a hold and shows this node's presence with it.
 async fn begin(node: &Node) -> Result<u64, StateError> {
     let hold = node.state.hold(HOLD_TTL_MS).await?;
-    node.state.txn(&show_node(&node.settings.host_name, &node.settings.zone, hold)).await?;
+    node.state.txn(&show_node(&node.settings.host_name, &node.settings.zone, hold, Vec::new())).await?;
     info!(hold, "got a hold");
     Ok(hold)
 }
@@ -92,9 +93,22 @@
                 node.core().abandon(index);
                 node.fresh().await;
             }
+            Some(Claim::Leave(lot)) => {
+                warn!(part = index, "its machines reach other nodes but not this one; leaving the part to them");
+                let (host, zone, deaf) = (&node.settings.host_name, &node.settings.zone, membership.left(now));
+                node.state.txn(&leave_part(index, lot.token, host, zone, hold, deaf)).await?;
+                node.core().abandon(index);
+                node.fresh().await;
+            }
             None => {}
         }
     }
+    let (host, left) = (&node.settings.host_name, membership.left(now));
+    let shown = node.core().mirror.nodes.get(host).is_none_or(|n| n.deaf == left);
+    if !shown {
+        node.state.txn(&show_node(host, &node.settings.zone, hold, left)).await?;
+        node.fresh().await;
+    }
     Ok(())
 }
 
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -75,6 +75,9 @@
     pub stops: Vec<(AttemptId, u32)>,
     /// States of the owner's machines and of its attempts that the placer has.
     pub have: Have,
+    /// Machines of the owner that reported to the placer's node of late: they
+    /// can't reach the owner.
+    pub strays: u32,
     /// Machines rented by the placer that belong to the owner.
     pub rented: Vec<Rented>,
     /// Empty machines that the placer counts on for work to come.
--- a/crates/storage/src/mirror.rs
+++ b/crates/storage/src/mirror.rs
@@ -40,8 +40,8 @@
     pub jobs: BTreeMap<JobId, MirroredJob>,
     /// Owners of parts.
     pub parts: BTreeMap<u16, Holder>,
-    /// Living nodes, with the format of messages that each speaks.
-    pub nodes: BTreeMap<String, u8>,
+    /// Living nodes.
+    pub nodes: BTreeMap<String, NodeRecord>,
     /// Parts of teams.
     pub teams: BTreeMap<String, u16>,
     /// Jobs that came, changed or went since they were last looked at.
@@ -97,7 +97,7 @@
             },
             Some(("node", host)) => match from_value::<NodeRecord>(value) {
                 Some(record) => {
-                    self.nodes.insert(host.to_owned(), record.format);
+                    self.nodes.insert(host.to_owned(), record);
                     true
                 }
                 None => false,
--- a/crates/storage/src/records.rs
+++ b/crates/storage/src/records.rs
@@ -89,7 +89,7 @@
 }
 
 /// A node that lives.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NodeRecord {
     /// Zone.
     pub zone: String,
@@ -97,6 +97,9 @@
     /// one than the first that is told here.
     #[serde(default)]
     pub format: u8,
+    /// Parts whose machines it can't hear, which it leaves to others.
+    #[serde(default)]
+    pub deaf: Vec<u16>,
 }
 
 /// Prefix of what an owner knows of its machines' images.
@@ -201,9 +204,17 @@
     Txn { conditions: vec![Condition { key: part_key(part), version: token }], writes: vec![Write::Delete { key: part_key(part) }] }
 }
 
+/// Gives up a part that is held with this token, and shows with the node's
+/// presence that it leaves it to others.
+pub fn leave_part(part: u16, token: u64, host: &str, zone: &str, hold: u64, deaf: Vec<u16>) -> Txn {
+    let mut txn = hand_back(part, token);
+    txn.writes.extend(show_node(host, zone, hold, deaf).writes);
+    txn
+}
+
 /// Shows a node's presence, to live with its hold.
-pub fn show_node(host: &str, zone: &str, hold: u64) -> Txn {
-    let record = NodeRecord { zone: zone.to_owned(), format: PEER_VERSION };
+pub fn show_node(host: &str, zone: &str, hold: u64, deaf: Vec<u16>) -> Txn {
+    let record = NodeRecord { zone: zone.to_owned(), format: PEER_VERSION, deaf };
     Txn { conditions: Vec::new(), writes: vec![Write::Put { key: node_key(host), value: to_value(&record), hold: Some(hold) }] }
 }
 
--- a/fuzz/tests/edges.rs
+++ b/fuzz/tests/edges.rs
@@ -171,6 +171,7 @@
         dropped: Vec::new(),
         stops: Vec::new(),
         have: Have::default(),
+        strays: 0,
         rented: Vec::new(),
         keep: Vec::new(),
         notes: Vec::new(),
