Sockets as shares: answers close connections when crowded, calls wait for their turn

Now a process's sockets are divided: from 80 % of the workers' and users' share on, answers close their connections, so the share bounds what is under way and not how many there are; calls to machines, idle connections and peers have shares of their own. A call beyond its share waits for another to end; silent machines are not called, what they are owed is in the answer to their next report.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod owner;
 pub mod placement;
 pub mod placer;
+pub mod sockets;
 
 use std::collections::{BTreeMap, HashMap};
 
@@ -22,6 +23,7 @@
 use crate::fleet::{Bin, Shortage, plan};
 use crate::owner::{CommandCall, CommandResult, Owner, SyncRefusal, Timing};
 use crate::placer::{Placer, Promise, Terms, TxnOutcome, TxnVerdict};
+use crate::sockets::Shares;
 use lemonweir_model::constants::*;
 use lemonweir_model::policy::Policy;
 use lemonweir_model::settings::{Member, Settings};
@@ -158,6 +160,8 @@
     pub txn_ops: usize,
     /// Bytes of changes that a message through the store may hold.
     pub mail_bytes: usize,
+    /// Sockets for each kind of traffic.
+    pub sockets: Shares,
 }
 
 impl Config {
@@ -191,6 +195,7 @@
             // Half of what would just fit: the other fields of a message take
             // some, and one change may be larger than another.
             mail_bytes: MAIL_BYTES.min(mail_piece_bytes(value_bytes) * txn_ops / 2),
+            sockets: Shares::of(settings.cluster.limits.fd_limit),
             members,
             me,
         }
@@ -232,6 +237,8 @@
     notes: HashMap<JobId, JobNote>,
     /// Machines of parts that others hold which reported here, and when.
     strays: BTreeMap<u16, HashMap<MachineId, u64>>,
+    /// Calls to machines under way.
+    calls: usize,
     /// When the last successful reading of the store began, ms.
     store_heard: Option<u64>,
     /// When another node surely had word from the store, as far as they say.
@@ -249,6 +256,7 @@
             parts: BTreeMap::new(),
             notes: HashMap::new(),
             strays: BTreeMap::new(),
+            calls: 0,
             store_heard: None,
             others_heard: None,
         }
@@ -426,6 +434,7 @@
 
     /// A call to a worker ended.
     pub fn command_done(&mut self, lot: Lot, call: &CommandCall, result: CommandResult, now: u64) {
+        self.calls = self.calls.saturating_sub(1);
         if let Some(part) = self.part(lot) {
             part.owner.call_done(call, result, now);
         }
@@ -703,7 +712,9 @@
             // Guards against a start by an owner that has been blind for so long
             // that its successor may infer the end of all it kept alive.
             if !blind {
-                effects.extend(part.owner.calls(now).into_iter().map(|c| Effect::Command(lot, c)));
+                let calls = part.owner.calls(now, self.config.sockets.orders.saturating_sub(self.calls));
+                self.calls += calls.len();
+                effects.extend(calls.into_iter().map(|c| Effect::Command(lot, c)));
             }
             let names = part.owner.releases();
             if !names.is_empty() {
--- a/crates/coordination/src/owner/orders.rs
+++ b/crates/coordination/src/owner/orders.rs
@@ -73,13 +73,20 @@
         orders
     }
 
-    /// Calls to workers that are due: only machines that something happened to
-    /// are looked at, and those that a call is still owed to.
-    pub fn calls(&mut self, now: u64) -> Vec<CommandCall> {
+    /// Calls to workers that are due, `most` at the most: only machines that
+    /// something happened to are looked at, and those that a call is still owed
+    /// to. What finds no room waits for the end of another call.
+    pub fn calls(&mut self, now: u64, most: usize) -> Vec<CommandCall> {
         let mut calls = Vec::new();
         for id in std::mem::take(&mut self.attention) {
+            if calls.len() >= most {
+                self.attention.insert(id);
+                continue;
+            }
             let Some(m) = self.machines.get(&id) else { continue };
-            if m.heard.is_none() || m.releasing || m.session <= m.dead_session || m.answered_with_starts.is_some() {
+            // A silent machine would hold a call's place until it times out;
+            // what it is owed is in the answer to its next report.
+            if m.silent || m.heard.is_none() || m.releasing || m.session <= m.dead_session || m.answered_with_starts.is_some() {
                 // The next report brings it back.
                 continue;
             }
--- a/crates/coordination/tests/changes.rs
+++ b/crates/coordination/tests/changes.rs
@@ -176,12 +176,12 @@
         let mut owner = fleet(machines);
         let first = owner.sync(&sync(1, Span { since: 0, upto: 0, last: true }, Vec::new(), Have::default()), ROOM, 20).expect("taken");
         assert_eq!(first.machines.len(), machines);
-        assert!(owner.calls(20).is_empty());
+        assert!(owner.calls(20, ROOM).is_empty());
         let span = Span { since: 0, upto: 1, last: true };
         let view = owner.sync(&sync(2, span, vec![want(0, 3)], have(&first)), ROOM, 30).expect("taken");
         assert_eq!((view.machines.len(), view.attempts.len()), (1, 1), "{machines} machines");
         assert_eq!(view.wants_at, 1);
-        assert_eq!(owner.calls(30).len(), 1);
+        assert_eq!(owner.calls(30, ROOM).len(), 1);
         // A report that says nothing new is no news.
         assert!(owner.report(&report(7, 2), 40).is_some());
         let quiet = owner.sync(&sync(3, Span { since: 1, upto: 1, last: true }, Vec::new(), have(&view)), ROOM, 50).expect("taken");
@@ -195,7 +195,7 @@
     let mut owner = fleet(3);
     let two = Span { since: 0, upto: 2, last: true };
     owner.sync(&sync(1, two, vec![want(0, 0), want(1, 1)], Have::default()), ROOM, 20).expect("taken");
-    assert_eq!(owner.calls(20).len(), 2);
+    assert_eq!(owner.calls(20, ROOM).len(), 2);
     for n in 0..2 {
         assert!(owner.report(&Report { tasks: vec![running_task(n)], ..report(n, 2) }, 30).is_some());
     }
@@ -391,7 +391,7 @@
     let mut owner = fleet(3);
     let whole = Span { since: 0, upto: 5, last: true };
     owner.sync(&sync(5, whole, vec![want(0, 1)], Have::default()), ROOM, 20).expect("taken");
-    assert!(owner.calls(20).len() == 1);
+    assert!(owner.calls(20, ROOM).len() == 1);
     // Late, of another token, of a part that there is not.
     assert_eq!(owner.sync(&sync(5, whole, Vec::new(), Have::default()), ROOM, 21).err(), Some(SyncRefusal::Late));
     let mut other = sync(6, whole, Vec::new(), Have::default());
--- a/crates/coordination/tests/stops.rs
+++ b/crates/coordination/tests/stops.rs
@@ -14,7 +14,7 @@
     let mut owner = fleet(1);
     let on = |since, upto| Span { since, upto, last: true };
     owner.sync(&sync(1, on(0, 1), vec![want(0, 0)], Have::default()), ROOM, now).expect("taken");
-    let start = owner.calls(now).pop().expect("started");
+    let start = owner.calls(now, ROOM).pop().expect("started");
     owner.call_done(&start, CommandResult::Executed(Report { tasks: vec![running_task(0)], ..report(0, 2) }), now);
     let stop = Want { kill: Some(0), ..want(0, 0) };
     owner.sync(&sync(2, on(1, 2), vec![stop], Have::default()), ROOM, now).expect("taken");
@@ -33,7 +33,7 @@
     let mut owner = stopping(30);
     let (mut seq, mut tries) = (2, 0);
     for now in (40..60_000).step_by(20) {
-        for call in owner.calls(now) {
+        for call in owner.calls(now, ROOM) {
             tries += 1;
             owner.call_done(&call, CommandResult::NotSent, now + 10);
         }
@@ -80,7 +80,7 @@
             match step {
                 Step::Pass(ms) => now += ms,
                 Step::Call(fate) => {
-                    call = call.or_else(|| owner.calls(now).into_iter().next());
+                    call = call.or_else(|| owner.calls(now, ROOM).into_iter().next());
                     let Some(call) = call.take() else { continue };
                     let result = match fate {
                         0 => CommandResult::NotSent,
@@ -110,3 +110,24 @@
         prop_assert!(reply.is_some_and(|r| stops(&r)), "after {answers} answers");
     }
 }
+
+/// Calls beyond a process's share wait for others to end, and none is lost.
+#[test]
+fn calls_wait_for_room_and_all_are_made() {
+    let mut owner = fleet(50);
+    let wants = (0..50).map(|n| want(n, n as usize)).collect();
+    owner.sync(&sync(1, Span { since: 0, upto: 50, last: true }, wants, Have::default()), ROOM, 20).expect("taken");
+    let mut called = Vec::new();
+    for turn in 0..20 {
+        let now = 20 + turn * 100;
+        let calls = owner.calls(now, 7);
+        assert!(calls.len() <= 7);
+        for call in calls {
+            let n: usize = call.machine.as_str()[2..].parse().expect("number");
+            owner.call_done(&call, CommandResult::Executed(Report { tasks: vec![running_task(n)], ..report(n, 2) }), now);
+            called.push(n);
+        }
+    }
+    called.sort_unstable();
+    assert_eq!(called, (0..50).collect::<Vec<_>>());
+}
--- a/crates/model/src/constants.rs
+++ b/crates/model/src/constants.rs
@@ -210,8 +210,12 @@
 pub const IDLE_TIMEOUT_MS: u64 = 65_000;
 /// ms that a request may take to arrive in full.
 pub const READ_TIMEOUT_MS: u64 = 10_000;
-/// Sockets kept for workers, peers, store and cloud; the rest is for users.
+/// Sockets kept for what a process opens itself and for its peers; the rest is
+/// for workers and users.
 pub const SOCKET_RESERVE: usize = 300;
+/// Percent of the workers' and users' sockets from which on answers close their
+/// connections: what is left takes the requests of a second while others close.
+pub const CROWDED_PERCENT: usize = 80;
 
 // ---- cloud -----------------------------------------------------------------
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -25,7 +25,7 @@
 use lemonweir_model::settings::Settings;
 use lemonweir_storage::records::FOLLOWED;
 use lemonweir_transport::server::{listen, serve};
-use lemonweir_transport::{Client, within};
+use lemonweir_transport::{Client, Gate, within};
 
 /// What all tasks of the process share.
 pub struct Node {
@@ -76,8 +76,9 @@
     smol::block_on(executor.run(async move {
         let public = listen(settings.listen).await?;
         let internal = listen(settings.internal_addr).await?;
-        let http = Rc::new(Client::default());
         let mut config = Config::new(&settings);
+        let shares = config.sockets;
+        let http = Rc::new(Client::new(shares.idle));
         config.wall_offset_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO).as_millis() as u64;
         let nodes = config.members.len();
         let state = StateClient::new(http.clone(), settings.services.state, &settings.cluster.state, nodes);
@@ -85,7 +86,7 @@
         let (fresh_wanted, fresh_requests) = unbounded();
         let (pump_wanted, pump_requests) = bounded(1);
         info!(host = settings.host_name, zone = settings.zone, listen = %settings.listen, "starting");
-        let limit = settings.cluster.limits.fd_limit;
+        info!(?shares, kept = shares.crowded_at(), "sockets; beyond so many workers and users, answers close their connections");
         let node = Rc::new(Node {
             core: Mutex::new(Core::new(config, policy)),
             settings,
@@ -98,9 +99,17 @@
             fresh_wanted,
             pump_wanted,
         });
-        let reserve = SOCKET_RESERVE.min(limit / 2);
-        executor.spawn(serve(executor, public, limit - reserve, MAX_BODY_BYTES, Rc::new(web::Public(node.clone())))).detach();
-        executor.spawn(serve(executor, internal, reserve / 2, MAX_RESPONSE_BYTES, Rc::new(carry::Internal(node.clone())))).detach();
+        let gate = Gate::new(shares.public, shares.crowded_at());
+        executor.spawn(serve(executor, public, gate, MAX_BODY_BYTES, Rc::new(web::Public(node.clone())))).detach();
+        executor
+            .spawn(serve(
+                executor,
+                internal,
+                Gate::new(shares.peers, shares.peers / 2),
+                MAX_RESPONSE_BYTES,
+                Rc::new(carry::Internal(node.clone())),
+            ))
+            .detach();
         executor.spawn(follow(node.clone(), fresh_requests)).detach();
         executor.spawn(holds::keep(node.clone())).detach();
         executor.spawn(cloud::catalog(node.clone())).detach();
--- a/crates/transport/src/client.rs
+++ b/crates/transport/src/client.rs
@@ -39,13 +39,34 @@
     swept: Option<Instant>,
 }
 
+impl Idle {
+    /// Closes the connection that is idle longest if there are so many.
+    fn make_room(&mut self, most: usize) {
+        if self.by_address.values().map(Vec::len).sum::<usize>() < most {
+            return;
+        }
+        let since = |list: &Vec<(Instant, TcpStream)>| list.iter().map(|(at, _)| *at).min();
+        let oldest = self.by_address.iter().filter_map(|(addr, list)| Some((since(list)?, *addr))).min();
+        if let Some((at, addr)) = oldest
+            && let Some(list) = self.by_address.get_mut(&addr)
+        {
+            list.retain(|(since, _)| *since != at);
+        }
+    }
+}
+
 /// A pooled client, shared by all tasks of a process.
-#[derive(Default)]
 pub struct Client {
     idle: Mutex<Idle>,
+    most_idle: usize,
 }
 
 impl Client {
+    /// A client that keeps so many idle connections at the most.
+    pub fn new(most_idle: usize) -> Self {
+        Self { idle: Mutex::default(), most_idle }
+    }
+
     /// Sends a request and waits `timeout_ms` for its answer.
     pub async fn call(&self, addr: SocketAddr, method: &str, path: &str, body: &[u8], timeout_ms: u64) -> Result<Response, CallError> {
         let pooled = {
@@ -82,6 +103,7 @@
         let (response, keep) = within(timeout_ms, exchange).await.ok_or(CallError::Unknown)??;
         if keep {
             let mut idle = self.lock();
+            idle.make_room(self.most_idle);
             let list = idle.by_address.entry(addr).or_default();
             if list.len() < IDLE_PER_ADDRESS {
                 list.push((Instant::now(), stream));
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -50,22 +50,42 @@
     }
 }
 
+/// Connections of one listening address.
+#[derive(Debug)]
+pub struct Gate {
+    open: Cell<usize>,
+    most: usize,
+    crowded_at: usize,
+}
+
+impl Gate {
+    /// Beyond `most` connections new ones are closed at once; from `crowded_at`
+    /// on each is closed after its next answer.
+    pub fn new(most: usize, crowded_at: usize) -> Self {
+        Self { open: Cell::new(0), most, crowded_at }
+    }
+
+    fn crowded(&self) -> bool {
+        self.open.get() >= self.crowded_at
+    }
+}
+
 /// What answers requests.
 pub trait Handler: 'static {
     /// Answers one request.
     fn handle(&self, request: Request) -> impl Future<Output = Reply>;
 }
 
-/// Accepts connections until the process ends. Beyond `most` connections new
-/// ones are closed at once, which the load balancer takes as a refusal.
+/// Accepts connections until the process ends. One that the gate has no room
+/// for is closed at once, which the load balancer takes as a refusal.
 pub async fn serve<H: Handler>(
     executor: &'static smol::LocalExecutor<'static>,
     listener: TcpListener,
-    most: usize,
+    gate: Gate,
     max_body: usize,
     handler: Rc<H>,
 ) {
-    let open = Rc::new(Cell::new(0usize));
+    let gate = Rc::new(gate);
     loop {
         let (stream, peer) = match listener.accept().await {
             Ok(pair) => pair,
@@ -76,24 +96,24 @@
                 continue;
             }
         };
-        if open.get() >= most {
+        if gate.open.get() >= gate.most {
             drop(stream);
             continue;
         }
-        open.set(open.get() + 1);
-        let (handler, open) = (handler.clone(), open.clone());
+        gate.open.set(gate.open.get() + 1);
+        let (handler, gate) = (handler.clone(), gate.clone());
         executor
             .spawn(async move {
-                if let Err(fault) = connection(stream, max_body, &*handler).await {
+                if let Err(fault) = connection(stream, max_body, &*handler, &gate).await {
                     debug!(%peer, fault, "connection closed");
                 }
-                open.set(open.get() - 1);
+                gate.open.set(gate.open.get() - 1);
             })
             .detach();
     }
 }
 
-async fn connection<H: Handler>(mut stream: TcpStream, max_body: usize, handler: &H) -> Result<(), &'static str> {
+async fn connection<H: Handler>(mut stream: TcpStream, max_body: usize, handler: &H, gate: &Gate) -> Result<(), &'static str> {
     stream.set_nodelay(true).map_err(|_| "no delay")?;
     let mut buffer = Vec::new();
     loop {
@@ -107,6 +127,9 @@
         };
         let (request, close) = request;
         let reply = handler.handle(request).await;
+        // Guards against workers that keep all sockets of a process: there may
+        // be more of them than it may open.
+        let close = close || gate.crowded();
         write_reply(&mut stream, &reply, close).await?;
         if close {
             return Ok(());
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -26,7 +26,7 @@
 }
 
 fn call(node: SocketAddr, method: &str, path: &str, body: &[u8]) -> Result<ExitCode, Vec<String>> {
-    let response = smol::block_on(Client::default().call(node, method, path, body, ANSWER_MS)).map_err(|e| vec![format!("{node}: {e}")])?;
+    let response = smol::block_on(Client::new(0).call(node, method, path, body, ANSWER_MS)).map_err(|e| vec![format!("{node}: {e}")])?;
     if let Ok(answer) = decode::<serde_json::Value>(&response.body) {
         println!("{answer:#}");
     }
