--- a/crates/lab/src/compare.rs
+++ b/crates/lab/src/compare.rs
@@ -33,29 +33,22 @@
     }
 }
 
-/// Runs every seed on so many threads; the outcomes are in the order of seeds,
-/// whatever the threads.
-pub fn sweep(
-    scenario: &Arc<Scenario>,
-    placer: Placer,
-    workload: Option<&Replayed>,
-    seeds: &Seeds,
-    jobs: usize,
-) -> Result<Vec<Outcome>, String> {
+/// Works every seed off on so many threads; the results are in the order of
+/// seeds, whatever the threads.
+pub fn each<T: Send>(seeds: &Seeds, jobs: usize, work: impl Fn(u64) -> T + Sync) -> Vec<T> {
     let bar = ProgressBar::new(seeds.0.len() as u64);
     bar.set_style(ProgressStyle::with_template("{bar:30} {pos}/{len} runs, {eta} left").unwrap_or_else(|_| ProgressStyle::default_bar()));
     let next = AtomicUsize::new(0);
-    let done: Mutex<Vec<(usize, Result<Outcome, String>)>> = Mutex::new(Vec::new());
+    let done: Mutex<Vec<(usize, T)>> = Mutex::new(Vec::new());
     std::thread::scope(|scope| {
         for _ in 0..jobs.clamp(1, seeds.0.len()) {
             scope.spawn(|| {
                 loop {
                     let i = next.fetch_add(1, Ordering::Relaxed);
                     let Some(&seed) = seeds.0.get(i) else { return };
-                    let source = workload.map_or(Source::Synthetic, |w| Source::Workload(w.clone()));
-                    let outcome = run::once(scenario.clone(), source, placer, seed, None);
+                    let result = work(seed);
                     bar.inc(1);
-                    done.lock().unwrap_or_else(|e| e.into_inner()).push((i, outcome));
+                    done.lock().unwrap_or_else(|e| e.into_inner()).push((i, result));
                 }
             });
         }
@@ -63,7 +56,19 @@
     bar.finish_and_clear();
     let mut done = done.into_inner().unwrap_or_else(|e| e.into_inner());
     done.sort_by_key(|(i, _)| *i);
-    done.into_iter().map(|(_, outcome)| outcome).collect()
+    done.into_iter().map(|(_, result)| result).collect()
+}
+
+/// Runs a scenario with every seed.
+pub fn sweep(
+    scenario: &Arc<Scenario>,
+    placer: Placer,
+    workload: Option<&Replayed>,
+    seeds: &Seeds,
+    jobs: usize,
+) -> Result<Vec<Outcome>, String> {
+    let source = || workload.map_or(Source::Synthetic, |w| Source::Workload(w.clone()));
+    each(seeds, jobs, |seed| run::once(scenario.clone(), source(), placer, seed, None)).into_iter().collect()
 }
 
 /// The figures that runs are compared by.
--- a/crates/lab/src/host.rs
+++ b/crates/lab/src/host.rs
@@ -113,6 +113,8 @@
     pub renewed: u64,
     /// What waits to be worked off.
     pub inbox: VecDeque<Input>,
+    /// Until when it stands still, µs.
+    pub frozen_until: u64,
     /// Until when it is busy with what it works on, µs.
     pub busy_until: u64,
     /// An event is under way that will go on with the inbox.
@@ -171,6 +173,7 @@
             hold: None,
             renewed: 0,
             inbox: VecDeque::new(),
+            frozen_until: 0,
             busy_until: 0,
             waking: false,
             poked: false,
--- /dev/null
+++ b/crates/lab/src/hunt.rs
@@ -0,0 +1,183 @@
+//! Worlds and troubles drawn by seed, to find broken rules and services that do
+//! not come back; a day that fails is made as small as it still fails.
+
+use std::fmt::Write;
+use std::sync::Arc;
+
+use lemonweir_model::Shape;
+use lemonweir_protocol::state::from_value;
+use lemonweir_storage::records::{JobRecord, job_key};
+use rand::seq::{IndexedRandom, SliceRandom};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::history::History;
+use crate::load;
+use crate::scenario::Scenario;
+use crate::world::World;
+
+/// s before the first trouble may begin: the fleet comes up.
+const CALM_S: f64 = 90.0;
+/// s within which all troubles begin.
+const TROUBLES_S: f64 = 110.0;
+/// s after the last trouble's end for all to be well again: a hall's lost work
+/// is proven over, machines boot, images come.
+const TAIL_S: f64 = 200.0;
+/// Share of the replicas that must be up then.
+const UP: f64 = 0.9;
+
+/// What a day was and what came of it.
+pub struct Day {
+    /// Its seed.
+    pub seed: u64,
+    /// The scenario's text without its troubles.
+    pub world: String,
+    /// The troubles, each a table of the scenario's form.
+    pub troubles: Vec<String>,
+    /// What failed; empty: nothing.
+    pub faults: Vec<String>,
+    /// Starts of tasks.
+    pub starts: u64,
+}
+
+/// Draws a day's world and troubles; `most` machines at the most.
+fn draw(seed: u64, most: u32) -> (String, Vec<String>) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let machines = (40.0 * (f64::from(most.max(41)) / 40.0).powf(rng.random::<f64>())) as u32;
+    let zones = rng.random_range(1..=8usize).min(1 + machines as usize / 10);
+    let controllers = rng.random_range(1..=12usize).min(1 + machines as usize / 8);
+    let lease = rng.random_range(8.0..27.0);
+    let report = lease / rng.random_range(4.0..6.0);
+    let cancel = lease * rng.random_range(1.6..3.0);
+    let per_zone = machines.div_ceil(zones as u32);
+    let names: Vec<String> = (0..zones).map(|z| format!("'z{z}'")).collect();
+    let mut w = String::new();
+    // Writing into a string can't fail.
+    let _ = write!(
+        w,
+        "name = 'hunt'\nduration_s = 1000\ncontrollers = {controllers}\nzones = [{}]\npoll_s = 10\n\
+         [workers]\nreport_s = {report:.2}\nlease_s = {lease:.2}\ncancel_s = {cancel:.2}\n\
+         [state]\nrps = {}\nwrite_rps = {}\ntxn_ops = {}\n\
+         [cloud]\nrps = {}\nlist_lag_s = {:.1}\n\
+         [messages]\nlost_command = {}\nlate_command = {}\nlost_sync = {}\nlate_sync = 500\nlost_txn_reply = {}\nlate_txn = {}\n\
+         [[machine_type]]\nname = 'box'\ncpus = 16\ngpus = 4\nmemory_gb = 64\ncache_gb = 60\nfetch_gb_per_s = 0.8\nprice = 4\nspot_price = 1\n\
+         boot_s = {:.1}\nordinary = {per_zone}\nspot = {}\n\
+         [[team]]\nname = 'red'\ngpus = {}\n[[team]]\nname = 'blue'\n",
+        names.join(", "),
+        60 * controllers + machines as usize / 10,
+        40 + machines / 12,
+        rng.random_range(8..33),
+        rng.random_range(3..9) + controllers,
+        rng.random_range(2.0..15.0),
+        rng.random_range(0..30),
+        rng.random_range(0..30),
+        rng.random_range(0..30),
+        rng.random_range(0..20),
+        rng.random_range(0..20),
+        rng.random_range(10.0..40.0),
+        per_zone / 4,
+        machines,
+    );
+    let (spread, one_zone) = (rng.random::<bool>() && zones > 1, rng.random::<bool>());
+    let classes = [
+        format!(
+            "name = 'serve'\nshape = 'service'\npriority = 'production'\nspread = {spread}\ntasks = 4\nrun_s = 100000\nat_start = {}",
+            1 + machines / 5
+        ),
+        format!(
+            "name = 'brief'\nshape = 'service'\npriority = 'production'\ntasks = 2\nrun_s = 90\nper_min = {:.2}",
+            0.5 + f64::from(machines) / 100.0
+        ),
+        format!(
+            "name = 'batch'\nspot = true\ncheckpoint_s = 10\nsave_s = 2\nrun_s = 50\nper_min = {:.2}\ntasks = {{ dist = 'uniform', low = 1, high = 15 }}",
+            f64::from(machines) / 10.0
+        ),
+        format!(
+            "name = 'gang'\nshape = 'gang'\npriority = 'high'\none_zone = {one_zone}\ncheckpoint_s = 10\nsave_s = 2\nrun_s = 60\nper_min = {:.2}\n\
+             tasks = {{ dist = 'uniform', low = 2, high = 6 }}",
+            f64::from(machines) / 30.0
+        ),
+    ];
+    for class in classes {
+        let _ = write!(w, "[[class]]\n{class}\ncpus = 4\ngpus = 1\nmemory_gb = 10\nimages = 6\nimage_gb = 4\n");
+    }
+    let host = |rng: &mut ChaCha8Rng| rng.random_range(0..controllers);
+    let troubles = (0..rng.random_range(1..=5usize)).map(|_| {
+        let at = CALM_S + rng.random::<f64>() * TROUBLES_S;
+        let length = rng.random_range(3.0..70.0f64);
+        let (a, b, zone) = (host(&mut rng), host(&mut rng), rng.random_range(0..zones));
+        let share = rng.random_range(0.05..0.5f64);
+        let kinds = [
+            format!("kind = 'crash'\ncontroller = {a}\nfor_s = {length:.1}"),
+            format!("kind = 'crash'\nfor_s = {:.1}", length.min(10.0)),
+            "kind = 'roll'\nfor_s = 9".to_owned(),
+            format!("kind = 'store_down'\nfor_s = {length:.1}"),
+            format!("kind = 'refused'\ncontroller = {a}\nfor_s = {length:.1}"),
+            format!("kind = 'cloud_down'\nfor_s = {length:.1}"),
+            format!("kind = 'cut_controllers'\ncontroller = {a}\nother = {b}\nfor_s = {length:.1}"),
+            format!("kind = 'cut_workers'\ncontroller = {a}\nfor_s = {length:.1}"),
+            format!("kind = 'freeze'\ncontroller = {a}\nfor_s = {:.1}", length.min(40.0)),
+            format!("kind = 'cut_zone'\nzone = 'z{zone}'\nfor_s = {length:.1}"),
+            format!("kind = 'cut_zone'\nzone = 'z{zone}'\nfor_s = {length:.1}"),
+            format!("kind = 'silent'\nshare = {share:.2}\nfor_s = {length:.1}"),
+            format!("kind = 'hang'\nshare = {share:.2}\nfor_s = {length:.1}"),
+            format!("kind = 'die'\nshare = {:.2}\nfor_s = 1", share / 2.0),
+            format!("kind = 'take_spot'\nshare = {share:.2}\nnotice_s = {}", [0, 8].choose(&mut rng).unwrap_or(&0)),
+        ];
+        let kind = kinds.choose(&mut rng).map_or("", String::as_str);
+        format!("[[fault]]\nat_s = {at:.1}\n{kind}\n")
+    });
+    let mut troubles: Vec<String> = troubles.collect();
+    troubles.shuffle(&mut rng);
+    (w, troubles)
+}
+
+/// Plays a world with troubles; what failed, and how many tasks were started.
+fn play(world: &str, troubles: &[String], seed: u64) -> (Vec<String>, u64) {
+    let scenario = match Scenario::parse("hunt", &format!("{world}{}", troubles.concat())) {
+        Ok(scenario) => Scenario { duration_s: CALM_S + TROUBLES_S + TAIL_S + 70.0, ..scenario },
+        Err(faults) => return (faults, 0),
+    };
+    let ms = (scenario.duration_s * 1e3) as u64;
+    let scenario = Arc::new(scenario);
+    let load = load::synthetic(&scenario, seed);
+    let mut world = World::new(scenario, load, seed, History::new(None));
+    world.run(ms);
+    let mut faults: Vec<String> = world.ground.checker.broken.clone();
+    let (submitted, accepted) = world.measures.taken();
+    if accepted * 2 < submitted {
+        faults.push(format!("{accepted} of {submitted} submissions were accepted"));
+    }
+    let live = world.live();
+    let (mut up, mut wanted) = (0, 0);
+    for (id, job) in world.ground.jobs.iter().filter(|(_, l)| l.spec.shape == Shape::Service) {
+        let record: Option<JobRecord> = world.store.get(&job_key(id)).and_then(|(v, _)| from_value(v));
+        if record.is_some_and(|r| !r.withdrawn && r.at + 60_000 < ms) {
+            wanted += job.spec.tasks as usize;
+            up += live.get(id).copied().unwrap_or(0).min(job.spec.tasks as usize);
+        }
+    }
+    if (up as f64) < UP * wanted as f64 {
+        faults.push(format!("{up} of {wanted} replicas are up at the end"));
+    }
+    (faults, world.ground.checker.starts)
+}
+
+/// Plays the day of a seed; one that fails is played again with fewer troubles
+/// for as long as it still fails.
+pub fn day(seed: u64, most: u32) -> Day {
+    let (world, mut troubles) = draw(seed, most);
+    let (mut faults, starts) = play(&world, &troubles, seed);
+    let mut at = 0;
+    while !faults.is_empty() && at < troubles.len() {
+        let mut fewer = troubles.clone();
+        fewer.remove(at);
+        let (still, _) = play(&world, &fewer, seed);
+        if still.is_empty() {
+            at += 1;
+        } else {
+            (troubles, faults) = (fewer, still);
+        }
+    }
+    Day { seed, world, troubles, faults, starts }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod fields;
 pub mod history;
 pub mod host;
+pub mod hunt;
 pub mod load;
 pub mod measures;
 pub mod output;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -7,7 +7,7 @@
 use clap::{Parser, Subcommand, ValueEnum};
 use lemonweir_lab::scenario::Scenario;
 use lemonweir_lab::traces::{Size, TraceCommand};
-use lemonweir_lab::{compare, output, run, traces};
+use lemonweir_lab::{compare, hunt, output, run, traces};
 
 /// Runs lemonweir's real decisions against a simulated world.
 #[derive(Parser)]
@@ -91,6 +91,19 @@
         #[command(flatten)]
         many: Many,
     },
+    /// Draw worlds and troubles by seed and look for broken rules and services
+    /// that do not come back.
+    Hunt {
+        /// The seeds: FIRST..LAST.
+        #[arg(long, default_value = "1..12")]
+        seeds: compare::Seeds,
+        /// Machines of a world at the most; 40 at the least.
+        #[arg(long, default_value_t = 5_000, value_parser = clap::value_parser!(u32).range(41..=100_000))]
+        machines: u32,
+        /// Days at a time.
+        #[arg(long, default_value_t = 4)]
+        jobs: usize,
+    },
     /// Published traces: check, import, show, replay.
     Trace {
         #[command(subcommand)]
@@ -171,6 +184,17 @@
             print!("{}", compare::side_by_side(&left, &right));
             close(&[(&a, &left), (&b, &right)], many.out.as_deref())
         }
+        Command::Hunt { seeds, machines, jobs } => {
+            let days = compare::each(&seeds, jobs, |seed| hunt::day(seed, machines));
+            let starts: u64 = days.iter().map(|d| d.starts).sum();
+            let failed: Vec<&hunt::Day> = days.iter().filter(|d| !d.faults.is_empty()).collect();
+            println!("{} days, {starts} starts, {} failed", days.len(), failed.len());
+            for day in &failed {
+                let faults: Vec<&str> = day.faults.iter().take(3).map(String::as_str).collect();
+                println!("seed {}: {}\n{}{}", day.seed, faults.join("; "), day.world, day.troubles.concat());
+            }
+            Ok(if failed.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+        }
         Command::Trace { command: TraceCommand::Check { files } } => Ok(traces::check(&files)),
         Command::Trace { command: TraceCommand::Import { files, on_fault, out } } => Ok(traces::import(&files, on_fault, &out)),
         Command::Trace { command: TraceCommand::Show { file, plot } } => Ok(traces::show(&file, plot.as_deref())),
--- a/crates/lab/src/measures.rs
+++ b/crates/lab/src/measures.rs
@@ -220,6 +220,11 @@
         self.submitted += 1;
     }
 
+    /// Jobs submitted, and those accepted.
+    pub fn taken(&self) -> (u64, u64) {
+        (self.submitted, self.jobs.len() as u64)
+    }
+
     /// A job was refused, or its user gave up.
     pub fn refused(&mut self) {
         self.refused += 1;
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -115,6 +115,23 @@
         /// The two.
         hosts: (usize, usize),
     },
+    /// A zone is cut off from everything; inside it goes on.
+    CutZone {
+        /// Its name.
+        zone: String,
+    },
+    /// No machine reaches a controller, nor it any.
+    CutWorkers {
+        /// Which one.
+        host: usize,
+    },
+    /// A controller stands still while its clocks run on.
+    Freeze {
+        /// Which one.
+        host: usize,
+    },
+    /// Machines stop for good with all that is on them.
+    Die,
     /// Machines lose the network.
     Silent,
     /// Machines hang.
@@ -461,6 +478,14 @@
     }
 }
 
+fn known_zone(t: &Section<'_>, scenario: &Scenario) -> String {
+    let zone = t.text("zone", None);
+    if !scenario.zones.contains(&zone) {
+        t.fault("zone", &format!("no zone is called {zone}"));
+    }
+    zone
+}
+
 fn fault(t: &Section<'_>, scenario: &Scenario) -> Option<Fault> {
     let most = u64::from(scenario.parts) - 1;
     let host = |name: &str| t.whole(name, 0, most, None) as usize;
@@ -475,6 +500,10 @@
         ("hang", 7),
         ("faulty", 8),
         ("take_spot", 9),
+        ("cut_zone", 10),
+        ("cut_workers", 11),
+        ("freeze", 12),
+        ("die", 13),
     ];
     let trouble = match t.word("kind", &words, None)? {
         0 => Trouble::Crash { host: t.has("controller").then(|| host("controller")) },
@@ -486,6 +515,10 @@
         6 => Trouble::Silent,
         7 => Trouble::Hang,
         8 => Trouble::Faulty,
+        10 => Trouble::CutZone { zone: known_zone(t, scenario) },
+        11 => Trouble::CutWorkers { host: host("controller") },
+        12 => Trouble::Freeze { host: host("controller") },
+        13 => Trouble::Die,
         _ => Trouble::TakeSpot { notice_s: t.number("notice_s", 0.0, 3_600.0, Some(0.0)) },
     };
     Some(Fault {
--- a/crates/lab/src/worker.rs
+++ b/crates/lab/src/worker.rs
@@ -407,12 +407,21 @@
             None if self.changed => self.next_report.min(self.last_report + REPORT_GAP_US),
             None => self.next_report,
         };
-        self.next_inside().min(report).max(self.hung_until).max(self.up_at)
+        // A machine that hangs does nothing, but its lease runs out all the same.
+        let hung = self.hung_until.min(self.lease_from + self.lease_us + 1);
+        self.next_inside().min(report).max(hung).max(self.up_at)
     }
 
     /// Lets time pass.
     pub fn advance(&mut self, now: u64, ground: &mut Ground) {
-        if now < self.up_at || now < self.hung_until {
+        if now < self.up_at {
+            return;
+        }
+        if now < self.hung_until {
+            let over = self.lease_from + self.lease_us + 1;
+            if over <= now {
+                self.step(over, ground);
+            }
             return;
         }
         loop {
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -138,6 +138,8 @@
     pub cut: BTreeSet<(usize, usize)>,
     /// Controllers that the store refuses.
     pub refused: BTreeSet<usize>,
+    /// Zones that are cut off from everything.
+    pub cut_zones: BTreeSet<String>,
     /// Controllers that no machine can reach, nor they any.
     pub unreached: BTreeSet<usize>,
     /// Figures.
@@ -166,6 +168,7 @@
             hosts: (0..usize::from(scenario.parts)).map(|_| Host::new(&scenario)).collect(),
             cut: BTreeSet::new(),
             refused: BTreeSet::new(),
+            cut_zones: BTreeSet::new(),
             unreached: BTreeSet::new(),
             measures: Measures::default(),
             largest_mail: 0,
@@ -410,7 +413,23 @@
     }
 
     fn is_cut(&self, a: usize, b: usize) -> bool {
-        self.cut.contains(&(a.min(b), a.max(b)))
+        self.cut.contains(&(a.min(b), a.max(b))) || self.parted(self.scenario.zone_of(a), self.scenario.zone_of(b))
+    }
+
+    /// True if a cut is between two zones.
+    fn parted(&self, a: &str, b: &str) -> bool {
+        a != b && (self.cut_zones.contains(a) || self.cut_zones.contains(b))
+    }
+
+    /// True if a controller and a machine can't reach each other.
+    fn far(&self, host: usize, number: usize) -> bool {
+        let zone = self.workers.get(number).and_then(Option::as_ref).map(|w| w.zone.as_str());
+        self.unreached.contains(&host) || zone.is_some_and(|zone| self.parted(self.scenario.zone_of(host), zone))
+    }
+
+    /// True if a controller can't reach what is outside the zones.
+    fn inside_cut(&self, host: usize) -> bool {
+        self.cut_zones.contains(self.scenario.zone_of(host))
     }
 
     /// The host that a controller's copy names as a part's holder.
@@ -444,7 +463,7 @@
         let chances = self.scenario.chances;
         let number = machine_number(&call.machine);
         let silent = self.workers.get(number).and_then(Option::as_ref).is_some_and(|w| w.silent || w.hung_until > self.now);
-        let lost = silent || self.unreached.contains(&host) || self.chance(chances.lost_command);
+        let lost = silent || self.far(host, number) || self.chance(chances.lost_command);
         let late = !lost && self.chance(chances.late_command);
         if !lost && !late {
             self.push(at, Event::Orders(host, life, lot, Box::new(call), false));
@@ -493,7 +512,7 @@
     }
 
     fn reach_store(&self, host: usize) -> bool {
-        !self.store.down && !self.refused.contains(&host)
+        !self.store.down && !self.refused.contains(&host) && !self.inside_cut(host)
     }
 
     fn want_reading(&mut self, host: usize) {
@@ -727,7 +746,8 @@
 
     /// The load balancer: some controller that takes requests.
     fn pick_host(&mut self) -> Option<usize> {
-        let ready: Vec<usize> = (0..self.hosts.len()).filter(|&h| self.ready(h)).collect();
+        let ready: Vec<usize> =
+            (0..self.hosts.len()).filter(|&h| self.ready(h) && !self.inside_cut(h) && self.hosts[h].frozen_until <= self.now).collect();
         if ready.is_empty() { None } else { Some(ready[self.rng.random_range(0..ready.len())]) }
     }
 
@@ -853,7 +873,7 @@
             self.with_worker(number, |w, _| w.turn_away(now, next, 1_000 * MS));
             return;
         }
-        if self.unreached.contains(&host) {
+        if self.far(host, number) {
             // No response within 4 s, then the next node 1 s later.
             let next = (host + 1) % self.hosts.len();
             self.with_worker(number, |w, _| w.turn_away(now, next, 5_000 * MS));
@@ -937,6 +957,14 @@
                     self.at(if hurried { SHORT_TICK_MS } else { TICK_MS } * MS, Event::Tick(host, life));
                 }
             }
+            // What a process that stands still would have begun.
+            Event::Read(host, life) if self.hosts[host].frozen_until > now => {
+                self.hosts[host].read_due = self.hosts[host].frozen_until;
+                self.push(self.hosts[host].frozen_until, Event::Read(host, life));
+            }
+            Event::Holds(host, life) if self.hosts[host].frozen_until > now => {
+                self.push(self.hosts[host].frozen_until, Event::Holds(host, life));
+            }
             Event::Read(host, life) => {
                 if self.alive(host, life) && !self.hosts[host].reading && self.hosts[host].read_due == now {
                     let h = &mut self.hosts[host];
@@ -990,7 +1018,7 @@
             }
             Event::Rent(host, life, lot, rental) => self.rent(host, life, lot, *rental),
             Event::Release(host, life, lot, names) => {
-                if self.cloud.down {
+                if self.cloud.down || self.inside_cut(host) {
                     return self.at(CLOUD_TROUBLE_MS * MS, Event::Release(host, life, lot, names));
                 }
                 for name in &names {
@@ -1007,7 +1035,7 @@
                 }
             }
             Event::List(host, life) => {
-                if !self.cloud.down {
+                if !self.cloud.down && !self.inside_cut(host) {
                     let lag = (self.scenario.cloud.list_lag_s * 1e6) as u64;
                     let entries = self.cloud.list(now.saturating_sub(lag), &self.scenario);
                     let at = now + self.travel();
@@ -1152,7 +1180,7 @@
 
     fn rent(&mut self, host: usize, life: u64, lot: Lot, rental: Rental) {
         let now = self.now;
-        let result = if self.cloud.down {
+        let result = if self.cloud.down || self.inside_cut(host) {
             RentResult::Again
         } else if let Some(before) = self.cloud.bookings.get(&rental.booking) {
             RentResult::Rented(before.clone())
@@ -1201,7 +1229,14 @@
             Trouble::Refused { host } => drop(self.refused.insert(*host)),
             Trouble::CloudDown => self.cloud.down = true,
             Trouble::CutHosts { hosts: (a, b) } => drop(self.cut.insert((*a.min(b), *a.max(b)))),
-            Trouble::Silent | Trouble::Hang | Trouble::Faulty | Trouble::TakeSpot { .. } => {
+            Trouble::CutZone { zone } => drop(self.cut_zones.insert(zone.clone())),
+            Trouble::CutWorkers { host } => drop(self.unreached.insert(*host)),
+            Trouble::Freeze { host } => {
+                let until = self.now + for_us;
+                let h = &mut self.hosts[*host];
+                (h.frozen_until, h.busy_until) = (until, h.busy_until.max(until));
+            }
+            Trouble::Silent | Trouble::Hang | Trouble::Faulty | Trouble::Die | Trouble::TakeSpot { .. } => {
                 let spot_only = matches!(fault.trouble, Trouble::TakeSpot { .. });
                 let up: Vec<usize> =
                     self.workers.iter().flatten().filter(|w| w.up_at <= self.now && (w.spot || !spot_only)).map(|w| w.number).collect();
@@ -1218,6 +1253,7 @@
         let now = self.now;
         match trouble {
             Trouble::Silent => drop(self.with_worker(number, |w, _| w.silent = true)),
+            Trouble::Die => self.take_machine(number),
             Trouble::Faulty => drop(self.with_worker(number, |w, _| w.faulty = true)),
             Trouble::Hang => drop(self.with_worker(number, |w, ground| w.hang(now, now + for_us, ground))),
             Trouble::TakeSpot { notice_s } => {
@@ -1237,6 +1273,8 @@
             Trouble::Refused { host } => drop(self.refused.remove(host)),
             Trouble::CloudDown => self.cloud.down = false,
             Trouble::CutHosts { hosts: (a, b) } => drop(self.cut.remove(&(*a.min(b), *a.max(b)))),
+            Trouble::CutZone { zone } => drop(self.cut_zones.remove(zone)),
+            Trouble::CutWorkers { host } => drop(self.unreached.remove(host)),
             Trouble::Silent => struck.iter().for_each(|&n| self.unsilence(n)),
             _ => {}
         }
--- a/crates/lab/tests/rules.rs
+++ b/crates/lab/tests/rules.rs
@@ -399,3 +399,13 @@
     assert_eq!((live(&world), world.ground.checker.starts), (4, starts));
     assert_kept(&world);
 }
+
+/// A dozen drawn worlds with drawn troubles; `lemonweir-lab hunt` plays more.
+#[test]
+fn drawn_days_break_no_rule_and_services_come_back() {
+    for seed in 1..=12 {
+        let day = lemonweir_lab::hunt::day(seed, 90);
+        assert!(day.faults.is_empty(), "seed {seed}: {:?} with\n{}", day.faults, day.troubles.concat());
+        assert!(day.starts > 50, "seed {seed}: {} starts", day.starts);
+    }
+}
