--- a/crates/coordination/src/job.rs
+++ b/crates/coordination/src/job.rs
@@ -10,6 +10,16 @@
 use lemonweir_protocol::users::Phase;
 use lemonweir_storage::records::{ChunkRecord, JobRecord, LiveRecord};
 
+/// What comes first among jobs of one priority.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Urgency {
+    /// A service with less than half of its replicas. Guards against a mass
+    /// loss after which some services are whole while others serve nobody.
+    BelowHalf,
+    /// Any other job.
+    Usual,
+}
+
 /// An attempt not proven to be over.
 #[derive(Clone, Debug)]
 pub(super) struct Live {
@@ -83,8 +93,8 @@
     /// Whether all its attempts are within their team's guarantee or beyond it,
     /// if they are alike.
     pub(super) over_alike: Option<bool>,
-    /// Team, priority and time under which it is in the placer's queues.
-    pub(super) placed: Option<(String, Rank, u64)>,
+    /// Team, priority, urgency and time under which it is in the placer's queues.
+    pub(super) placed: Option<(String, Rank, Urgency, u64)>,
     /// Attempts that the owners are told of, by part.
     pub(super) told: Vec<(u16, AttemptId)>,
 }
@@ -154,6 +164,12 @@
         self.spec().map_or(Rank::Low, |s| s.rank)
     }
 
+    /// Whether it goes before others of its priority.
+    pub(super) fn urgency(&self) -> Urgency {
+        let stays = self.live.values().filter(|l| l.kill.is_none()).count() as u32;
+        if self.lasting() && !self.stopping() && 2 * stays < self.tasks { Urgency::BelowHalf } else { Urgency::Usual }
+    }
+
     /// Time of day of its submission, ms.
     pub(super) fn at(&self) -> u64 {
         self.record.as_ref().map_or(0, |r| r.at)
--- a/crates/coordination/src/placer/mod.rs
+++ b/crates/coordination/src/placer/mod.rs
@@ -19,7 +19,7 @@
 
 use crate::changes::ChangeLog;
 use crate::fleet::Demand;
-use crate::job::{Chunk, Ending, Job, Live};
+use crate::job::{Chunk, Ending, Job, Live, Urgency};
 use crate::placement::{Ask, Field, Image};
 use lemonweir_model::constants::*;
 use lemonweir_model::{AttemptId, Catalog, JobId, JobSpec, MachineId, MachineType, Rank, Room, Shape};
@@ -107,8 +107,9 @@
     pub spare: f64,
 }
 
-/// Where a job stands in its team's queue: priority, then age.
-type Place = (Rank, u64, JobId);
+/// Where a job stands in its team's queue: priority, then what is missing most,
+/// then age.
+type Place = (Rank, Urgency, u64, JobId);
 
 /// The placer of a part.
 pub struct Placer {
@@ -298,13 +299,16 @@
             job.clear_chunks();
         }
         self.changed.insert(id.clone());
-        let place: Place = (job.rank(), job.at(), id.clone());
-        if let Some((queue, rank, at)) = job.placed.take() {
-            let old: Place = (rank, at, id.clone());
+        let place: Place = (job.rank(), job.urgency(), job.at(), id.clone());
+        // Guarantees go by priority and age alone.
+        let steady = |(rank, _, at, id): &Place| (*rank, Urgency::Usual, *at, id.clone());
+        if let Some((queue, rank, urgency, at)) = job.placed.take() {
+            let old: Place = (rank, urgency, at, id.clone());
             if queue != job.team || old != place {
-                for index in [&mut self.queues, &mut self.running] {
-                    drop_place(index, &queue, &old);
-                }
+                drop_place(&mut self.queues, &queue, &old);
+            }
+            if queue != job.team || steady(&old) != steady(&place) {
+                drop_place(&mut self.running, &queue, &steady(&old));
             }
         }
         if job.placeable() && job.not_before == 0 {
@@ -313,11 +317,11 @@
             drop_place(&mut self.queues, &job.team, &place);
         }
         if job.live.is_empty() {
-            drop_place(&mut self.running, &job.team, &place);
+            drop_place(&mut self.running, &job.team, &steady(&place));
         } else {
-            self.running.entry(job.team.clone()).or_default().insert(place);
+            self.running.entry(job.team.clone()).or_default().insert(steady(&place));
         }
-        job.placed = Some((job.team.clone(), job.rank(), job.at()));
+        job.placed = Some((job.team.clone(), place.0, place.1, place.2));
         if job.not_before > 0 {
             self.asleep.insert((job.not_before, id.clone()));
         }
--- a/crates/coordination/src/placer/placing.rs
+++ b/crates/coordination/src/placer/placing.rs
@@ -2,6 +2,28 @@
 
 use super::*;
 
+/// The jobs of a queue in the order of their turns, each with whether it only
+/// gets half of its replicas then: those of a priority that have less come once
+/// for that, before all of it.
+fn turns(queue: &BTreeSet<Place>) -> Vec<(JobId, bool)> {
+    let mut turns = Vec::with_capacity(queue.len());
+    let mut again: Vec<JobId> = Vec::new();
+    let mut of = None;
+    for (rank, urgency, _, id) in queue {
+        let to_half = *urgency == Urgency::BelowHalf;
+        if of != Some(rank) || !to_half {
+            turns.extend(again.drain(..).map(|id| (id, false)));
+            of = Some(rank);
+        }
+        turns.push((id.clone(), to_half));
+        if to_half {
+            again.push(id.clone());
+        }
+    }
+    turns.extend(again.into_iter().map(|id| (id, false)));
+    turns
+}
+
 impl Placer {
     /// True if a placing pass may find something to do.
     pub fn wants_pass(&self, now: u64) -> bool {
@@ -20,20 +42,22 @@
                 self.settle(&id, now);
             }
         }
-        let mut queues: Vec<std::vec::IntoIter<JobId>> =
-            self.queues.values().map(|q| q.iter().map(|(_, _, id)| id.clone()).collect::<Vec<_>>().into_iter()).collect();
+        let mut queues: Vec<std::vec::IntoIter<(JobId, bool)>> = self.queues.values().map(|q| turns(q).into_iter()).collect();
         let mut lacking = Vec::new();
         let mut asked: HashMap<String, Room> = HashMap::new();
         let mut failed: HashSet<u64> = HashSet::new();
-        let mut current: Vec<Option<JobId>> = queues.iter_mut().map(Iterator::next).collect();
+        let mut current: Vec<Option<(JobId, bool)>> = queues.iter_mut().map(Iterator::next).collect();
         let n = queues.len();
         let mut at = if n > 0 { self.turn % n } else { 0 };
         self.turn = self.turn.wrapping_add(1);
         while current.iter().any(Option::is_some) {
-            if let Some(id) = current[at].clone() {
+            if let Some((id, to_half)) = current[at].clone() {
                 let placed = self.place_next(&id, &mut failed, now);
-                if !placed {
+                if !placed && !to_half {
                     self.note_lack(&id, &mut asked, &mut lacking);
+                }
+                let enough = || self.jobs.get(&id).is_none_or(|j| j.urgency() == Urgency::Usual);
+                if !placed || to_half && enough() {
                     current[at] = queues[at].next();
                 }
             }
--- a/crates/coordination/src/placer/records.rs
+++ b/crates/coordination/src/placer/records.rs
@@ -50,7 +50,7 @@
         if self.pending.is_some() || self.unsaved.is_empty() {
             return None;
         }
-        let mut due: Vec<(u8, Rank, u64, &JobId)> = Vec::new();
+        let mut due: Vec<(u8, Rank, Urgency, u64, &JobId)> = Vec::new();
         for (id, &since) in &self.unsaved {
             let Some(job) = self.jobs.get(id) else { continue };
             let class = if !job.stopping() && job.chunks.values().any(|c| c.saved < c.start) {
@@ -62,7 +62,7 @@
             } else {
                 continue;
             };
-            due.push((class, job.rank(), since, id));
+            due.push((class, job.rank(), job.urgency(), since, id));
         }
         if due.is_empty() {
             return None;
@@ -71,7 +71,7 @@
         let mut txn = Txn { conditions: vec![Condition { key: part_key(self.part), version: self.token }], writes: Vec::new() };
         let mut pending = Pending { chunks: Vec::new(), ends: Vec::new() };
         let mut bytes = 0;
-        'jobs: for (_, _, _, id) in due {
+        'jobs: for (_, _, _, _, id) in due {
             let Some(job) = self.jobs.get(id) else { continue };
             if let Some(phase) = job.finished() {
                 if txn.writes.len() + 2 > self.txn_ops {
--- a/crates/coordination/src/placer/telling.rs
+++ b/crates/coordination/src/placer/telling.rs
@@ -37,7 +37,7 @@
         let Some(guarantee) = self.guarantees.get(team).filter(|g| g.cpus > 0 || g.gpus > 0) else { return };
         let guarantee = Some(guarantee);
         let mut sum = Room::default();
-        for (_, _, id) in self.running.get(team).into_iter().flatten() {
+        for (_, _, _, id) in self.running.get(team).into_iter().flatten() {
             let Some(job) = self.jobs.get_mut(id) else { continue };
             // Most jobs are within it or beyond it as a whole, as before.
             let whole = sum.plus(&job.need.times(job.live.len() as u64));
--- a/crates/coordination/tests/changes.rs
+++ b/crates/coordination/tests/changes.rs
@@ -9,7 +9,7 @@
 use lemonweir_coordination::changes::ChangeLog;
 use lemonweir_coordination::owner::{Owner, SyncRefusal};
 use lemonweir_coordination::placer::{Placer, Terms, TxnOutcome};
-use lemonweir_model::{AttemptId, JobId, JobSpec, Rank, Room, Shape};
+use lemonweir_model::{AttemptId, JobId, Room};
 use lemonweir_protocol::cloud::RentalEntry;
 use lemonweir_protocol::peer::{AttemptView, Follow, Have, MachineView, Span, Standing, View, Want};
 use lemonweir_protocol::worker::{Report, Verb};
@@ -274,28 +274,7 @@
 fn room_is_not_taken_twice_while_figures_are_on_their_way() {
     let terms = Terms { limits: Default::default(), guarantees: Default::default(), zones: vec!["north".into()], txn_ops: 12, spare: 0.0 };
     let mut placer = Placer::new(0, TOKEN, 1, terms, 0);
-    let spec = JobSpec {
-        id: JobId::from("req-000001"),
-        class: "work".into(),
-        team: "red".into(),
-        shape: Shape::Array,
-        rank: Rank::Normal,
-        tasks: 9,
-        cores: 4.0,
-        gpus: 1.0,
-        ram_gb: 8.0,
-        types: None,
-        zone: None,
-        one_zone: false,
-        spread: false,
-        spot: true,
-        image: "img".into(),
-        image_gb: 2.0,
-        estimate_s: 20.0,
-        checkpoint_s: 0.0,
-        save_s: 0.0,
-        deadline_s: None,
-    };
+    let spec = array(9);
     let mirrored = MirroredJob { record: Arc::new(JobRecord { spec, at: 0, withdrawn: false }), version: 1 };
     placer.set_job(&JobId::from("req-000001"), Some(&mirrored), 0);
     let machine = |gpus: u64| MachineView {
--- /dev/null
+++ b/crates/coordination/tests/recovery.rs
@@ -0,0 +1,124 @@
+//! After a mass loss everything wants to start at once, and room comes back
+//! machine by machine.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use lemonweir_coordination::placer::{Placer, Terms, TxnOutcome};
+use lemonweir_model::{JobId, JobSpec, Rank, Room, Shape};
+use lemonweir_protocol::peer::{Hidden, MachineView, Span, View};
+use lemonweir_storage::mirror::MirroredJob;
+use lemonweir_storage::records::JobRecord;
+use support::*;
+
+struct Site {
+    placer: Placer,
+    machines: Vec<MachineView>,
+    revision: u64,
+    state: u64,
+}
+
+impl Site {
+    /// A placer with so many services of 4 replicas and one array of 20 tasks
+    /// that came before them.
+    fn new(services: usize) -> Self {
+        let terms =
+            Terms { limits: Default::default(), guarantees: Default::default(), zones: vec!["north".into()], txn_ops: 12, spare: 0.0 };
+        let mut placer = Placer::new(0, TOKEN, 1, terms, 0);
+        let mut submit = |spec: JobSpec, at: u64| {
+            let job = MirroredJob { record: Arc::new(JobRecord { spec: spec.clone(), at, withdrawn: false }), version: 1 };
+            placer.set_job(&spec.id, Some(&job), 0);
+        };
+        submit(array(20), 1);
+        for n in 0..services {
+            let id = JobId::from(format!("req-0001{n:02}").as_str());
+            submit(JobSpec { id, shape: Shape::Service, rank: Rank::Production, ..array(4) }, 10 + n as u64);
+        }
+        Self { placer, machines: Vec::new(), revision: 1, state: 0 }
+    }
+
+    /// Tells that another machine for four tasks is up; what was placed then,
+    /// in the order in which it was written.
+    fn one_more(&mut self, hidden: Vec<Hidden>) -> Vec<(JobId, u32)> {
+        let view = MachineView {
+            id: machine(self.machines.len()),
+            kind: "box".into(),
+            zone: "north".into(),
+            spot: false,
+            up: true,
+            open: true,
+            leaving: false,
+            free: Room::offer(16.0, 4.0, 64.0),
+            soft: Default::default(),
+            soft_over: Default::default(),
+            busy: 0,
+            lasting: 0,
+            images: Vec::new(),
+            coming: Vec::new(),
+            renter: None,
+        };
+        let seq = self.placer.sync_for(0, TOKEN, ROOM, false, 0).seq;
+        let since = self.state;
+        self.state += 1;
+        let view = View {
+            version: lemonweir_model::constants::PEER_VERSION,
+            part: 0,
+            token: TOKEN,
+            seq,
+            store_age_ms: 0,
+            wants_at: 0,
+            hidden,
+            machines_span: Span { since, upto: self.state, last: true },
+            machines: vec![view.clone()],
+            gone: Vec::new(),
+            attempts_span: Span { since: 0, upto: 0, last: true },
+            attempts: Vec::new(),
+        };
+        self.machines.extend(view.machines.iter().cloned());
+        self.placer.take_view(view, 0);
+        self.placer.place(0);
+        while self.placer.next_txn(0).is_some() {
+            self.revision += 1;
+            self.placer.txn_done(TxnOutcome::Done(self.revision), 0);
+        }
+        let wants = self.placer.sync_for(0, TOKEN, ROOM, false, 0).wants;
+        let last = &self.machines[self.machines.len() - 1].id;
+        wants.into_iter().filter(|w| w.machine == *last).map(|w| (w.id.job, w.id.task)).collect()
+    }
+}
+
+/// Every service has half of its replicas before any has more, and the array
+/// that is older waits for all of them.
+#[test]
+fn services_reach_half_before_any_is_whole() {
+    let mut site = Site::new(6);
+    let mut up: BTreeMap<JobId, usize> = BTreeMap::new();
+    let mut least_and_most = Vec::new();
+    for _ in 0..6 {
+        for (job, _) in site.one_more(Vec::new()) {
+            *up.entry(job).or_default() += 1;
+        }
+        assert!(!up.contains_key(&JobId::from("req-000001")), "batch work takes no room that a replica lacks");
+        let least = if up.len() < 6 { 0 } else { up.values().copied().min().unwrap_or(0) };
+        least_and_most.push((least, up.values().copied().max().unwrap_or(0)));
+    }
+    assert_eq!(least_and_most, [(0, 2), (0, 2), (2, 2), (2, 4), (2, 4), (4, 4)]);
+    assert_eq!(site.one_more(Vec::new()).len(), 4, "then the array");
+}
+
+/// A waiting job says that its zone is out of sight, since when, and until when
+/// at most.
+#[test]
+fn a_job_in_a_zone_out_of_sight_says_so() {
+    let mut site = Site::new(1);
+    assert_eq!(site.one_more(Vec::new()).len(), 4);
+    let id = JobId::from("req-000100");
+    assert_eq!(site.placer.job_note(&id, 0), Some((0, 0, String::new())));
+    site.one_more(vec![Hidden { zone: "north".into(), for_ms: 12_400, over_in_ms: 30_100 }]);
+    let said = site.placer.job_note(&id, 15_000).expect("known").2;
+    assert_eq!(said, "zone north out of sight since 15 s, its attempts there end by proof in at most 16 s");
+    site.one_more(Vec::new());
+    assert_eq!(site.placer.job_note(&id, 0), Some((0, 0, String::new())));
+}
--- a/crates/coordination/tests/support/mod.rs
+++ b/crates/coordination/tests/support/mod.rs
@@ -2,7 +2,7 @@
 #![allow(dead_code)]
 
 use lemonweir_coordination::owner::{Owner, Timing};
-use lemonweir_model::{AttemptId, JobId, MachineId, MachineType, Rank, Room};
+use lemonweir_model::{AttemptId, JobId, JobSpec, MachineId, MachineType, Rank, Room, Shape};
 use lemonweir_protocol::peer::{Evict, Have, Span, Sync, View, Want};
 use lemonweir_protocol::worker::{Report, TaskPhase, TaskReport};
 
@@ -99,3 +99,29 @@
 pub fn running_task(n: usize) -> TaskReport {
     TaskReport { piece: format!("req-000001/{n}"), attempt: 1, phase: TaskPhase::Running, cause: None, saved: None }
 }
+
+/// An array of so many plain tasks.
+pub fn array(tasks: u64) -> JobSpec {
+    JobSpec {
+        id: JobId::from("req-000001"),
+        class: "work".into(),
+        team: "red".into(),
+        shape: Shape::Array,
+        rank: Rank::Normal,
+        tasks,
+        cores: 4.0,
+        gpus: 1.0,
+        ram_gb: 8.0,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        image: "img".into(),
+        image_gb: 2.0,
+        estimate_s: 20.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    }
+}
