--- a/crates/coordination/src/job.rs
+++ b/crates/coordination/src/job.rs
@@ -13,8 +13,10 @@
 /// What comes first among jobs of one priority.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Urgency {
-    /// A service with less than half of its replicas. Guards against a mass
-    /// loss after which some services are whole while others serve nobody.
+    /// A service that ran and has less than half of its replicas left. Guards
+    /// against a mass loss after which some services are whole while others
+    /// serve nobody. New services come by age: taken in halves, they came to
+    /// lie on more machines, and gangs pushed out twice as much for whole ones.
     BelowHalf,
     /// Any other job.
     Usual,
@@ -167,7 +169,7 @@
     /// Whether it goes before others of its priority.
     pub(super) fn urgency(&self) -> Urgency {
         let stays = self.live.values().filter(|l| l.kill.is_none()).count() as u32;
-        if self.lasting() && !self.stopping() && 2 * stays < self.tasks { Urgency::BelowHalf } else { Urgency::Usual }
+        if self.ran && self.lasting() && !self.stopping() && 2 * stays < self.tasks { Urgency::BelowHalf } else { Urgency::Usual }
     }
 
     /// Time of day of its submission, ms.
