--- a/crates/coordination/tests/support/mod.rs
+++ b/crates/coordination/tests/support/mod.rs
@@ -3,7 +3,7 @@
 
 use lemonweir_coordination::owner::{Owner, Timing};
 use lemonweir_model::{AttemptId, JobId, JobSpec, MachineId, MachineType, Rank, Room, Shape};
-use lemonweir_protocol::peer::{Evict, Have, Span, Sync, View, Want};
+use lemonweir_protocol::peer::{Evict, Have, MachineView, Span, Sync, View, Want};
 use lemonweir_protocol::worker::{Report, TaskPhase, TaskReport};
 
 pub const TIMING: Timing = Timing { lease_ms: 14_000, report_ms: 3_000 };
@@ -100,6 +100,28 @@
     TaskReport { piece: format!("req-000001/{n}"), attempt: 1, phase: TaskPhase::Running, cause: None, saved: None }
 }
 
+/// A machine that is up, as its owner tells it, with so many of its accelerators
+/// free and a like share of the rest.
+pub fn shown(n: usize, gpus: u64) -> MachineView {
+    MachineView {
+        id: machine(n),
+        kind: "box".into(),
+        zone: "north".into(),
+        spot: false,
+        up: true,
+        open: true,
+        leaving: false,
+        free: Room::offer(gpus as f64 * 4.0, gpus as f64, gpus as f64 * 16.0),
+        soft: Default::default(),
+        soft_over: Default::default(),
+        busy: 4 - gpus as u16,
+        lasting: 0,
+        images: Vec::new(),
+        coming: Vec::new(),
+        renter: None,
+    }
+}
+
 /// An array of so many plain tasks.
 pub fn array(tasks: u64) -> JobSpec {
     JobSpec {
