After one more reading: strays counted when told, one order for guarantees, no dead return

They are a piece of their own beside the other evidence. - Guarantees had the queue's key with a dummy urgency and three clones of it; they have a key of their own. - What a node's presence must say stood in the process and in the laboratory; Membership says it to both. - survey() returned what nobody read; the zone out of sight of a job was looked for by two functions; a machine was looked up twice after a call.

--- a/crates/coordination/src/evidence.rs
+++ b/crates/coordination/src/evidence.rs
@@ -10,14 +10,59 @@
 //! and giving them back would end what runs there and cost a boot and a fetch
 //! each.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 
 use tracing::info;
 
 use crate::machine::{Machine, Timing};
+use lemonweir_model::MachineId;
 use lemonweir_model::constants::*;
 use lemonweir_protocol::peer::Hidden;
 
+/// Machines of parts that others hold which reported to this node.
+#[derive(Debug)]
+pub(crate) struct Strays {
+    /// ms for which a report counts.
+    keep_ms: u64,
+    by_part: BTreeMap<u16, HashMap<MachineId, u64>>,
+}
+
+impl Strays {
+    /// None yet; each counts for two report intervals.
+    pub(crate) fn new(timing: &Timing) -> Self {
+        Self { keep_ms: 2 * timing.report_ms, by_part: BTreeMap::new() }
+    }
+
+    /// A machine came; true if it had come a moment ago: it could not reach the
+    /// holder.
+    pub(crate) fn came(&mut self, part: u16, machine: &MachineId, now: u64) -> bool {
+        let before = self.by_part.entry(part).or_default().insert(machine.clone(), now);
+        before.is_some_and(|at| now < at + self.keep_ms)
+    }
+
+    /// The part is ours: its machines are none.
+    pub(crate) fn forget(&mut self, part: u16) {
+        self.by_part.remove(&part);
+    }
+
+    /// True if some came of late. Asked at every pump, so it counts none.
+    pub(crate) fn any(&mut self, part: u16, now: u64) -> bool {
+        let Some(strays) = self.by_part.get(&part) else { return false };
+        let some = strays.values().any(|at| now <= at + self.keep_ms);
+        if !some {
+            self.forget(part);
+        }
+        some
+    }
+
+    /// How many came of late.
+    pub(crate) fn count(&mut self, part: u16, now: u64) -> u32 {
+        let Some(strays) = self.by_part.get_mut(&part) else { return 0 };
+        strays.retain(|_, at| now <= *at + self.keep_ms);
+        strays.len() as u32
+    }
+}
+
 /// How a machine stands as far as this owner can tell.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Judgement {
@@ -83,28 +128,25 @@
         m.answered.map_or(self.started + self.timing.inherited_ms(), |at| at + self.timing.dead_after_ms())
     }
 
-    /// Looks at all machines again; true if a zone came into sight or went.
-    pub(crate) fn survey<'a>(&mut self, machines: impl Iterator<Item = &'a Machine>, now: u64) -> bool {
+    /// Looks at all machines again.
+    pub(crate) fn survey<'a>(&mut self, machines: impl Iterator<Item = &'a Machine>, now: u64) {
         for zone in self.zones.values_mut() {
             (zone.ran, zone.late, zone.over_at) = (0, 0, 0);
         }
         let late_ms = self.timing.report_ms + self.timing.report_ms / 2;
         for m in machines {
+            let over_at = self.over_at(m);
             if !self.zones.contains_key(&m.zone) {
                 self.zones.insert(m.zone.clone(), Zone::default());
             }
-            let Some(zone) = self.zones.get(&m.zone) else { continue };
+            let Some(zone) = self.zones.get_mut(&m.zone) else { continue };
             let Some(silence) = Self::silence(m, zone, now) else { continue };
-            let over_at = self.over_at(m);
-            if let Some(zone) = self.zones.get_mut(&m.zone) {
-                zone.ran += 1;
-                if silence > late_ms {
-                    zone.late += 1;
-                    zone.over_at = zone.over_at.max(over_at);
-                }
+            zone.ran += 1;
+            if silence > late_ms {
+                zone.late += 1;
+                zone.over_at = zone.over_at.max(over_at);
             }
         }
-        let mut changed = false;
         for (name, zone) in &mut self.zones {
             // Half of a zone does not fail machine by machine within seconds.
             // One missed report each is enough to say so, and it must be: the
@@ -124,11 +166,9 @@
                     // the first half: its silence counts from now.
                     zone.floor = now;
                 }
-                _ => continue,
+                _ => {}
             }
-            changed = true;
         }
-        changed
     }
 
     /// Machines with a sign of life, if most of them missed a report.
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -20,6 +20,7 @@
 
 use tracing::{debug, info, warn};
 
+use crate::evidence::Strays;
 use crate::fleet::{Bin, Shortage, plan};
 use crate::owner::{CommandCall, CommandResult, Owner, SyncRefusal, Timing};
 use crate::placer::{Placer, Promise, Terms, TxnOutcome, TxnVerdict};
@@ -235,8 +236,8 @@
     policy: Policy,
     parts: BTreeMap<u16, Part>,
     notes: HashMap<JobId, JobNote>,
-    /// Machines of parts that others hold which reported here, and when.
-    strays: BTreeMap<u16, HashMap<MachineId, u64>>,
+    /// Machines of parts that others hold which reported here.
+    strays: Strays,
     /// Calls to machines under way.
     calls: usize,
     /// When the last successful reading of the store began, ms.
@@ -249,13 +250,13 @@
     /// A node without parts.
     pub fn new(config: Config, policy: Policy) -> Self {
         Self {
+            strays: Strays::new(&config.timing),
             config,
             mirror: Mirror::default(),
             catalog: None,
             policy,
             parts: BTreeMap::new(),
             notes: HashMap::new(),
-            strays: BTreeMap::new(),
             calls: 0,
             store_heard: None,
             others_heard: None,
@@ -405,10 +406,9 @@
             Some(part) => part.owner.report(report, now).map_or(ReportAnswer::Unable, ReportAnswer::Orders),
             None => match self.mirror.parts.get(&index) {
                 Some(holder) if holder.host != self.config.members[usize::from(self.config.me)].host => {
-                    let before = self.strays.entry(index).or_default().insert(report.machine.clone(), now);
-                    // One that is back so soon could not reach the holder: it is
-                    // not sent there once more, but tries whoever is next.
-                    match before.is_some_and(|at| now < at + 2 * self.config.timing.report_ms) {
+                    // One that is back so soon is not sent to the holder once
+                    // more, but tries whoever is next.
+                    match self.strays.came(index, &report.machine, now) {
                         true => ReportAnswer::Unable,
                         false => ReportAnswer::Elsewhere(holder.host.clone()),
                     }
@@ -753,17 +753,6 @@
         again
     }
 
-    /// Machines of a part that reported here of late though another holds it.
-    fn strays(&mut self, part: u16, now: u64) -> u32 {
-        let Some(strays) = self.strays.get_mut(&part) else { return 0 };
-        if self.parts.contains_key(&part) {
-            self.strays.remove(&part);
-            return 0;
-        }
-        strays.retain(|_, at| now <= *at + 2 * self.config.timing.report_ms);
-        strays.len() as u32
-    }
-
     /// True if a part that we hold had better be held by a node that hears its
     /// machines.
     pub fn deaf(&self, part: u16, now: u64) -> bool {
@@ -774,7 +763,10 @@
         let mut again = false;
         let age = self.store_age(now);
         for to in 0..self.config.members.len() as u16 {
-            let strays = self.strays(to, now);
+            if self.parts.contains_key(&to) {
+                self.strays.forget(to);
+            }
+            let strays = self.strays.any(to, now);
             let Some(holder) = self.mirror.parts.get(&to) else {
                 continue;
             };
@@ -790,7 +782,7 @@
             let gap = if mail { MAIL_GAP_MS } else { SYNC_GAP_MS };
             let due = now >= line.last + COPY_REFRESH_MS
                 || line.dirty && now >= line.last + gap
-                || strays > 0 && now >= line.last + gap.max(STRAYS_GAP_MS);
+                || strays && now >= line.last + gap.max(STRAYS_GAP_MS);
             let direct = !mail || !line.busy && now >= line.last_direct + DIRECT_RETRY_MS;
             if !due || line.busy && !mail {
                 continue;
@@ -803,7 +795,7 @@
             // them, and the regular refresh.
             let sync = part.placer.sync_for(to, token, room, local.is_none() && !by_mail, now);
             if local.is_none() {
-                let sync = Sync { store_age_ms: age, strays, ..sync };
+                let sync = Sync { store_age_ms: age, strays: self.strays.count(to, now), ..sync };
                 if direct {
                     line.busy = true;
                     line.last_direct = now;
--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -52,6 +52,13 @@
         self.left.iter().filter(|(_, (until, _))| now < *until).map(|(part, _)| *part).collect()
     }
 
+    /// What this node's presence has to say that it leaves, if it says otherwise.
+    pub fn unshown(&self, core: &Core, now: u64) -> Option<Vec<u16>> {
+        let me = &core.config.members[usize::from(core.config.me)].host;
+        let left = self.left(now);
+        core.mirror.nodes.get(me).is_some_and(|n| n.deaf != left).then_some(left)
+    }
+
     /// What to do about one part, as far as the node's copy shows. Call it for
     /// each part in turn, since what is held already counts for the next.
     pub fn claim(&mut self, core: &Core, part: u16, now: u64) -> Option<Claim> {
@@ -61,7 +68,7 @@
         let leaves = |host: &str| core.mirror.nodes.get(host).is_some_and(|n| n.deaf.contains(&part));
         let home_serves = core.mirror.nodes.contains_key(home) && !leaves(home);
         // Where all that live leave it, somebody must hold it all the same.
-        let spared = self.left.get(&part).is_some_and(|(until, _)| now < *until) && core.mirror.nodes.keys().any(|n| !leaves(n));
+        let spared = self.left(now).contains(&part) && core.mirror.nodes.keys().any(|n| !leaves(n));
         let held = core.held();
         let lot = held.iter().find(|l| l.part == part).copied();
         let slot = self.empty_since.get_mut(usize::from(part))?;
--- a/crates/coordination/src/owner/mod.rs
+++ b/crates/coordination/src/owner/mod.rs
@@ -6,7 +6,9 @@
 //! * it is missing from a report that the worker sent after it had seen this
 //!   owner's token, and no start order for it can still arrive,
 //! * the worker is in a later session than the one it was started in,
-//! * the cloud has answered the release of its machine, or
+//! * the cloud has answered the release of its machine,
+//! * its machine was never heard by this owner, and all that earlier owners
+//!   could keep alive has surely run out, or
 //! * the lease has surely run out since this owner, and nobody after it, last
 //!   answered the machine.
 
--- a/crates/coordination/src/owner/orders.rs
+++ b/crates/coordination/src/owner/orders.rs
@@ -128,16 +128,17 @@
     /// A call to a worker ended.
     pub fn call_done(&mut self, call: &CommandCall, result: CommandResult, now: u64) {
         let base = self.base();
+        let failed = !matches!(result, CommandResult::Executed(_));
+        if failed {
+            self.untell(call);
+        }
         let Some(m) = self.machines.get_mut(&call.machine) else {
             return;
         };
         m.calling = false;
-        let failed = !matches!(result, CommandResult::Executed(_));
         if failed {
             m.call_after = now + COMMAND_RETRY_MS;
-            self.untell(call);
         }
-        let Some(m) = self.machines.get_mut(&call.machine) else { return };
         match result {
             CommandResult::Executed(report) => {
                 self.take_report(&report, now, false);
--- a/crates/coordination/src/owner/upkeep.rs
+++ b/crates/coordination/src/owner/upkeep.rs
@@ -9,15 +9,14 @@
         if self.gone.contains(&said.machine) {
             return None;
         }
-        // An attempt there or a note of its images: it ran before.
-        let ran = self.missing.get(&said.machine).copied().or(self.earlier.contains_key(&said.machine).then_some(now));
         let room = self.rooms.get(&said.kind).copied().unwrap_or_default();
-        let stale = &mut self.stale;
+        let (stale, missing, earlier) = (&mut self.stale, &self.missing, &self.earlier);
         let m = self.machines.entry(said.machine.clone()).or_insert_with(|| {
             stale.insert(said.machine.clone());
             let mut m = Machine::new(&said.kind, &said.zone, said.spot, room, now);
             m.booked = now.saturating_sub(said.age_ms);
-            m.ran = ran;
+            // An attempt there or a note of its images: it ran before.
+            m.ran = missing.get(&said.machine).copied().or(earlier.contains_key(&said.machine).then_some(now));
             m
         });
         Some(m)
@@ -103,12 +102,12 @@
             if m.dead(word, &self.timing) && (m.token_seen >= base || inherited_over) && m.dead_session < m.session {
                 dead.push(id.clone());
             }
-            let lull = if now > self.accepted_at + LULL_MS || surplus.contains(id) { LULL_KEEP } else { 1.0 };
-            let keep = (restart as f64 * lull * if m.spot { self.policy.idle_spot } else { self.policy.idle }) as u64;
             if !sure || silent || self.sight.recovering(m, now) {
                 // What is out of sight is not idle, nor what has just come back.
                 continue;
             }
+            let lull = if now > self.accepted_at + LULL_MS || surplus.contains(id) { LULL_KEEP } else { 1.0 };
+            let keep = (restart as f64 * lull * if m.spot { self.policy.idle_spot } else { self.policy.idle }) as u64;
             if m.idle_since.is_some_and(|at| now > at + keep) || (m.quarantined || m.notice) && m.idle_since.is_some() {
                 m.closing = true;
                 self.to_close.insert(id.clone());
--- a/crates/coordination/src/placer/mod.rs
+++ b/crates/coordination/src/placer/mod.rs
@@ -111,6 +111,9 @@
 /// then age.
 type Place = (Rank, Urgency, u64, JobId);
 
+/// Where it stands for its team's guarantee: priority, then age.
+type Seniority = (Rank, u64, JobId);
+
 /// The placer of a part.
 pub struct Placer {
     part: u16,
@@ -126,7 +129,7 @@
     usage: HashMap<String, Room>,
     /// Jobs with a task to place, and with a live attempt, by team.
     queues: BTreeMap<String, BTreeSet<Place>>,
-    running: BTreeMap<String, BTreeSet<Place>>,
+    running: BTreeMap<String, BTreeSet<Seniority>>,
     /// Jobs that wait for a time.
     asleep: BTreeSet<(u64, JobId)>,
     /// Jobs whose wants or notes may have changed.
@@ -300,28 +303,27 @@
         }
         self.changed.insert(id.clone());
         let place: Place = (job.rank(), job.urgency(), job.at(), id.clone());
-        // Guarantees go by priority and age alone.
-        let steady = |(rank, _, at, id): &Place| (*rank, Urgency::Usual, *at, id.clone());
+        let seniority: Seniority = (job.rank(), job.at(), id.clone());
         if let Some((queue, rank, urgency, at)) = job.placed.take() {
-            let old: Place = (rank, urgency, at, id.clone());
-            if queue != job.team || old != place {
-                drop_place(&mut self.queues, &queue, &old);
+            let moved = queue != job.team || (rank, at) != (place.0, place.2);
+            if moved || urgency != place.1 {
+                drop_place(&mut self.queues, &queue, &(rank, urgency, at, id.clone()));
             }
-            if queue != job.team || steady(&old) != steady(&place) {
-                drop_place(&mut self.running, &queue, &steady(&old));
+            if moved {
+                drop_place(&mut self.running, &queue, &(rank, at, id.clone()));
             }
         }
+        job.placed = Some((job.team.clone(), place.0, place.1, place.2));
         if job.placeable() && job.not_before == 0 {
-            self.queues.entry(job.team.clone()).or_default().insert(place.clone());
+            self.queues.entry(job.team.clone()).or_default().insert(place);
         } else {
             drop_place(&mut self.queues, &job.team, &place);
         }
         if job.live.is_empty() {
-            drop_place(&mut self.running, &job.team, &steady(&place));
+            drop_place(&mut self.running, &job.team, &seniority);
         } else {
-            self.running.entry(job.team.clone()).or_default().insert(steady(&place));
+            self.running.entry(job.team.clone()).or_default().insert(seniority);
         }
-        job.placed = Some((job.team.clone(), place.0, place.1, place.2));
         if job.not_before > 0 {
             self.asleep.insert((job.not_before, id.clone()));
         }
@@ -418,7 +420,7 @@
     pub fn job_note(&self, id: &JobId, now: u64) -> Option<(u64, u64, String)> {
         let job = self.jobs.get(id).filter(|j| !j.over)?;
         let (running, mut reason) = reason_of(job, &self.hidden);
-        if let Some(zone) = hidden_of(job, &self.hidden) {
+        if let Some((_, zone)) = hidden_of(job, &self.hidden) {
             let (s, over_s) = (now.saturating_sub(zone.since) / 1_000, zone.over_at.saturating_sub(now).div_ceil(1_000));
             reason = format!("{reason} since {s} s, its attempts there end by proof in at most {over_s} s").into();
         }
@@ -462,19 +464,18 @@
 }
 
 /// The zone out of sight that an attempt of a job is in.
-fn hidden_of<'a>(job: &Job, hidden: &'a [BTreeMap<String, HiddenZone>]) -> Option<&'a HiddenZone> {
-    job.live.values().find_map(|l| hidden.get(usize::from(l.part))?.get(&l.zone))
+fn hidden_of<'a>(job: &Job, hidden: &'a [BTreeMap<String, HiddenZone>]) -> Option<(&'a String, &'a HiddenZone)> {
+    job.live.values().find_map(|l| hidden.get(usize::from(l.part))?.get_key_value(&l.zone))
 }
 
 /// Tasks of a job that run, and why the others wait or may not be what they
 /// seem.
 fn reason_of(job: &Job, hidden: &[BTreeMap<String, HiddenZone>]) -> (u32, Cow<'static, str>) {
     let (running, reason) = job.progress();
-    let out = job.live.values().find(|l| hidden.get(usize::from(l.part)).is_some_and(|zones| zones.contains_key(&l.zone)));
-    (running, out.map_or(Cow::Borrowed(reason), |l| format!("zone {} out of sight", l.zone).into()))
+    (running, hidden_of(job, hidden).map_or(Cow::Borrowed(reason), |(zone, _)| format!("zone {zone} out of sight").into()))
 }
 
-fn drop_place(index: &mut BTreeMap<String, BTreeSet<Place>>, team: &str, place: &Place) {
+fn drop_place<P: Ord>(index: &mut BTreeMap<String, BTreeSet<P>>, team: &str, place: &P) {
     if let Some(queue) = index.get_mut(team) {
         queue.remove(place);
         if queue.is_empty() {
--- a/crates/coordination/src/placer/telling.rs
+++ b/crates/coordination/src/placer/telling.rs
@@ -37,7 +37,7 @@
         let Some(guarantee) = self.guarantees.get(team).filter(|g| g.cpus > 0 || g.gpus > 0) else { return };
         let guarantee = Some(guarantee);
         let mut sum = Room::default();
-        for (_, _, _, id) in self.running.get(team).into_iter().flatten() {
+        for (_, _, id) in self.running.get(team).into_iter().flatten() {
             let Some(job) = self.jobs.get_mut(id) else { continue };
             // Most jobs are within it or beyond it as a whole, as before.
             let whole = sum.plus(&job.need.times(job.live.len() as u64));
@@ -142,7 +142,7 @@
     }
 
     /// An owner answered; true if something changed that placing should see.
-    pub fn take_view(&mut self, view: View, now: u64) -> bool {
+    pub fn take_view(&mut self, mut view: View, now: u64) -> bool {
         let Some(link) = self.links.get_mut(usize::from(view.part)) else {
             return false;
         };
@@ -157,7 +157,7 @@
             (link.token, link.have) = (view.token, Have::default());
         }
         link.got = view.seq;
-        self.take_hidden(view.part, view.hidden.clone(), now);
+        self.take_hidden(view.part, std::mem::take(&mut view.hidden), now);
         let Some(link) = self.links.get_mut(usize::from(view.part)) else { return false };
         if view.token == link.to_token {
             // An owner that has less than it once said starts from nothing.
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -1088,6 +1088,7 @@
         let h = &mut self.hosts[host];
         let Some(core) = h.core.as_ref() else { return };
         let teams = core.unassigned_teams();
+        let unshown = h.membership.unshown(core, now / MS);
         let claims: Vec<Claim> = (0..h.membership.parts()).filter_map(|part| h.membership.claim(core, part, now / MS)).collect();
         if !teams.is_empty() {
             self.send_txn(host, For::Part(0), assign_teams(&teams));
@@ -1113,12 +1114,9 @@
                 }
             }
             None => {
-                let h = &self.hosts[host];
-                let (name, left) = (crate::scenario::host_name(host), h.membership.left(now / MS));
-                let shown = h.core.as_ref().and_then(|c| c.mirror.nodes.get(&name)).is_none_or(|n| n.deaf == left);
-                if !shown {
+                if let Some(left) = unshown {
                     let zone = self.scenario.zone_of(host).to_owned();
-                    self.send_txn(host, For::Nobody, show_node(&name, &zone, hold, left));
+                    self.send_txn(host, For::Nobody, show_node(&crate::scenario::host_name(host), &zone, hold, left));
                 }
             }
         }
--- a/crates/node/src/holds.rs
+++ b/crates/node/src/holds.rs
@@ -103,10 +103,9 @@
             None => {}
         }
     }
-    let (host, left) = (&node.settings.host_name, membership.left(now));
-    let shown = node.core().mirror.nodes.get(host).is_none_or(|n| n.deaf == left);
-    if !shown {
-        node.state.txn(&show_node(host, &node.settings.zone, hold, left)).await?;
+    let unshown = membership.unshown(&node.core(), now);
+    if let Some(left) = unshown {
+        node.state.txn(&show_node(&node.settings.host_name, &node.settings.zone, hold, left)).await?;
         node.fresh().await;
     }
     Ok(())
