--- /dev/null
+++ b/crates/coordination/src/config.rs
@@ -0,0 +1,105 @@
+//! Facts that do not change while the process runs.
+
+use std::collections::HashMap;
+
+use crate::owner::Timing;
+use crate::sockets::Shares;
+use lemonweir_model::constants::*;
+use lemonweir_model::settings::{Member, Settings};
+use lemonweir_model::{MachineId, Room};
+use lemonweir_protocol::users::team_limit;
+
+/// Facts that do not change while the process runs.
+pub struct Config {
+    /// All controllers; the index is the part.
+    pub members: Vec<Member>,
+    /// Our own index.
+    pub me: u16,
+    /// Limits of the teams.
+    pub limits: HashMap<String, Room>,
+    /// Guarantees of the teams; 0: none.
+    pub guarantees: HashMap<String, Room>,
+    /// Seconds within which tasks of a class should start.
+    pub start_within: HashMap<String, f64>,
+    /// Seconds within which work within a guarantee should start.
+    pub guarantee_within: f64,
+    /// Zones.
+    pub zones: Vec<String>,
+    /// Team names in order.
+    pub teams: Vec<String>,
+    /// Times of the workers.
+    pub timing: Timing,
+    /// ms after the last proof of the store's word for which reports may be
+    /// answered without a newer one while a node of an earlier format lives.
+    pub short_blind_ms: u64,
+    /// Bytes that a value in the store may have.
+    pub value_bytes: usize,
+    /// Time of day at the steady clock's zero, ms.
+    pub wall_offset_ms: u64,
+    /// Changes a transaction may hold.
+    pub txn_ops: usize,
+    /// Bytes of changes that a message through the store may hold.
+    pub mail_bytes: usize,
+    /// Sockets for each kind of traffic.
+    pub sockets: Shares,
+}
+
+impl Config {
+    /// Derives the facts from the settings.
+    pub fn new(settings: &Settings) -> Self {
+        let members = settings.members();
+        let me = members.iter().position(|m| m.host == settings.host_name).unwrap_or(0) as u16;
+        let w = &settings.cluster.workers;
+        let ms = |s: f64| (s * 1000.0) as u64;
+        let objectives = &settings.cluster.objectives;
+        let value_bytes = (settings.cluster.state.value_kb * 1024.0) as usize;
+        let txn_ops = settings.cluster.state.txn_ops;
+        let mut teams: Vec<String> = settings.cluster.teams.iter().map(|t| t.name.clone()).collect();
+        teams.sort_unstable();
+        Self {
+            limits: settings.cluster.teams.iter().map(|t| (t.name.clone(), team_limit(t))).collect(),
+            guarantees: settings.cluster.teams.iter().map(|t| (t.name.clone(), Room::offer(t.cpus, t.gpus, 0.0))).collect(),
+            start_within: objectives.iter().filter(|o| o.kind == "wait").filter_map(|o| Some((o.class.clone()?, o.within_s?))).collect(),
+            guarantee_within: objectives.iter().filter(|o| o.kind == "guarantee").filter_map(|o| o.within_s).fold(f64::MAX, f64::min),
+            zones: settings.cluster.zones.clone(),
+            teams,
+            timing: Timing { lease_ms: ms(w.lease_s), report_ms: ms(w.report_s) },
+            // A node of an earlier format tells of a cancellation before its
+            // tasks have ended. One told right after our last word from the
+            // store must still be carried out in time: whatever we keep alive
+            // until then ends with its lease.
+            short_blind_ms: ms(w.cancel_s - w.lease_s).saturating_sub(BLIND_MARGIN_MS),
+            value_bytes,
+            wall_offset_ms: 0,
+            txn_ops,
+            // Half of what would just fit: the other fields of a message take
+            // some, and one change may be larger than another.
+            mail_bytes: MAIL_BYTES.min(mail_piece_bytes(value_bytes) * txn_ops / 2),
+            sockets: Shares::of(settings.cluster.limits.fd_limit),
+            members,
+            me,
+        }
+    }
+
+    /// The part that a machine belongs to: one of its zone's, by its name.
+    pub fn part_of(&self, zone: &str, machine: &MachineId) -> u16 {
+        let local: Vec<u16> = (0..self.members.len() as u16).filter(|&i| self.members[usize::from(i)].zone == zone).collect();
+        let hash = machine.as_str().bytes().fold(0xcbf2_9ce4_8422_2325u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3));
+        match local.len() {
+            0 => (hash % self.members.len() as u64) as u16,
+            n => local[(hash % n as u64) as usize],
+        }
+    }
+
+    /// The part that serves a team unless the store says otherwise.
+    pub fn default_part(&self, team: &str) -> u16 {
+        let at = self.teams.iter().position(|t| t == team).unwrap_or(0);
+        (at % self.members.len()) as u16
+    }
+}
+
+/// Bytes of a peer message that fit one value of the store: base64 makes four
+/// bytes of three.
+pub fn mail_piece_bytes(value_bytes: usize) -> usize {
+    value_bytes.saturating_sub(MAIL_OVERHEAD_BYTES).max(MAIL_OVERHEAD_BYTES) / 4 * 3
+}
--- a/crates/coordination/src/machine.rs
+++ b/crates/coordination/src/machine.rs
@@ -68,6 +68,9 @@
     pub(super) answered: Option<u64>,
     /// When the worker was last heard in any way, ms.
     pub(super) heard: Option<u64>,
+    /// Number of the controller that carried its newest report, and since when
+    /// all have been carried, ms.
+    pub(super) carried: Option<(u16, u64)>,
     /// Sessions up to this one have surely ended.
     pub(super) dead_session: u64,
     pub(super) tasks: BTreeMap<AttemptId, Seen>,
@@ -108,6 +111,7 @@
             call_after: 0,
             answered: None,
             heard: None,
+            carried: None,
             dead_session: 0,
             tasks: BTreeMap::new(),
             images: VecDeque::new(),
--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -47,15 +47,24 @@
         self.empty_since.len() as u16
     }
 
-    /// Parts that this node leaves to others now.
-    pub fn left(&self, now: u64) -> Vec<u16> {
+    /// Parts that this node leaves to others now: all, while no worker reaches it
+    /// and some should.
+    ///
+    /// Guards against a part that goes from one controller that can't hear its
+    /// machines to another that can't either, while its leases run out.
+    pub fn left(&self, core: &Core, now: u64) -> Vec<u16> {
+        let leaves_some = self.left.values().any(|(until, _)| now < *until);
+        // Who holds nothing is not told by silence: its workers went elsewhere.
+        if core.links.hears_nobody(now) && (leaves_some || !core.held().is_empty()) {
+            return (0..self.parts()).collect();
+        }
         self.left.iter().filter(|(_, (until, _))| now < *until).map(|(part, _)| *part).collect()
     }
 
     /// What this node's presence has to say that it leaves, if it says otherwise.
     pub fn unshown(&self, core: &Core, now: u64) -> Option<Vec<u16>> {
         let me = &core.config.members[usize::from(core.config.me)].host;
-        let left = self.left(now);
+        let left = self.left(core, now);
         core.mirror.nodes.get(me).is_some_and(|n| n.deaf != left).then_some(left)
     }
 
@@ -68,7 +77,9 @@
         let leaves = |host: &str| core.mirror.nodes.get(host).is_some_and(|n| n.deaf.contains(&part));
         let home_serves = core.mirror.nodes.contains_key(home) && !leaves(home);
         // Where all that live leave it, somebody must hold it all the same.
-        let spared = self.left(now).contains(&part) && core.mirror.nodes.keys().any(|n| !leaves(n));
+        let spared = self.left(core, now).contains(&part) && core.mirror.nodes.keys().any(|n| n != me && !leaves(n));
+        // Its home lives and can't serve it, nor can anybody else: no use waiting.
+        let alone = core.mirror.nodes.contains_key(home) && core.mirror.nodes.keys().all(|n| n == me || leaves(n));
         let held = core.held();
         let lot = held.iter().find(|l| l.part == part).copied();
         let slot = self.empty_since.get_mut(usize::from(part))?;
@@ -76,7 +87,7 @@
             (None, None) => {
                 let since = *slot.get_or_insert(now);
                 // Nodes with more parts wait longer, so that parts spread.
-                let wait = TAKEOVER_WAIT_MS * (held.len() as u64).max(1);
+                let wait = if alone { 0 } else { TAKEOVER_WAIT_MS * (held.len() as u64).max(1) };
                 let mine = home == me || !home_serves && now >= since + wait;
                 (mine && !spared).then_some(Claim::Take { part, version: 0 })
             }
--- a/crates/coordination/src/owner/mod.rs
+++ b/crates/coordination/src/owner/mod.rs
@@ -121,6 +121,8 @@
     pub addr: SocketAddr,
     /// What to send.
     pub commands: Commands,
+    /// Number of the controller through which it goes, if not by itself.
+    pub through: Option<u16>,
 }
 
 /// How a call to a worker went.
@@ -313,14 +315,20 @@
     }
 
     /// True if this node can't hear its machines while a peer can: most of them
-    /// are late, and as many have come to the peer.
+    /// are late, and as many have come to the peer; or most have been carried
+    /// for so long that giving the part up costs less.
     pub fn deaf(&self, now: u64) -> bool {
+        let long = |m: &&Machine| m.carried.is_some_and(|(_, since)| now > since + CARRIED_PART_MS);
+        if self.machines.values().filter(long).count() * 2 > self.machines.len() {
+            return true;
+        }
         let heard = self.strays.values().filter(|(_, at)| now <= at + VOUCH_MS).map(|(n, _)| *n as usize).max().unwrap_or(0);
         now > self.started + DEAF_AFTER_MS && self.sight.dark().is_some_and(|ran| heard * 2 > ran)
     }
 
-    /// A report came in; `None` means that it must not be answered with 200.
-    pub fn report(&mut self, report: &Report, now: u64) -> Option<ReportReply> {
+    /// A report came in, `by` another controller or by itself; `None` means that
+    /// it must not be answered with 200.
+    pub fn report(&mut self, report: &Report, by: Option<u16>, now: u64) -> Option<ReportReply> {
         if self.gone.contains(&report.machine) {
             return None;
         }
@@ -336,6 +344,10 @@
             return None;
         }
         m.answered = Some(now);
+        if newer {
+            // Orders go the way that the newest report came.
+            m.carried = by.map(|carrier| (carrier, m.carried.map_or(now, |(_, since)| since)));
+        }
         // A late report may still be waited for, if the answer to a call came
         // before it, and so may one of a worker that has not shown our token:
         // both answers prolong the lease, so both carry the stops.
--- a/crates/coordination/src/owner/orders.rs
+++ b/crates/coordination/src/owner/orders.rs
@@ -112,7 +112,12 @@
                 continue;
             };
             m.calling = true;
-            calls.push(CommandCall { machine: id.clone(), addr, commands: Commands { token: base + m.fence, session: m.session, orders } });
+            calls.push(CommandCall {
+                machine: id.clone(),
+                addr,
+                commands: Commands { token: base + m.fence, session: m.session, orders },
+                through: m.carried.map(|(by, _)| by),
+            });
         }
         calls
     }
--- /dev/null
+++ b/crates/coordination/src/pump.rs
@@ -0,0 +1,215 @@
+//! What is due: the core's own motion, after every event and at every tick.
+
+use std::collections::BTreeMap;
+
+use crate::fleet::{Bin, plan};
+use crate::{Core, Effect, Part};
+use lemonweir_model::Catalog;
+use lemonweir_model::constants::*;
+use lemonweir_protocol::cloud::Rental;
+use lemonweir_protocol::peer::Sync;
+use lemonweir_protocol::state::{Condition, Txn, Write};
+use lemonweir_storage::records::{ImagesRecord, images_key, part_key};
+
+impl Core {
+    // ---- the pump ----------------------------------------------------------
+
+    /// Does all that is due and returns what the process has to do. Call it
+    /// after every event and at every tick.
+    pub fn pump(&mut self, now: u64) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        effects.extend(self.links.hails(now).into_iter().map(|(host, word)| Effect::Hail(host, word)));
+        effects.extend(self.links.probes(now).into_iter().map(Effect::Probe));
+        // A sync within this node may give a placer something to do at once.
+        for _ in 0..3 {
+            if !self.pump_once(now, &mut effects) {
+                break;
+            }
+        }
+        effects
+    }
+
+    fn pump_once(&mut self, now: u64, effects: &mut Vec<Effect>) -> bool {
+        let mut again = false;
+        let blind = self.blind(now);
+        let word = self.links.store_heard().unwrap_or(0);
+        let indices: Vec<u16> = self.parts.keys().copied().collect();
+        for &index in &indices {
+            let Some(part) = self.parts.get_mut(&index) else {
+                continue;
+            };
+            let lot = part.lot;
+            part.owner.tick(now, word);
+            let pages = part.owner.images_note(now, self.config.value_bytes, self.config.txn_ops);
+            if !pages.is_empty() {
+                let owned = Condition { key: part_key(index), version: lot.token };
+                let write = |(page, record): (usize, Option<ImagesRecord>)| match record {
+                    Some(record) => Write::put(images_key(index, page), &record),
+                    None => Write::Delete { key: images_key(index, page) },
+                };
+                effects.push(Effect::Note(Txn { conditions: vec![owned], writes: pages.into_iter().map(write).collect() }));
+            }
+            // Guards against a start by an owner that has been blind for so long
+            // that its successor may infer the end of all it kept alive.
+            if !blind {
+                let calls = part.owner.calls(now, self.config.sockets.orders.saturating_sub(self.calls));
+                self.calls += calls.len();
+                effects.extend(calls.into_iter().map(|c| Effect::Command(lot, c)));
+            }
+            let names = part.owner.releases();
+            if !names.is_empty() {
+                effects.push(Effect::Release(lot, names));
+            }
+            for asker in part.owner.take_dirty() {
+                match self.parts.get_mut(&asker) {
+                    Some(p) => p.lines[usize::from(index)].dirty = true,
+                    None => {
+                        if let Some(p) = self.parts.get_mut(&index) {
+                            p.nudged.entry(asker).or_insert(now);
+                        }
+                    }
+                }
+            }
+        }
+        for &index in &indices {
+            let Some(part) = self.parts.get_mut(&index) else {
+                continue;
+            };
+            let lot = part.lot;
+            let nudges: Vec<u16> = part.nudged.keys().copied().collect();
+            part.nudged.clear();
+            effects.extend(nudges.into_iter().map(Effect::Nudge));
+            if part.placer.wants_pass(now) && now >= part.last_place + PLACE_GAP_MS {
+                part.last_place = now;
+                part.placer.place(now);
+            }
+            part.placer.consolidate(now, now + self.config.wall_offset_ms);
+            if let Some(txn) = part.placer.next_txn(now) {
+                effects.push(Effect::Txn(lot, txn));
+            }
+            self.pump_rent(index, now, effects);
+            again |= self.pump_syncs(index, now, effects);
+        }
+        again
+    }
+
+    /// True if a part that we hold had better be held by a node that hears its
+    /// machines.
+    pub fn deaf(&self, part: u16, now: u64) -> bool {
+        self.parts.get(&part).is_some_and(|p| p.owner.deaf(now))
+    }
+
+    fn pump_syncs(&mut self, index: u16, now: u64, effects: &mut Vec<Effect>) -> bool {
+        let mut again = false;
+        let age = self.links.store_age(now);
+        for to in 0..self.config.members.len() as u16 {
+            if self.parts.contains_key(&to) {
+                self.links.strays.forget(to);
+            }
+            let strays = self.links.strays.any(to, now);
+            let Some(holder) = self.mirror.parts.get(&to) else {
+                continue;
+            };
+            let local = self.parts.get(&to).map(|p| p.lot.token);
+            let Some(part) = self.parts.get_mut(&index) else {
+                return again;
+            };
+            let token = local.unwrap_or(holder.token);
+            let line = &mut part.lines[usize::from(to)];
+            line.dirty |= part.placer.unsent(to, token);
+            let mail = local.is_none() && line.failures >= MAIL_AFTER_FAILURES;
+            part.placer.by_mail(to, mail);
+            let gap = if mail { MAIL_GAP_MS } else { SYNC_GAP_MS };
+            let due = now >= line.last + COPY_REFRESH_MS
+                || line.dirty && now >= line.last + gap
+                || strays && now >= line.last + gap.max(STRAYS_GAP_MS);
+            let direct = !mail || !line.busy && now >= line.last_direct + DIRECT_RETRY_MS;
+            if !due || line.busy && !mail {
+                continue;
+            }
+            line.last = now;
+            line.dirty = false;
+            let by_mail = local.is_none() && !direct;
+            let room = if by_mail { self.config.mail_bytes } else { SYNC_BYTES };
+            // Notes are for answers of other nodes; what is told anyway carries
+            // them, and the regular refresh.
+            let sync = part.placer.sync_for(to, token, room, local.is_none() && !by_mail, now);
+            if local.is_none() {
+                let sync = Sync { store_age_ms: age, strays: self.links.strays.count(to, now), ..sync };
+                if direct {
+                    line.busy = true;
+                    line.last_direct = now;
+                    effects.push(Effect::Sync(part.lot, sync));
+                } else {
+                    effects.push(Effect::MailSync(sync));
+                }
+                continue;
+            }
+            let view = self.parts.get_mut(&to).and_then(|p| p.owner.sync(&sync, SYNC_BYTES, now).ok());
+            if let (Some(view), Some(part)) = (view, self.parts.get_mut(&index)) {
+                again |= part.placer.take_view(view, now);
+            }
+        }
+        again
+    }
+
+    fn pump_rent(&mut self, index: u16, now: u64, effects: &mut Vec<Effect>) {
+        let Some(catalog) = &self.catalog else { return };
+        let Some(part) = self.parts.get_mut(&index) else {
+            return;
+        };
+        if now < part.rent_after {
+            return;
+        }
+        if part.planned < part.placer.passes && part.rentals.len() < RENTALS_AT_ONCE {
+            part.planned = part.placer.passes;
+            for (kind, zone, spot, count) in part.plan(index, catalog, now) {
+                let same = |r: &Rental| r.kind == kind && r.zone == zone && r.spot == spot;
+                if part.rentals.len() >= RENTALS_AT_ONCE || part.rentals.iter().any(|(r, _)| same(r)) {
+                    continue;
+                }
+                part.bookings += 1;
+                // The part's token never comes again, so the name is never reused.
+                let booking = format!("r-{}-{}-{}", index, part.lot.token, part.bookings);
+                part.rentals.push((Rental { booking, kind, zone, spot, count }, false));
+            }
+        }
+        for (rental, busy) in part.rentals.iter_mut().filter(|(_, busy)| !busy) {
+            *busy = true;
+            effects.push(Effect::Rent(part.lot, rental.clone()));
+        }
+    }
+}
+
+impl Part {
+    /// What to rent for what the placer lacks, beyond what boots already or is
+    /// asked for.
+    fn plan(&self, index: u16, catalog: &Catalog, now: u64) -> Vec<(String, String, bool, u32)> {
+        if self.placer.lacking.is_empty() {
+            return Vec::new();
+        }
+        // What boots in a zone out of sight can't be heard; what is there
+        // already is waited for by those who may run nowhere else.
+        let hidden = self.placer.hidden_zones();
+        let bin = |kind: &str, zone: &str, spot: bool| {
+            let free = catalog.get(kind).map(|t| t.room).unwrap_or_default();
+            Bin { kind: kind.to_owned(), zone: zone.to_owned(), spot, free }
+        };
+        let mut zones: BTreeMap<String, usize> = BTreeMap::new();
+        let mut bins: Vec<Bin> = Vec::new();
+        for m in self.placer.machines() {
+            match zones.get_mut(&m.zone) {
+                Some(n) => *n += 1,
+                None => drop(zones.insert(m.zone.clone(), 1)),
+            }
+            if !m.up && (m.open || hidden.contains(m.zone.as_str())) && m.renter.is_none_or(|r| r == index) {
+                bins.push(bin(&m.kind, &m.zone, m.spot));
+            }
+        }
+        bins.extend(self.placer.promises.iter().map(|p| bin(&p.rented.kind, &p.rented.zone, p.rented.spot)));
+        for (r, _) in &self.rentals {
+            bins.extend((0..r.count).map(|_| bin(&r.kind, &r.zone, r.spot)));
+        }
+        plan(&self.placer.lacking, &bins, &zones, &hidden, catalog, &self.shortage, now)
+    }
+}
--- a/crates/lab/src/host.rs
+++ b/crates/lab/src/host.rs
@@ -7,10 +7,11 @@
 use lemonweir_coordination::membership::Membership;
 use lemonweir_coordination::owner::{CommandCall, CommandResult};
 use lemonweir_coordination::placer::TxnOutcome;
-use lemonweir_coordination::{Config, Core, Lot, RentResult, Tally};
+use lemonweir_coordination::{Config, Core, Lot, RentResult, ReportAnswer, Tally};
 use lemonweir_model::constants::BUDGET_PERCENT;
 use lemonweir_model::{JobId, MachineId};
 use lemonweir_protocol::cloud::{Rental, RentalEntry};
+use lemonweir_protocol::links::{Service, Word};
 use lemonweir_protocol::peer::{Superseded, Sync, View};
 use lemonweir_protocol::state::{Change, Entry, Txn};
 use lemonweir_protocol::worker::Report;
@@ -63,6 +64,17 @@
 pub enum Input {
     /// A worker's report, sent at that time.
     Report(usize, Report, u64),
+    /// The same, carried by another controller in that life.
+    CarriedReport(usize, Report, u64, usize, u64),
+    /// The owner's answer to one that was carried; `None`: there is none.
+    CarriedAnswer(usize, u64, u64, usize, Option<Box<ReportAnswer>>),
+    /// What became of a request to a service: whether another carried it, its
+    /// bytes, whether it was served.
+    Tried(Service, Option<u16>, usize, bool),
+    /// Another controller tells of its links.
+    Hail(u64, Box<Word>),
+    /// It answered, or did not.
+    Hailed(u16, Option<Box<Word>>),
     /// A transaction ended; with the versions of keys read again.
     Txn(For, Txn, TxnOutcome, Vec<(String, u64)>),
     /// A call to a worker ended.
--- a/crates/lab/src/worker.rs
+++ b/crates/lab/src/worker.rs
@@ -86,6 +86,8 @@
     pub launched: HashMap<(JobId, u32), u64>,
     /// µs of run time that was of use, in thousandths of a processor.
     pub useful: u128,
+    /// Tasks that ended with their worker's lease.
+    pub killed_by_lease: u64,
     times: Workers,
     gangs: HashMap<(JobId, u32), Gang>,
     saved: HashMap<(JobId, u32), u64>,
@@ -110,6 +112,7 @@
             up: HashMap::new(),
             launched: HashMap::new(),
             useful: 0,
+            killed_by_lease: 0,
             times,
             gangs: HashMap::new(),
             saved: HashMap::new(),
@@ -443,6 +446,7 @@
     fn step(&mut self, at: u64, ground: &mut Ground) {
         if at > self.lease_from + self.lease_us {
             ground.history.note(at, "lease over", &self.id, &"");
+            ground.killed_by_lease += self.live() as u64;
             self.kill_all(at, ground);
             self.session += 1;
             self.lease_from = at;
--- a/crates/model/src/constants.rs
+++ b/crates/model/src/constants.rs
@@ -129,6 +129,71 @@
 /// may hold, once in base64 and with keys. The rest follows in order.
 pub const MAIL_BYTES: usize = 24 * 1024;
 
+// ---- links -----------------------------------------------------------------
+
+/// Answers that must fail to come in a row before a link counts as down: one
+/// may be lost on the way.
+pub const LINK_FAILS: u32 = 2;
+/// ms since the last answer from which on a link can count as down: several
+/// requests under way fail together when one packet is late.
+pub const LINK_DOWN_MS: u64 = 1_000;
+/// ms between two messages in which a controller tells another of its links.
+pub const HAIL_MS: u64 = 2_000;
+/// ms for which what came from a controller shows that it reaches us: two of
+/// its messages and a moment.
+pub const HEARD_MS: u64 = 5_000;
+/// ms since a controller's own last word from the state service up to which it
+/// is asked to carry: it reads several times a second, and tells every 2 s.
+pub const CARRIER_STORE_MS: u64 = 3_500;
+/// The same for the cloud, which each controller asks every few seconds.
+pub const CARRIER_CLOUD_MS: u64 = 20_000;
+/// ms by which its word must be newer than ours: in an outage for all, the last
+/// words differ by less.
+pub const CARRIER_NEWER_MS: u64 = 700;
+/// ms for which a carrier that failed is not asked again, if there is another.
+pub const CARRIER_REST_MS: u64 = 5_000;
+/// ms between two tries of the direct way while something is carried.
+pub const PROBE_MS: u64 = 2_000;
+/// ms for which the direct way must have answered before it is used again;
+/// doubled each time it fails again soon, so that a link that flaps every few
+/// seconds stays carried.
+pub const DIRECT_AGAIN_MS: u64 = 1_000;
+/// ms that the doubling stops at.
+pub const DIRECT_AGAIN_MOST_MS: u64 = 60_000;
+/// ms within which a link that fails again counts as flapping.
+pub const FLAPPING_MS: u64 = 120_000;
+/// Bytes from which on a request is judged apart: some cuts let only small
+/// messages pass.
+pub const LARGE_BYTES: usize = 4 * 1024;
+/// ms after which a large request tries the direct way again.
+pub const LARGE_TRIAL_MS: u64 = 15_000;
+/// ms for which a worker that came from its owner in vain is carried before it
+/// may be sent there again: a try in vain costs it 5 s of its lease. Doubled
+/// each time it was in vain, up to [`CARRIED_MOST_MS`].
+pub const CARRIED_MS: u64 = 10_000;
+/// ms that this doubling stops at.
+pub const CARRIED_MOST_MS: u64 = 60_000;
+/// ms between two workers of a zone that are sent to their owner to find out
+/// whether they reach it again.
+pub const SCOUT_MS: u64 = 4_000;
+/// ms for which reports to one owner are gathered into one message.
+pub const GATHER_MS: u64 = 20;
+/// Reports in one message at the most: some tenths of a MiB.
+pub const GATHER_MOST: usize = 64;
+/// Reports that wait to be carried to one owner at the most; beyond it workers
+/// are turned away at once, as before.
+pub const CARRY_QUEUE: usize = 512;
+/// ms that a report may take to its owner and back: less than the 4 s that its
+/// worker waits (protocol page).
+pub const CARRY_REPORT_MS: u64 = 2_500;
+/// ms for which most of a part's machines are carried before the part is given
+/// to a controller that they reach. Giving it up costs its teams some seconds
+/// without starts, twice; carrying costs each report a second message. Cuts
+/// seen so far (30 to 52 s) end before.
+pub const CARRIED_PART_MS: u64 = 90_000;
+/// Lines of the history of links and parts that a process keeps.
+pub const EVENTS_KEPT: usize = 256;
+
 // ---- workers ---------------------------------------------------------------
 
 /// ms after which an unanswered `/commands` is given up.
--- a/crates/node/src/carry.rs
+++ b/crates/node/src/carry.rs
@@ -4,17 +4,19 @@
 
 use tracing::{debug, error, info};
 
+use crate::route::take_reports;
 use crate::state::{StateError, TxnResult};
 use crate::{Node, peer_address};
 use lemonweir_coordination::owner::{CommandCall, CommandResult, SyncRefusal};
 use lemonweir_coordination::placer::{TxnOutcome, TxnVerdict};
 use lemonweir_coordination::{Effect, mail_piece_bytes};
 use lemonweir_model::constants::*;
+use lemonweir_protocol::links::{self, CARRY, Carry, Goal, HAIL, LINKS_VERSION, REPORTS, Reports, Service, Word};
 use lemonweir_protocol::peer::{self, Superseded, Sync, View};
 use lemonweir_protocol::state::Txn;
 use lemonweir_protocol::worker::Report;
 use lemonweir_protocol::{decode, encode};
-use lemonweir_storage::records::{MailKind, MailLine, parse_run_key, post};
+use lemonweir_storage::records::{MailKind, MailLine, parse_run_key, part_key, post};
 use lemonweir_transport::{CallError, Handler, Reply, Request};
 
 /// Starts an effect; its end is an event of the core.
@@ -61,6 +63,19 @@
                 let now = node.now();
                 node.core().released(lot, &machines, done, now);
             }
+            Effect::Hail(host, word) => {
+                let answer = hail(&node, host, &word).await;
+                let now = node.now();
+                node.core().links.hailed(host, answer.is_some(), answer.flatten(), now);
+            }
+            Effect::Probe(service) => {
+                // Reads what is there anyway; only whether it answers counts.
+                let (path, wait_ms) = match service {
+                    Service::Store => (format!("/store/{}", part_key(0)), STATE_TIMEOUT_MS),
+                    Service::Cloud => ("/catalog".to_owned(), CLOUD_TIMEOUT_MS),
+                };
+                let _ = node.courier.call_direct(service, "GET", &path, &[], wait_ms).await;
+            }
         }
         node.poke();
     };
@@ -115,8 +130,17 @@
 }
 
 async fn command(node: &Node, call: &CommandCall) -> CommandResult {
-    debug!(machine = %call.machine, orders = ?call.commands.orders, "orders");
-    match node.http.call(call.addr, "POST", "/commands", &encode(&call.commands), COMMAND_TIMEOUT_MS).await {
+    debug!(machine = %call.machine, through = ?call.through, orders = ?call.commands.orders, "orders");
+    let (path, body) = ("/commands", encode(&call.commands));
+    let answer = match call.through {
+        None => node.http.call(call.addr, "POST", path, &body, COMMAND_TIMEOUT_MS).await,
+        Some(by) => {
+            let goal = Goal::Worker(call.addr.to_string());
+            let (method, path) = ("POST".to_owned(), path.to_owned());
+            node.courier.ask(by, &Carry { version: LINKS_VERSION, goal, method, path, body, wait_ms: COMMAND_TIMEOUT_MS }).await
+        }
+    };
+    match answer {
         Ok(response) => match (response.status, decode::<Report>(&response.body)) {
             (200, Ok(report)) => CommandResult::Executed(report),
             (409, Ok(report)) => CommandResult::Refused(report),
@@ -128,6 +152,14 @@
     }
 }
 
+/// Tells another controller of our links; its answer, if one comes, with what it
+/// says of its own, if it does.
+async fn hail(node: &Node, host: u16, word: &Word) -> Option<Option<Word>> {
+    let addr = *node.courier.peers.get(&host)?;
+    let response = node.http.call(addr, "POST", HAIL, &links::write(word), SYNC_TIMEOUT_MS).await.ok()?;
+    Some(links::read::<Word>(&response.body).ok().filter(|_| response.status == 200))
+}
+
 async fn send_sync(node: &Node, sync: &Sync) -> Option<View> {
     let host = node.core().mirror.parts.get(&sync.to)?.host.clone();
     let addr = peer_address(node, &host)?;
@@ -135,7 +167,8 @@
     if response.status == 409
         && let Ok(by) = peer::read::<Superseded>(&response.body)
     {
-        node.core().superseded(by);
+        let now = node.now();
+        node.core().superseded(by, now);
         return None;
     }
     if response.status != 200 {
@@ -185,6 +218,17 @@
     }
 }
 
+/// Answers a message of another controller, if it is one.
+fn understood<T>(message: Result<T, String>, answer: impl FnOnce(T) -> Reply) -> Reply {
+    match message {
+        Ok(message) => answer(message),
+        Err(fault) => {
+            info!(fault, "message of another controller not understood");
+            Reply::empty(400)
+        }
+    }
+}
+
 /// What other controllers may ask.
 pub struct Internal(pub Rc<Node>);
 
@@ -208,10 +252,16 @@
                         }
                     }
                 }
-                Err(fault) => {
-                    info!(fault, "message of another controller not understood");
-                    Reply::empty(400)
-                }
+                Err(fault) => understood(Err(fault), |()| Reply::empty(500)),
+            },
+            ("POST", HAIL) => understood(links::read::<Word>(&request.body), |word| {
+                let now = node.now();
+                Reply::new(200, links::write(&node.core().links.hail_in(word, now)))
+            }),
+            ("POST", REPORTS) => understood(links::read::<Reports>(&request.body), |reports| take_reports(node, &reports)),
+            ("POST", CARRY) => match links::read::<Carry>(&request.body) {
+                Ok(call) => node.courier.carry(&call).await,
+                Err(fault) => understood(Err(fault), |()| Reply::empty(500)),
             },
             ("POST", path) if path.starts_with("/peer/nudge/") => {
                 let mut numbers = path.trim_start_matches("/peer/nudge/").split('/').map(str::parse::<u16>);
--- a/crates/node/src/cloud.rs
+++ b/crates/node/src/cloud.rs
@@ -1,24 +1,23 @@
 //! The cloud's client, and the loops that read its catalog and its list.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use tracing::{info, warn};
 
 use crate::Node;
+use crate::route::Courier;
 use crate::state::Budget;
 use lemonweir_coordination::RentResult;
 use lemonweir_model::constants::*;
 use lemonweir_model::{Catalog, MachineId};
 use lemonweir_protocol::cloud::{CatalogReply, CloudFault, Machines, Rental, RentalEntry, RentalList};
+use lemonweir_protocol::links::Service;
 use lemonweir_protocol::{decode, encode};
-use lemonweir_transport::Client;
 
 /// The client; keeps this node's share of the cloud's limit.
 pub struct CloudClient {
-    http: Rc<Client>,
-    addr: SocketAddr,
+    courier: Rc<Courier>,
     budget: Budget,
     /// Time that a page of the list is worth.
     list_gap: Duration,
@@ -26,9 +25,9 @@
 
 impl CloudClient {
     /// A client that shares this many requests a second with the other nodes.
-    pub fn new(http: Rc<Client>, addr: SocketAddr, per_s: f64, nodes: usize) -> Self {
+    pub(crate) fn new(courier: Rc<Courier>, per_s: f64, nodes: usize) -> Self {
         let list_gap = Duration::from_secs_f64(nodes as f64 / per_s.max(f64::MIN_POSITIVE) / LIST_SHARE);
-        Self { http, addr, budget: Budget::new(per_s, nodes), list_gap }
+        Self { courier, budget: Budget::new(per_s, nodes), list_gap }
     }
 
     async fn call(&self, method: &str, path: &str, body: &[u8]) -> Option<(u16, Vec<u8>)> {
@@ -36,7 +35,7 @@
         if !wait.is_zero() {
             smol::Timer::after(wait).await;
         }
-        let response = self.http.call(self.addr, method, path, body, CLOUD_TIMEOUT_MS).await.ok()?;
+        let response = self.courier.call(Service::Cloud, method, path, body, CLOUD_TIMEOUT_MS).await.ok()?;
         if response.status == 429 {
             self.budget.refused();
         }
--- a/crates/node/src/holds.rs
+++ b/crates/node/src/holds.rs
@@ -30,7 +30,7 @@
         }
         let now = node.now();
         let alive = match hold {
-            None => begin(&node).await,
+            None => begin(&node, &membership).await,
             Some(id) if now < renewed + HOLD_RENEW_MS => Ok(id),
             Some(id) => node.state.renew(id).await.map(|()| {
                 renewed = now;
@@ -61,9 +61,10 @@
 }
 
 /// Gets a hold and shows this node's presence with it.
-async fn begin(node: &Node) -> Result<u64, StateError> {
+async fn begin(node: &Node, membership: &Membership) -> Result<u64, StateError> {
     let hold = node.state.hold(HOLD_TTL_MS).await?;
-    node.state.txn(&show_node(&node.settings.host_name, &node.settings.zone, hold, Vec::new())).await?;
+    let left = membership.left(&node.core(), node.now());
+    node.state.txn(&show_node(&node.settings.host_name, &node.settings.zone, hold, left)).await?;
     info!(hold, "got a hold");
     Ok(hold)
 }
@@ -90,14 +91,14 @@
             Some(Claim::HandBack(lot)) => {
                 info!(part = index, "handing the part back");
                 node.state.txn(&hand_back(index, lot.token)).await?;
-                node.core().abandon(index);
+                node.core().abandon(index, node.now());
                 node.fresh().await;
             }
             Some(Claim::Leave(lot)) => {
                 warn!(part = index, "its machines reach other nodes but not this one; leaving the part to them");
-                let (host, zone, deaf) = (&node.settings.host_name, &node.settings.zone, membership.left(now));
+                let (host, zone, deaf) = (&node.settings.host_name, &node.settings.zone, membership.left(&node.core(), now));
                 node.state.txn(&leave_part(index, lot.token, host, zone, hold, deaf)).await?;
-                node.core().abandon(index);
+                node.core().abandon(index, node.now());
                 node.fresh().await;
             }
             None => {}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,10 +5,12 @@
 mod carry;
 mod cloud;
 mod holds;
+mod route;
 mod state;
 mod web;
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::{Mutex, MutexGuard};
@@ -18,6 +20,7 @@
 use smol::channel::{Receiver, Sender, bounded, unbounded};
 use tracing::{info, warn};
 
+use crate::route::{Courier, Gathered};
 use crate::state::{StateClient, StateError};
 use lemonweir_coordination::{Config, Core};
 use lemonweir_model::constants::*;
@@ -30,7 +33,10 @@
 /// What all tasks of the process share.
 pub struct Node {
     settings: Settings,
-    core: Mutex<Core>,
+    core: Rc<Mutex<Core>>,
+    courier: Rc<Courier>,
+    /// Workers' reports that wait to be carried to their owners.
+    gathered: RefCell<Gathered>,
     state: StateClient,
     cloud: cloud::CloudClient,
     http: Rc<Client>,
@@ -81,20 +87,28 @@
         let http = Rc::new(Client::new(shares.idle));
         config.wall_offset_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO).as_millis() as u64;
         let nodes = config.members.len();
-        let state = StateClient::new(http.clone(), settings.services.state, &settings.cluster.state, nodes);
-        let cloud = cloud::CloudClient::new(http.clone(), settings.services.cloud, settings.cluster.cloud.rps, nodes);
+        let started = Instant::now();
+        let number = |host: &str| config.members.iter().position(|m| m.host == host).map(|at| at as u16);
+        let peers: HashMap<u16, SocketAddr> = settings.seeds.iter().filter_map(|s| Some((number(&s.host_name)?, s.address))).collect();
+        let core = Rc::new(Mutex::new(Core::new(config, policy)));
+        let (store, cloud) = (settings.services.state, settings.services.cloud);
+        let courier = Rc::new(Courier { http: http.clone(), core: core.clone(), peers, store, cloud, started });
+        let state = StateClient::new(courier.clone(), &settings.cluster.state, nodes);
+        let cloud = cloud::CloudClient::new(courier.clone(), settings.cluster.cloud.rps, nodes);
         let (fresh_wanted, fresh_requests) = unbounded();
         let (pump_wanted, pump_requests) = bounded(1);
         info!(host = settings.host_name, zone = settings.zone, listen = %settings.listen, "starting");
         info!(?shares, kept = shares.crowded_at(), "sockets; beyond so many workers and users, answers close their connections");
         let node = Rc::new(Node {
-            core: Mutex::new(Core::new(config, policy)),
+            core,
+            courier,
+            gathered: RefCell::default(),
             settings,
             state,
             cloud,
             http,
             executor,
-            started: Instant::now(),
+            started,
             hold: Cell::new(0),
             fresh_wanted,
             pump_wanted,
--- /dev/null
+++ b/crates/node/src/route.rs
@@ -0,0 +1,219 @@
+//! Calls to the services, by themselves or through another controller, and what
+//! this process carries for others.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use smol::channel::{Sender, bounded};
+use tracing::debug;
+
+use crate::Node;
+use lemonweir_coordination::{Core, ReportAnswer};
+use lemonweir_model::constants::*;
+use lemonweir_protocol::encode;
+use lemonweir_protocol::links::{self, Answers, CARRY, Carried, Carry, Fate, Goal, LINKS_VERSION, REPORTS, Reports, Service};
+use lemonweir_protocol::worker::{Elsewhere, Report};
+use lemonweir_transport::{CallError, Client, Reply, Response, within};
+
+/// Makes calls to the services on the way that the core names.
+pub(crate) struct Courier {
+    pub(crate) http: Rc<Client>,
+    pub(crate) core: Rc<Mutex<Core>>,
+    /// Other controllers' addresses, by their numbers.
+    pub(crate) peers: HashMap<u16, SocketAddr>,
+    pub(crate) store: SocketAddr,
+    pub(crate) cloud: SocketAddr,
+    pub(crate) started: Instant,
+}
+
+impl Courier {
+    fn now(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    fn core(&self) -> std::sync::MutexGuard<'_, Core> {
+        self.core.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    fn address(&self, service: Service) -> SocketAddr {
+        match service {
+            Service::Store => self.store,
+            Service::Cloud => self.cloud,
+        }
+    }
+
+    /// Calls a service. An answer that it is in trouble counts as none for the
+    /// way: others may still be served.
+    pub(crate) async fn call(&self, service: Service, method: &str, path: &str, body: &[u8], wait_ms: u64) -> Result<Response, CallError> {
+        let now = self.now();
+        let by = self.core().links.route(service, body.len(), now);
+        let Some(by) = by else {
+            return self.call_direct(service, method, path, body, wait_ms).await;
+        };
+        let call = Carry {
+            version: LINKS_VERSION,
+            goal: Goal::Service(service),
+            method: method.to_owned(),
+            path: path.to_owned(),
+            body: body.to_vec(),
+            wait_ms,
+        };
+        let result = self.ask(by, &call).await;
+        let good = result.as_ref().is_ok_and(|r| served(service, r.status));
+        let now = self.now();
+        self.core().links.carried(service, by, good, now);
+        result
+    }
+
+    /// Calls a service by itself.
+    pub(crate) async fn call_direct(
+        &self,
+        service: Service,
+        method: &str,
+        path: &str,
+        body: &[u8],
+        wait_ms: u64,
+    ) -> Result<Response, CallError> {
+        let result = self.http.call(self.address(service), method, path, body, wait_ms).await;
+        let good = result.as_ref().is_ok_and(|r| served(service, r.status));
+        let now = self.now();
+        self.core().links.tried(service, body.len(), good, now);
+        result
+    }
+
+    /// Asks another controller to make a call in our place.
+    pub(crate) async fn ask(&self, by: u16, call: &Carry) -> Result<Response, CallError> {
+        let addr = self.peers.get(&by).copied().ok_or(CallError::NotSent)?;
+        // A moment for the second message on top of what the first may take.
+        let response = self.http.call(addr, "POST", CARRY, &links::write(call), call.wait_ms + TICK_MS).await?;
+        if response.status != 200 {
+            // Not taken: it is not in a state to carry, or doesn't know how.
+            return Err(CallError::NotSent);
+        }
+        match links::read::<Carried>(&response.body) {
+            Ok(Carried { fate: Fate::Answer { status, body }, .. }) => Ok(Response { status, body }),
+            Ok(Carried { fate: Fate::NotSent, .. }) => Err(CallError::NotSent),
+            Ok(Carried { fate: Fate::Unknown, .. }) | Err(_) => Err(CallError::Unknown),
+        }
+    }
+
+    /// Makes a call in another controller's place.
+    pub(crate) async fn carry(&self, call: &Carry) -> Reply {
+        let addr = match &call.goal {
+            Goal::Service(service) if self.core().links.carries(*service) => self.address(*service),
+            // Guards against calls that go round: nothing is carried on.
+            Goal::Service(_) => return Reply::empty(503),
+            Goal::Worker(addr) => match addr.parse() {
+                Ok(addr) if call.path == "/commands" => addr,
+                _ => return Reply::empty(400),
+            },
+        };
+        let wait_ms = call.wait_ms.min(CLOUD_TIMEOUT_MS);
+        let result = match call.goal {
+            Goal::Service(service) => self.call_direct(service, &call.method, &call.path, &call.body, wait_ms).await,
+            Goal::Worker(_) => self.http.call(addr, &call.method, &call.path, &call.body, wait_ms).await,
+        };
+        let fate = match result {
+            Ok(response) => Fate::Answer { status: response.status, body: response.body },
+            Err(CallError::NotSent) => Fate::NotSent,
+            Err(CallError::Unknown) => Fate::Unknown,
+        };
+        Reply::new(200, links::write(&Carried { version: LINKS_VERSION, fate }))
+    }
+}
+
+/// True if an answer shows that the service serves us.
+fn served(service: Service, status: u16) -> bool {
+    service == Service::Cloud || status != 503
+}
+
+/// What waits for the owner's answer to a report.
+type Waiting = (Vec<u8>, Sender<(u16, Vec<u8>)>);
+
+/// Reports that wait to be carried, by the owner's number.
+#[derive(Default)]
+pub(crate) struct Gathered {
+    waiting: HashMap<u16, Vec<Waiting>>,
+}
+
+/// Has a worker's report answered by its owner.
+pub(crate) async fn carry_report(node: &Rc<Node>, to: u16, body: &[u8]) -> Reply {
+    let (answer, answered) = bounded(1);
+    let first = {
+        let mut gathered = node.gathered.borrow_mut();
+        let waiting = gathered.waiting.entry(to).or_default();
+        if waiting.len() >= CARRY_QUEUE {
+            return Reply::empty(503);
+        }
+        waiting.push((body.to_vec(), answer));
+        waiting.len() == 1
+    };
+    if first {
+        let node2 = node.clone();
+        node.executor.spawn(async move { send_gathered(&node2, to).await }).detach();
+    }
+    match within(CARRY_REPORT_MS + GATHER_MS, answered.recv()).await {
+        Some(Ok((status, body))) => Reply::new(status, body),
+        _ => Reply::empty(503),
+    }
+}
+
+/// Sends what has gathered within a moment, in messages of a bounded size.
+async fn send_gathered(node: &Rc<Node>, to: u16) {
+    smol::Timer::after(Duration::from_millis(GATHER_MS)).await;
+    let mut all = node.gathered.borrow_mut().waiting.remove(&to).unwrap_or_default();
+    while !all.is_empty() {
+        let rest = all.split_off(all.len().min(GATHER_MOST));
+        let batch = std::mem::replace(&mut all, rest);
+        let node = node.clone();
+        node.clone().executor.spawn(async move { send_batch(&node, to, batch).await }).detach();
+    }
+}
+
+async fn send_batch(node: &Node, to: u16, batch: Vec<Waiting>) {
+    let (reports, senders): (Vec<Vec<u8>>, Vec<_>) = batch.into_iter().unzip();
+    let by = node.core().config.me;
+    let message = links::write(&Reports { version: LINKS_VERSION, by, reports });
+    let response = match node.courier.peers.get(&to) {
+        Some(addr) => node.http.call(*addr, "POST", REPORTS, &message, CARRY_REPORT_MS).await,
+        None => Err(CallError::NotSent),
+    };
+    let now = node.now();
+    node.core().links.reached(to, response.is_ok(), now);
+    let Ok(response) = response else { return };
+    match links::read::<Answers>(&response.body) {
+        Ok(Answers { answers, .. }) if response.status == 200 => {
+            for (sender, answer) in senders.iter().zip(answers) {
+                // Who asked may have given up.
+                let _ = sender.try_send(answer);
+            }
+        }
+        _ => debug!(to, status = response.status, "reports were not taken"),
+    }
+}
+
+/// Answers reports that another controller carries here.
+pub(crate) fn take_reports(node: &Node, reports: &Reports) -> Reply {
+    let now = node.now();
+    let mut answers = Vec::with_capacity(reports.reports.len());
+    for body in &reports.reports {
+        answers.push(match lemonweir_protocol::decode::<Report>(body) {
+            Ok(report) => status_and_body(node.core().carried_report(&report, reports.by, now)),
+            Err(_) => (400, Vec::new()),
+        });
+    }
+    node.poke();
+    Reply::new(200, links::write(&Answers { version: LINKS_VERSION, answers }))
+}
+
+/// What a worker is answered, where nothing is to be carried.
+pub(crate) fn status_and_body(answer: ReportAnswer) -> (u16, Vec<u8>) {
+    match answer {
+        ReportAnswer::Orders(reply) => (200, encode(&reply)),
+        ReportAnswer::Elsewhere(host) => (421, encode(&Elsewhere { host: Some(host) })),
+        ReportAnswer::Carry(_) | ReportAnswer::Unable => (503, Vec::new()),
+    }
+}
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -2,16 +2,17 @@
 //! limits, so that no node starves another.
 
 use std::cell::RefCell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use crate::route::Courier;
 use lemonweir_coordination::budget::Bucket;
 use lemonweir_model::constants::{BUDGET_PERCENT, STATE_TIMEOUT_MS, STORE_PAGE};
 use lemonweir_model::settings::StateLimits;
+use lemonweir_protocol::links::Service;
 use lemonweir_protocol::state::{Changes, Entry, HoldReply, HoldRequest, Page, Txn, TxnReply};
 use lemonweir_protocol::{decode, encode};
-use lemonweir_transport::{CallError, Client, Response};
+use lemonweir_transport::{CallError, Response};
 
 /// Why the store gave no result.
 #[derive(Debug, thiserror::Error, PartialEq, Eq, Clone, Copy)]
@@ -77,17 +78,16 @@
 /// The client; cheap to clone.
 #[derive(Clone)]
 pub struct StateClient {
-    http: Rc<Client>,
-    addr: SocketAddr,
+    courier: Rc<Courier>,
     requests: Rc<Budget>,
     writes: Rc<Budget>,
 }
 
 impl StateClient {
     /// A client that shares the limits with the other nodes.
-    pub fn new(http: Rc<Client>, addr: SocketAddr, limits: &StateLimits, nodes: usize) -> Self {
+    pub(crate) fn new(courier: Rc<Courier>, limits: &StateLimits, nodes: usize) -> Self {
         let bucket = |x: f64| Rc::new(Budget::new(x * BUDGET_PERCENT as f64 / 100.0, nodes));
-        Self { http, addr, requests: bucket(limits.rps), writes: bucket(limits.write_rps) }
+        Self { courier, requests: bucket(limits.rps), writes: bucket(limits.write_rps) }
     }
 
     /// How long a change would have to wait for its turn.
@@ -108,7 +108,7 @@
     }
 
     async fn call(&self, method: &str, path: &str, body: &[u8]) -> Result<Response, StateError> {
-        let response = self.http.call(self.addr, method, path, body, STATE_TIMEOUT_MS).await.map_err(|e| match e {
+        let response = self.courier.call(Service::Store, method, path, body, STATE_TIMEOUT_MS).await.map_err(|e| match e {
             CallError::NotSent => StateError::Unavailable,
             CallError::Unknown => StateError::Unknown,
         })?;
--- a/crates/node/src/web.rs
+++ b/crates/node/src/web.rs
@@ -5,14 +5,16 @@
 
 use tracing::{debug, info};
 
+use crate::route::{carry_report, status_and_body};
 use crate::state::{StateError, TxnResult};
 use crate::{Node, peer_address};
 use lemonweir_coordination::ReportAnswer;
 use lemonweir_model::JobId;
 use lemonweir_model::constants::*;
+use lemonweir_protocol::links::Picture;
 use lemonweir_protocol::state::from_value;
 use lemonweir_protocol::users::{JobState, Phase, never_runs, read_submission};
-use lemonweir_protocol::worker::{Elsewhere, Report};
+use lemonweir_protocol::worker::Report;
 use lemonweir_protocol::{decode, encode};
 use lemonweir_storage::records::{EndRecord, JobRecord, accept_job, end_key, withdraw_job};
 use lemonweir_transport::{Handler, Reply, Request};
@@ -25,11 +27,17 @@
         let node = &self.0;
         let path = request.path.split('?').next().unwrap_or_default();
         match (request.method.as_str(), path) {
-            ("POST", "/hello") => hello(node, &request.body),
+            ("POST", "/hello") => hello(node, &request.body).await,
             ("GET", "/up") => {
                 let now = node.now();
                 if node.core().ready(now) { Reply::empty(200) } else { Reply::busy(RETRY_AFTER_S) }
             }
+            ("GET", "/v1/links") => {
+                let now = node.now();
+                let core = node.core();
+                Reply::new(200, encode(&Picture { links: core.links.rows(now), carried_workers: core.links.riders(now) }))
+            }
+            ("GET", "/v1/events") => Reply::new(200, encode(&node.core().links.events())),
             ("POST", "/v1/jobs") => submit(node, &request.body).await,
             (method, path) => match (method, path.strip_prefix("/v1/jobs/")) {
                 ("GET", Some(id)) => poll(node, id).await,
@@ -43,7 +51,7 @@
     }
 }
 
-fn hello(node: &Node, body: &[u8]) -> Reply {
+async fn hello(node: &Rc<Node>, body: &[u8]) -> Reply {
     let report: Report = match decode(body) {
         Ok(report) => report,
         Err(error) => {
@@ -54,11 +62,11 @@
     let now = node.now();
     let answer = node.core().report(&report, now);
     node.poke();
-    match answer {
-        ReportAnswer::Orders(reply) => Reply::new(200, encode(&reply)),
-        ReportAnswer::Elsewhere(host) => Reply::new(421, encode(&Elsewhere { host: Some(host) })),
-        ReportAnswer::Unable => Reply::empty(503),
+    if let ReportAnswer::Carry(to) = answer {
+        return carry_report(node, to, body).await;
     }
+    let (status, body) = status_and_body(answer);
+    Reply::new(status, body)
 }
 
 fn state_reply(status: u16, state: &JobState) -> Reply {
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -2,6 +2,7 @@
 //! and in [`lemonweir_model::JobSpec`] only.
 
 pub mod cloud;
+pub mod links;
 pub mod peer;
 pub mod state;
 pub mod users;
--- /dev/null
+++ b/crates/protocol/src/links.rs
@@ -0,0 +1,185 @@
+//! What controllers tell each other of their links, and what they carry for one
+//! another.
+//!
+//! The messages name their format themselves, and travel on paths of their own:
+//! a controller that doesn't know them answers 404, and is asked to carry
+//! nothing.
+
+use borsh::{BorshDeserialize, BorshSerialize};
+use serde::{Deserialize, Serialize};
+
+/// Path on which controllers tell each other of their links.
+pub const HAIL: &str = "/peer/links";
+/// Path on which a controller asks for a call to be made in its place.
+pub const CARRY: &str = "/peer/carry";
+/// Path on which workers' reports are carried to the owner.
+pub const REPORTS: &str = "/peer/reports";
+/// Version of these messages.
+pub const LINKS_VERSION: u8 = 1;
+
+/// How a link stands.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, BorshSerialize, BorshDeserialize, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Standing {
+    /// Nothing went over it yet, or nothing was due.
+    #[default]
+    Unknown,
+    /// Answers come.
+    Up,
+    /// The last answer failed to come; the next one tells.
+    Late,
+    /// What we send is not answered, though messages come from there.
+    OneWay,
+    /// Nothing goes through.
+    Down,
+}
+
+/// What a controller says of its own links. Ages are ms as of its sending.
+#[derive(Clone, Debug, Default, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct Word {
+    /// Format.
+    pub version: u8,
+    /// Who says so: its number among the controllers.
+    pub host: u16,
+    /// Since the state service last answered it, not through others; `None`:
+    /// never.
+    pub store_ms: Option<u64>,
+    /// The same of the cloud.
+    pub cloud_ms: Option<u64>,
+    /// Its links to the other controllers, and for how long they stand so.
+    pub peers: Vec<(u16, Standing, u64)>,
+    /// Zones, and since when no worker of them came to it by itself.
+    pub zones: Vec<(String, u64)>,
+}
+
+/// What a call is meant for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, BorshSerialize, BorshDeserialize, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Service {
+    /// The state service.
+    Store,
+    /// The cloud.
+    Cloud,
+}
+
+/// Whom a carried call shall reach.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub enum Goal {
+    /// One of the services, at the address that the carrier knows.
+    Service(Service),
+    /// A worker's `/commands`, at this address.
+    Worker(String),
+}
+
+/// A call to be made in the sender's place, at once and not by a third.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct Carry {
+    /// Format.
+    pub version: u8,
+    /// Whom it shall reach.
+    pub goal: Goal,
+    /// Method.
+    pub method: String,
+    /// Path.
+    pub path: String,
+    /// Body, as it is.
+    pub body: Vec<u8>,
+    /// ms that the carrier waits for the answer.
+    pub wait_ms: u64,
+}
+
+/// The carrier's answer.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct Carried {
+    /// Format.
+    pub version: u8,
+    /// What became of the call.
+    pub fate: Fate,
+}
+
+/// What became of a carried call.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub enum Fate {
+    /// Answered.
+    Answer {
+        /// Status.
+        status: u16,
+        /// Body, as it is.
+        body: Vec<u8>,
+    },
+    /// Surely not executed.
+    NotSent,
+    /// It may have been executed, or may be later.
+    Unknown,
+}
+
+/// Reports of workers that can't reach their machine's owner.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct Reports {
+    /// Format.
+    pub version: u8,
+    /// Number of the controller that carries them.
+    pub by: u16,
+    /// The reports, as they came.
+    pub reports: Vec<Vec<u8>>,
+}
+
+/// The owner's own answers, in the order of the reports: status and body.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct Answers {
+    /// Format.
+    pub version: u8,
+    /// One for each report.
+    pub answers: Vec<(u16, Vec<u8>)>,
+}
+
+/// Reads a message of this format.
+pub fn read<T: BorshDeserialize>(bytes: &[u8]) -> Result<T, String> {
+    match bytes.first() {
+        Some(&LINKS_VERSION) => borsh::from_slice(bytes).map_err(|e| e.to_string()),
+        Some(other) => Err(format!("format {other}")),
+        None => Err("empty".into()),
+    }
+}
+
+/// Writes a message.
+pub fn write<T: BorshSerialize>(message: &T) -> Vec<u8> {
+    // Writing into memory can't fail; an empty message is refused by `read`.
+    borsh::to_vec(message).unwrap_or_default()
+}
+
+/// The picture that `GET /v1/links` shows.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Picture {
+    /// Links, the asked controller's own first.
+    pub links: Vec<LinkRow>,
+    /// Workers whose reports it carries to their owners.
+    pub carried_workers: usize,
+}
+
+/// One line of it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LinkRow {
+    /// Who sees it so.
+    pub from: String,
+    /// `state service`, `cloud`, a controller, or `workers of` a zone.
+    pub to: String,
+    /// How it stands.
+    pub standing: Standing,
+    /// Seconds for which it has stood so, as far as is known.
+    pub for_s: u64,
+    /// Controller that carries what goes over it.
+    #[serde(skip_serializing_if = "Option::is_none", default)]
+    pub carried_by: Option<String>,
+    /// Seconds since this was said; 0: this controller's own.
+    pub said_s: u64,
+}
+
+/// One line of `GET /v1/events`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EventRow {
+    /// Time of day, ms.
+    pub at: u64,
+    /// What happened.
+    pub text: String,
+}
