--- a/crates/lab/src/baseline.rs
+++ b/crates/lab/src/baseline.rs
@@ -353,6 +353,7 @@
             pieces: pieces.spreads(),
             waiting: waiting.spreads(),
             finished: finished.spreads(),
+            served: BTreeMap::new(),
             money: 0.0,
             useful: 0.0,
             work: WorkReport { busiest: self.busy_us as f64 / self.now.max(1) as f64, ..self.work },
--- a/crates/lab/src/hunt.rs
+++ b/crates/lab/src/hunt.rs
@@ -107,15 +107,20 @@
         let length = rng.random_range(3.0..70.0f64);
         let (a, b, zone) = (host(&mut rng), host(&mut rng), rng.random_range(0..zones));
         let share = rng.random_range(0.05..0.5f64);
+        let flap = if rng.random_range(0..4) == 0 { format!("\nflap_s = {:.1}", rng.random_range(1.0..8.0f64)) } else { String::new() };
         let kinds = [
             format!("kind = 'crash'\ncontroller = {a}\nfor_s = {length:.1}"),
             format!("kind = 'crash'\nfor_s = {:.1}", length.min(10.0)),
             "kind = 'roll'\nfor_s = 9".to_owned(),
             format!("kind = 'store_down'\nfor_s = {length:.1}"),
-            format!("kind = 'refused'\ncontroller = {a}\nfor_s = {length:.1}"),
+            format!("kind = 'refused'\ncontroller = {a}\nfor_s = {length:.1}{flap}"),
             format!("kind = 'cloud_down'\nfor_s = {length:.1}"),
-            format!("kind = 'cut_controllers'\ncontroller = {a}\nother = {b}\nfor_s = {length:.1}"),
-            format!("kind = 'cut_workers'\ncontroller = {a}\nfor_s = {length:.1}"),
+            format!("kind = 'cut_controllers'\ncontroller = {a}\nother = {b}\nfor_s = {length:.1}{flap}"),
+            format!("kind = 'cut_workers'\ncontroller = {a}\nfor_s = {length:.1}{flap}"),
+            format!("kind = 'cut_workers'\ncontroller = {a}\nzone = 'z{zone}'\nfor_s = {length:.1}{flap}"),
+            format!("kind = 'cut_one_way'\ncontroller = {a}\nother = {b}\nfor_s = {length:.1}{flap}"),
+            format!("kind = 'cut_cloud'\ncontroller = {a}\nfor_s = {length:.1}"),
+            format!("kind = 'cut_users'\ncontroller = {a}\nfor_s = {length:.1}"),
             format!("kind = 'freeze'\ncontroller = {a}\nfor_s = {:.1}", length.min(40.0)),
             format!("kind = 'cut_zone'\nzone = 'z{zone}'\nfor_s = {length:.1}"),
             format!("kind = 'cut_zone'\nzone = 'z{zone}'\nfor_s = {length:.1}"),
@@ -148,6 +153,9 @@
     if accepted * 2 < submitted {
         faults.push(format!("{accepted} of {submitted} submissions were accepted"));
     }
+    for (name, (up, of)) in world.measures.served(&world).into_iter().filter(|(_, (up, of))| up * 2 < *of) {
+        faults.push(format!("{name}: {up} of {of} tasks were started"));
+    }
     let live = world.live();
     let (mut up, mut wanted) = (0, 0);
     for (id, job) in world.ground.jobs.iter().filter(|(_, l)| l.spec.shape == Shape::Service) {
--- a/crates/lab/src/measures.rs
+++ b/crates/lab/src/measures.rs
@@ -18,6 +18,8 @@
 const SAMPLE_US: u64 = 5_000_000;
 /// Significant digits of the histograms.
 const DIGITS: u8 = 3;
+/// µs for which a job may still wait without counting as not served.
+const FRESH_US: u64 = 60_000_000;
 
 /// When a task's first attempt got how far, µs.
 #[derive(Clone, Copy, Default)]
@@ -164,6 +166,10 @@
     pub waiting: BTreeMap<String, Spread>,
     /// From the first try to submit until the end is written, by class, ms.
     pub finished: BTreeMap<String, Spread>,
+    /// Tasks that were started, of those that came a minute before the end, by
+    /// class and by team. A day on which less than half of any were is a failure.
+    #[serde(default)]
+    pub served: BTreeMap<String, (u64, u64)>,
     /// Money spent.
     pub money: f64,
     /// Share of the processor time paid for that went into work of use.
@@ -295,6 +301,23 @@
         self.series.push(sample);
     }
 
+    /// Tasks started of those that came, by class and by team. What came within
+    /// the last minute may still wait.
+    pub fn served(&self, world: &World) -> BTreeMap<String, (u64, u64)> {
+        let mut served: BTreeMap<String, (u64, u64)> = BTreeMap::new();
+        for (id, load) in &world.ground.jobs {
+            if self.jobs.get(id).is_some_and(|j| j.first_try + FRESH_US > world.now) {
+                continue;
+            }
+            let started = (0..load.spec.tasks as u32).filter(|t| world.ground.up.contains_key(&(id.clone(), *t))).count() as u64;
+            for name in [format!("class {}", load.spec.class), format!("team {}", load.spec.team)] {
+                let (up, of) = served.entry(name).or_default();
+                (*up, *of) = (*up + started, *of + load.spec.tasks);
+            }
+        }
+        served
+    }
+
     fn stages(&self, ground: &Ground) -> (Histogram<u64>, Named, Named) {
         let mut whole = histogram();
         let (mut pieces, mut waiting) = (Named::default(), Named::default());
@@ -347,6 +370,7 @@
         pieces: pieces.spreads(),
         waiting: waiting.spreads(),
         finished: finished.spreads(),
+        served: m.served(world),
         money: world.cloud.spent(world.now),
         useful: if paid > 0.0 { useful / paid } else { 0.0 },
         work: WorkReport {
--- a/crates/lab/src/output.rs
+++ b/crates/lab/src/output.rs
@@ -46,6 +46,9 @@
     for (name, s) in &r.finished {
         row(&mut out, &format!("to its end: {name}"), s);
     }
+    for (name, (up, of)) in r.served.iter().filter(|(_, (up, of))| up * 2 < *of) {
+        let _ = writeln!(out, "FAILED: {name}: {up} of {of} tasks were started");
+    }
     let most = r.series.iter().map(|s| s.up).max().unwrap_or(0);
     let _ = writeln!(
         out,
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -103,28 +103,15 @@
     Roll,
     /// The state service is down.
     StoreDown,
-    /// The state service refuses one controller.
-    Refused {
-        /// Which one.
-        host: usize,
-    },
+    /// A link fails while others are up.
+    Cut(Link),
     /// The cloud's interface is down.
     CloudDown,
-    /// Two controllers can't reach each other.
-    CutHosts {
-        /// The two.
-        hosts: (usize, usize),
-    },
     /// A zone is cut off from everything; inside it goes on.
     CutZone {
         /// Its name.
         zone: String,
     },
-    /// No machine reaches a controller, nor it any.
-    CutWorkers {
-        /// Which one.
-        host: usize,
-    },
     /// A controller stands still while its clocks run on.
     Freeze {
         /// Which one.
@@ -156,6 +143,27 @@
     pub for_s: f64,
     /// Share of the machines that it strikes.
     pub share: f64,
+    /// A link comes and goes at this interval, s; 0: it stays cut.
+    pub flap_s: f64,
+}
+
+/// A link that can fail by itself; controllers by their numbers.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Link {
+    /// A controller and the state service, which refuses it.
+    Store(usize),
+    /// A controller and the cloud.
+    Cloud(usize),
+    /// A controller and all workers.
+    Workers(usize),
+    /// A controller and the workers of a zone.
+    Zone(usize, String),
+    /// Two controllers.
+    Hosts(usize, usize),
+    /// A controller can't reach another, which can reach it.
+    OneWay(usize, usize),
+    /// A controller and the users.
+    Users(usize),
 }
 
 /// How likely faults of single messages are, in thousandths.
@@ -504,21 +512,31 @@
         ("cut_workers", 11),
         ("freeze", 12),
         ("die", 13),
+        ("cut_cloud", 14),
+        ("cut_one_way", 15),
+        ("cut_users", 16),
     ];
     let trouble = match t.word("kind", &words, None)? {
         0 => Trouble::Crash { host: t.has("controller").then(|| host("controller")) },
         1 => Trouble::Roll,
         2 => Trouble::StoreDown,
-        3 => Trouble::Refused { host: host("controller") },
+        3 => Trouble::Cut(Link::Store(host("controller"))),
         4 => Trouble::CloudDown,
-        5 => Trouble::CutHosts { hosts: (host("controller"), host("other")) },
+        5 => {
+            let (a, b) = (host("controller"), host("other"));
+            Trouble::Cut(Link::Hosts(a.min(b), a.max(b)))
+        }
         6 => Trouble::Silent,
         7 => Trouble::Hang,
         8 => Trouble::Faulty,
         10 => Trouble::CutZone { zone: known_zone(t, scenario) },
-        11 => Trouble::CutWorkers { host: host("controller") },
+        11 if t.has("zone") => Trouble::Cut(Link::Zone(host("controller"), known_zone(t, scenario))),
+        11 => Trouble::Cut(Link::Workers(host("controller"))),
         12 => Trouble::Freeze { host: host("controller") },
         13 => Trouble::Die,
+        14 => Trouble::Cut(Link::Cloud(host("controller"))),
+        15 => Trouble::Cut(Link::OneWay(host("controller"), host("other"))),
+        16 => Trouble::Cut(Link::Users(host("controller"))),
         _ => Trouble::TakeSpot { notice_s: t.number("notice_s", 0.0, 3_600.0, Some(0.0)) },
     };
     Some(Fault {
@@ -526,5 +544,6 @@
         at_s: t.number("at_s", 0.0, scenario.duration_s, None),
         for_s: t.number("for_s", 0.0, 1e8, Some(5.0)),
         share: t.number("share", 0.0, 1.0, Some(0.1)),
+        flap_s: t.number("flap_s", 0.0, 1e6, Some(0.0)),
     })
 }
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -32,7 +32,7 @@
 use crate::history::History;
 use crate::host::{For, Host, Input, Reading};
 use crate::measures::Measures;
-use crate::scenario::{Scenario, Trouble};
+use crate::scenario::{Link, Scenario, Trouble};
 use crate::store::{Store, TxnAnswer};
 use crate::worker::{Call, Ground, Load, NEVER, Worker};
 use ways::Way;
@@ -86,6 +86,8 @@
     Withdraw(JobId),
     Boot(usize),
     Fault(usize),
+    /// A link goes down or comes up.
+    Flap(Link, bool),
     FaultOver(usize, Vec<usize>),
     TakeMachine(usize),
     Look,
@@ -140,22 +142,10 @@
     pub ground: Ground,
     /// Controllers.
     pub hosts: Vec<Host>,
-    /// Pairs of controllers that can't reach each other.
-    pub cut: BTreeSet<(usize, usize)>,
-    /// Controllers that the store refuses.
-    pub refused: BTreeSet<usize>,
+    /// Links that are down.
+    pub down: BTreeSet<Link>,
     /// Zones that are cut off from everything.
     pub cut_zones: BTreeSet<String>,
-    /// Controllers that no machine can reach, nor they any.
-    pub unreached: BTreeSet<usize>,
-    /// Controllers and zones whose machines can't reach them, nor they those.
-    pub unreached_zones: BTreeSet<(usize, String)>,
-    /// Controllers that can't reach others, which can reach them.
-    pub one_way: BTreeSet<(usize, usize)>,
-    /// Controllers that the cloud does not answer.
-    pub cloudless: BTreeSet<usize>,
-    /// Controllers that users can't reach.
-    pub userless: BTreeSet<usize>,
     /// Figures.
     pub measures: Measures,
     /// Bytes of the largest message that went through the store.
@@ -180,14 +170,8 @@
             cloud: Cloud::new(&scenario),
             ground: Ground::new(scenario.workers.clone(), checker, history),
             hosts: (0..usize::from(scenario.parts)).map(|_| Host::new(&scenario)).collect(),
-            cut: BTreeSet::new(),
-            refused: BTreeSet::new(),
+            down: BTreeSet::new(),
             cut_zones: BTreeSet::new(),
-            unreached: BTreeSet::new(),
-            unreached_zones: BTreeSet::new(),
-            one_way: BTreeSet::new(),
-            cloudless: BTreeSet::new(),
-            userless: BTreeSet::new(),
             measures: Measures::default(),
             largest_mail: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -436,8 +420,8 @@
 
     /// True if what `a` sends to `b` does not get through, or its answer.
     fn is_cut(&self, a: usize, b: usize) -> bool {
-        self.one_way.contains(&(a, b))
-            || self.cut.contains(&(a.min(b), a.max(b)))
+        self.down.contains(&Link::OneWay(a, b))
+            || self.down.contains(&Link::Hosts(a.min(b), a.max(b)))
             || self.parted(self.scenario.zone_of(a), self.scenario.zone_of(b))
     }
 
@@ -449,9 +433,9 @@
     /// True if a controller and a machine can't reach each other.
     fn far(&self, host: usize, number: usize) -> bool {
         let zone = self.workers.get(number).and_then(Option::as_ref).map(|w| w.zone.as_str());
-        self.unreached.contains(&host)
+        self.down.contains(&Link::Workers(host))
             || zone.is_some_and(|zone| {
-                self.parted(self.scenario.zone_of(host), zone) || self.unreached_zones.contains(&(host, zone.to_owned()))
+                self.parted(self.scenario.zone_of(host), zone) || self.down.contains(&Link::Zone(host, zone.to_owned()))
             })
     }
 
@@ -795,7 +779,9 @@
     /// The load balancer: some controller that takes requests.
     fn pick_host(&mut self) -> Option<usize> {
         let ready: Vec<usize> = (0..self.hosts.len())
-            .filter(|&h| self.ready(h) && !self.inside_cut(h) && !self.userless.contains(&h) && self.hosts[h].frozen_until <= self.now)
+            .filter(|&h| {
+                self.ready(h) && !self.inside_cut(h) && !self.down.contains(&Link::Users(h)) && self.hosts[h].frozen_until <= self.now
+            })
             .collect();
         if ready.is_empty() { None } else { Some(ready[self.rng.random_range(0..ready.len())]) }
     }
@@ -1112,6 +1098,8 @@
             }
             Event::Boot(host) => self.boot(host),
             Event::Fault(i) => self.fault(i),
+            Event::Flap(link, true) => drop(self.down.insert(link)),
+            Event::Flap(link, false) => drop(self.down.remove(&link)),
             Event::FaultOver(i, struck) => self.fault_over(i, &struck),
             Event::TakeMachine(number) => self.take_machine(number),
             Event::Look => {
@@ -1281,11 +1269,15 @@
                 return;
             }
             Trouble::StoreDown => self.store.down = true,
-            Trouble::Refused { host } => drop(self.refused.insert(*host)),
+            Trouble::Cut(link) => {
+                self.down.insert(link.clone());
+                let flap_us = (fault.flap_s * 1e6) as u64;
+                for n in (1..).take_while(|n| flap_us > 0 && n * flap_us < for_us) {
+                    self.at(n * flap_us, Event::Flap(link.clone(), n % 2 == 0));
+                }
+            }
             Trouble::CloudDown => self.cloud.down = true,
-            Trouble::CutHosts { hosts: (a, b) } => drop(self.cut.insert((*a.min(b), *a.max(b)))),
             Trouble::CutZone { zone } => drop(self.cut_zones.insert(zone.clone())),
-            Trouble::CutWorkers { host } => drop(self.unreached.insert(*host)),
             Trouble::Freeze { host } => {
                 let until = self.now + for_us;
                 let h = &mut self.hosts[*host];
@@ -1325,11 +1317,9 @@
         match &scenario.faults[i].trouble {
             Trouble::Roll => struck.iter().for_each(|&h| self.crash(h, (scenario.faults[i].for_s * 1e6 / 3.0) as u64)),
             Trouble::StoreDown => self.store.recover(self.now),
-            Trouble::Refused { host } => drop(self.refused.remove(host)),
+            Trouble::Cut(link) => drop(self.down.remove(link)),
             Trouble::CloudDown => self.cloud.down = false,
-            Trouble::CutHosts { hosts: (a, b) } => drop(self.cut.remove(&(*a.min(b), *a.max(b)))),
             Trouble::CutZone { zone } => drop(self.cut_zones.remove(zone)),
-            Trouble::CutWorkers { host } => drop(self.unreached.remove(host)),
             Trouble::Silent => struck.iter().for_each(|&n| self.unsilence(n)),
             _ => {}
         }
--- a/crates/lab/src/world/ways.rs
+++ b/crates/lab/src/world/ways.rs
@@ -9,6 +9,7 @@
 
 use super::{Event, MS, World};
 use crate::host::Input;
+use crate::scenario::Link;
 
 /// Bytes that a write of a transaction is taken to have: about a full chunk's.
 const WRITE_BYTES: usize = 512;
@@ -43,8 +44,8 @@
 
     fn reaches(&self, host: usize, service: Service) -> bool {
         let there = match service {
-            Service::Store => !self.store.down && !self.refused.contains(&host),
-            Service::Cloud => !self.cloud.down && !self.cloudless.contains(&host),
+            Service::Store => !self.store.down && !self.down.contains(&Link::Store(host)),
+            Service::Cloud => !self.cloud.down && !self.down.contains(&Link::Cloud(host)),
         };
         there && !self.inside_cut(host)
     }
--- a/crates/lab/tests/links.rs
+++ b/crates/lab/tests/links.rs
@@ -6,7 +6,7 @@
 
 use lemonweir_lab::history::History;
 use lemonweir_lab::sample::{id, job, site};
-use lemonweir_lab::scenario::{Chances, host_name};
+use lemonweir_lab::scenario::{Chances, Link, host_name};
 use lemonweir_lab::worker::Load;
 use lemonweir_lab::world::{Planned, World};
 use lemonweir_model::{JobSpec, Shape};
@@ -60,27 +60,17 @@
     }
 
     fn strike(&self, world: &mut World) {
-        if self.store {
-            world.refused.insert(0);
-        }
-        if self.cloud {
-            world.cloudless.insert(0);
-        }
-        for (cut, zone) in [(self.north, "north"), (self.south, "south")] {
-            if cut {
-                world.unreached_zones.insert((0, zone.to_owned()));
-            }
-        }
-        for (p, _) in self.peers.iter().enumerate().filter(|(_, cut)| **cut) {
-            if self.one_way {
-                world.one_way.insert((0, p + 1));
-            } else {
-                world.cut.insert((0, p + 1));
-            }
-        }
-        if self.users {
-            world.userless.insert(0);
-        }
+        let peer = |p: usize| if self.one_way { Link::OneWay(0, p) } else { Link::Hosts(0, p) };
+        let links = [
+            (self.store, Link::Store(0)),
+            (self.cloud, Link::Cloud(0)),
+            (self.north, Link::Zone(0, "north".to_owned())),
+            (self.south, Link::Zone(0, "south".to_owned())),
+            (self.peers[0], peer(1)),
+            (self.peers[1], peer(2)),
+            (self.users, Link::Users(0)),
+        ];
+        world.down.extend(links.into_iter().filter(|(cut, _)| *cut).map(|(_, link)| link));
     }
 
     /// From the true links: a report of its workers reaches it with one hop, and
@@ -92,16 +82,6 @@
     }
 }
 
-fn heal(world: &mut World) {
-    world.refused.clear();
-    world.cloudless.clear();
-    world.unreached.clear();
-    world.unreached_zones.clear();
-    world.cut.clear();
-    world.one_way.clear();
-    world.userless.clear();
-}
-
 /// Plays one cut; what was lost without need, or broke a rule.
 fn play(cut: Cut) -> Option<String> {
     let mut world = world(900, NO_FAULTS);
@@ -112,7 +92,7 @@
     submit(&mut world, array, 10);
     world.run(cut.length_s * 1_000 - 3_000);
     let killed = world.ground.killed_by_lease;
-    heal(&mut world);
+    world.down.clear();
     world.run(30_000);
     let mut faults = world.ground.checker.broken.clone();
     if cut.could_go_on() && killed > 0 {
@@ -154,17 +134,17 @@
 fn the_picture_names_what_is_cut_and_who_carries() {
     let mut world = world(901, NO_FAULTS);
     assert_eq!(standing(&world, 0, "state service"), (Standing::Up, None));
-    world.refused.insert(0);
-    world.cut.insert((0, 1));
-    world.one_way.insert((0, 2));
+    world.down.insert(Link::Store(0));
+    world.down.insert(Link::Hosts(0, 1));
+    world.down.insert(Link::OneWay(0, 2));
     world.run(8_000);
     assert_eq!(standing(&world, 0, "h01").0, Standing::Down);
     assert_eq!(standing(&world, 0, "h02").0, Standing::OneWay);
     assert_eq!(standing(&world, 0, "state service"), (Standing::Down, None));
-    world.one_way.clear();
+    world.down.remove(&Link::OneWay(0, 2));
     world.run(6_000);
     assert_eq!(standing(&world, 0, "state service"), (Standing::Down, Some("h02".into())));
-    heal(&mut world);
+    world.down.clear();
     world.run(10_000);
     assert_eq!(standing(&world, 0, "state service"), (Standing::Up, None));
     let events = world.hosts[0].core.as_ref().expect("alive").links.events();
@@ -227,16 +207,16 @@
         match what {
             Crash => world.crash(1, 6_000_000),
             StandStill => world.hosts[1].frozen_until = world.now + 12_000_000,
-            LoseStore => drop(world.refused.insert(1)),
-            LoseWorkers => drop(world.unreached.insert(1)),
-            Apart => drop(world.cut.insert((1, 2))),
+            LoseStore => drop(world.down.insert(Link::Store(1))),
+            LoseWorkers => drop(world.down.insert(Link::Workers(1))),
+            Apart => drop(world.down.insert(Link::Hosts(1, 2))),
             AllEnd => (0..3).for_each(|h| world.crash(h, 3_000_000)),
         }
         world.withdraw(&id(10));
         world.run(2_000);
         world.crash(2, 5_000_000);
         world.run(29_000);
-        heal(&mut world);
+        world.down.clear();
         world.run(150_000);
         let mut faults = world.ground.checker.broken.clone();
         let open: Vec<u32> = (11..15).filter(|n| world.phase(&id(*n)) != Some(Phase::Done)).collect();
@@ -259,11 +239,10 @@
     let mut world = world(902, NO_FAULTS);
     for second in 0..120 {
         if second % 6 < 3 {
-            world.refused.insert(0);
-            world.unreached.insert(1);
+            world.down.insert(Link::Store(0));
+            world.down.insert(Link::Workers(1));
         } else {
-            world.refused.clear();
-            world.unreached.clear();
+            world.down.clear();
         }
         world.run(1_000);
         assert_eq!(live(&world), REPLICAS, "at {second} s");
--- a/crates/lab/tests/rules.rs
+++ b/crates/lab/tests/rules.rs
@@ -5,7 +5,7 @@
 use lemonweir_lab::checker::{Checker, Place};
 use lemonweir_lab::history::History;
 use lemonweir_lab::sample::{id, job, site};
-use lemonweir_lab::scenario::Chances;
+use lemonweir_lab::scenario::{Chances, Link};
 use lemonweir_lab::worker::Load;
 use lemonweir_lab::world::{Planned, World};
 use lemonweir_model::{JobId, JobSpec, Rank, Room, Shape};
@@ -139,7 +139,7 @@
     submit(&mut world, service, 1, Some(75));
     world.run(60_000);
     assert_eq!(live(&world), 4, "the service must be up on both sides of the cut");
-    world.cut.insert((0, 1));
+    world.down.insert(Link::Hosts(0, 1));
     world.run(75_000);
     assert_kept(&world);
     assert_eq!(live(&world), 0);
@@ -157,7 +157,7 @@
     }
     world.run(120_000);
     assert!(live(&world) >= 480, "{} tasks run", live(&world));
-    world.cut.insert((0, 1));
+    world.down.insert(Link::Hosts(0, 1));
     // The owner behind the cut comes back with a new token: it is told all
     // that is wanted of it from nothing, through the store.
     world.crash(1, 4_000_000);
@@ -175,16 +175,16 @@
 fn a_node_without_any_way_to_the_store_leaves_users_to_others() {
     let mut world = world(72, 3, 12, NO_FAULTS);
     world.run(20_000);
-    world.refused.insert(1);
+    world.down.insert(Link::Store(1));
     world.run(6_000);
     assert_eq!([0, 1, 2].map(|h| world.ready(h)), [true; 3]);
-    world.cut.extend([(0, 1), (1, 2)]);
+    world.down.extend([Link::Hosts(0, 1), Link::Hosts(1, 2)]);
     world.run(8_000);
     assert_eq!([0, 1, 2].map(|h| world.ready(h)), [true, false, true]);
-    world.refused.clear();
+    world.down.remove(&Link::Store(1));
     world.run(1_000);
     assert!(world.ready(1));
-    world.cut.clear();
+    world.down.clear();
     world.run(6_000);
     // In an outage for all nobody else could do better.
     world.store.down = true;
@@ -204,23 +204,22 @@
     submit(&mut world, service, 1, None);
     world.run(60_000);
     assert!(world.hosts[1].holds(1));
-    world.unreached.insert(1);
+    world.down.insert(Link::Workers(1));
     for _ in 0..40 {
         world.run(1_000);
         assert_eq!(live(&world), 40);
         assert!(world.hosts[1].holds(1), "what is carried needs no other holder");
     }
-    world.unreached.clear();
+    world.down.clear();
     world.run(20_000);
-    world.unreached.insert(1);
-    world.cut.extend([(0, 1), (1, 2)]);
+    world.down.insert(Link::Workers(1));
+    world.down.extend([Link::Hosts(0, 1), Link::Hosts(1, 2)]);
     for _ in 0..40 {
         world.run(1_000);
         assert_eq!(live(&world), 40);
     }
     assert!(world.hosts[0].holds(1) || world.hosts[2].holds(1), "another holds the part");
-    world.unreached.clear();
-    world.cut.clear();
+    world.down.clear();
     world.run(40_000);
     assert!(world.hosts[1].holds(1), "it is handed back after a while");
     assert_eq!(live(&world), 40);
@@ -371,8 +370,8 @@
     submit(&mut world, service, 1, None);
     world.run(60_000);
     assert_eq!(live(&world), 4, "the service must be up on both sides");
-    world.refused.insert(1);
-    world.cut.insert((0, 1));
+    world.down.insert(Link::Store(1));
+    world.down.insert(Link::Hosts(0, 1));
     world
 }
 
@@ -386,8 +385,7 @@
     world.run(20_000);
     assert!(live(&world) > 0, "behind the cut they go on: the owner there knows of nothing");
     assert_eq!(world.phase(&id(1)), None, "so it is told to nobody");
-    world.refused.clear();
-    world.cut.clear();
+    world.down.clear();
     world.run(20_000);
     assert_eq!(live(&world), 0);
     assert_eq!(world.phase(&id(1)), Some(Phase::Withdrawn));
