--- a/crates/lab/tests/links.rs
+++ b/crates/lab/tests/links.rs
@@ -107,12 +107,20 @@
     submit(&mut world, array, 10);
     world.run(cut.length_s * 1_000 - 3_000);
     let killed = world.ground.killed_by_lease;
+    let (went_on, kept) = (world.phase(&id(2)) == Some(Phase::Done), world.hosts[0].holds(0));
     world.down.clear();
     world.run(30_000);
     let mut faults = world.ground.checker.broken.clone();
     if cut.could_go_on() && killed > 0 {
         faults.push(format!("{killed} killed by their lease"));
     }
+    // The controller whose links are cut places for the array's team.
+    if cut.could_go_on() && !kept {
+        faults.push("its part changed hands".into());
+    }
+    if cut.could_go_on() && cut.length_s > 4 * LEASE_S && !went_on {
+        faults.push("nothing was placed during the cut".into());
+    }
     if live(&world) < REPLICAS {
         faults.push(format!("{} replicas up 30 s after the end", live(&world)));
     }
