--- a/crates/lab/src/baseline.rs
+++ b/crates/lab/src/baseline.rs
@@ -354,6 +354,7 @@
             waiting: waiting.spreads(),
             finished: finished.spreads(),
             served: BTreeMap::new(),
+            killed_by_lease: 0,
             money: 0.0,
             useful: 0.0,
             work: WorkReport { busiest: self.busy_us as f64 / self.now.max(1) as f64, ..self.work },
--- a/crates/lab/src/measures.rs
+++ b/crates/lab/src/measures.rs
@@ -170,6 +170,9 @@
     /// class and by team. A day on which less than half of any were is a failure.
     #[serde(default)]
     pub served: BTreeMap<String, (u64, u64)>,
+    /// Tasks that ended with their worker's lease.
+    #[serde(default)]
+    pub killed_by_lease: u64,
     /// Money spent.
     pub money: f64,
     /// Share of the processor time paid for that went into work of use.
@@ -371,6 +374,7 @@
         waiting: waiting.spreads(),
         finished: finished.spreads(),
         served: m.served(world),
+        killed_by_lease: world.ground.killed_by_lease,
         money: world.cloud.spent(world.now),
         useful: if paid > 0.0 { useful / paid } else { 0.0 },
         work: WorkReport {
--- a/crates/lab/src/output.rs
+++ b/crates/lab/src/output.rs
@@ -32,8 +32,8 @@
     let j = r.jobs;
     let _ = writeln!(
         out,
-        "jobs: {} submitted, {} accepted, {} refused, {} over; {} starts",
-        j.submitted, j.accepted, j.refused, j.over, r.starts
+        "jobs: {} submitted, {} accepted, {} refused, {} over; {} starts, {} killed by their lease",
+        j.submitted, j.accepted, j.refused, j.over, r.starts, r.killed_by_lease
     );
     let _ = writeln!(out, "  {:<24} {head}", "from submission");
     row(&mut out, "to a start order", &r.allocation);
