Machines that ran before a part was taken are not given back at once

Change: what ran before the owner took the part counts as coming back for 30 s, as the machines of a hall that was out of sight do.

--- a/crates/coordination/src/evidence.rs
+++ b/crates/coordination/src/evidence.rs
@@ -207,10 +207,12 @@
         if silence > patience { Judgement::GiveBack } else { state }
     }
 
-    /// True for a machine whose zone came back a moment ago: work that was lost
-    /// there is about to begin anew, so that it is empty says nothing yet.
+    /// True for a machine whose zone came back a moment ago, or that ran before
+    /// this owner took the part a moment ago and may know of no cut: work that was
+    /// lost there is about to begin anew, so that it is empty says nothing yet.
     pub(crate) fn recovering(&self, m: &Machine, now: u64) -> bool {
-        self.zones.get(&m.zone).and_then(|z| z.returned).is_some_and(|at| now < at + RETURN_KEEP_MS)
+        let returned = self.zones.get(&m.zone).and_then(|z| z.returned).is_some_and(|at| now < at + RETURN_KEEP_MS);
+        returned || m.ran.is_some() && now < self.started + RETURN_KEEP_MS
     }
 
     /// Zones that are out of sight.
--- a/crates/coordination/tests/evidence.rs
+++ b/crates/coordination/tests/evidence.rs
@@ -7,7 +7,7 @@
 
 use lemonweir_coordination::owner::Owner;
 use lemonweir_model::MachineId;
-use lemonweir_model::constants::{BLIND_MOST_MS, DRIFT_PER_MILLE, FENCE_BITS, LEASE_MARGIN_MS};
+use lemonweir_model::constants::{BLIND_MOST_MS, DRIFT_PER_MILLE, FENCE_BITS, LEASE_MARGIN_MS, RETURN_KEEP_MS};
 use lemonweir_protocol::cloud::RentalEntry;
 use lemonweir_protocol::peer::{Have, Span, Standing, View};
 use lemonweir_protocol::worker::Report;
@@ -226,3 +226,30 @@
     day.pass(40_000, all);
     assert_eq!(day.tell(Span { since: 40, upto: 40, last: true }, Vec::new()).hidden, []);
 }
+
+/// Found on zone of zeltplatz-rechen-fleet: a controller that had just taken its
+/// part back gave 135 empty machines of a hall back within seconds of its return.
+#[test]
+fn what_ran_before_a_part_was_taken_is_not_given_back_at_once() {
+    let first_given_back = |ran: bool| {
+        let mut owner = Owner::new(0, NEXT, 1, TIMING, lemonweir_policy::embedded().expect("policy"), 0);
+        owner.set_types([kind()].iter());
+        if ran {
+            // The cloud's list shows that they ran before this owner came.
+            owner.listed(&(0..MACHINES).map(entry).collect::<Vec<_>>(), 50);
+        }
+        (1..700u64).map(|n| n * 100).find(|&now| {
+            if now % 3_000 == 200 {
+                for n in 0..MACHINES {
+                    let said = Report { token: NEXT << FENCE_BITS, ..report(n, now) };
+                    assert!(owner.report(&said, None, now).is_some());
+                }
+            }
+            owner.tick(now, now);
+            !owner.releases().is_empty()
+        })
+    };
+    let (late, soon) = (first_given_back(true), first_given_back(false));
+    assert!(late.is_some_and(|at| at >= RETURN_KEEP_MS), "{late:?}");
+    assert!(soon.is_some_and(|at| at < RETURN_KEEP_MS), "machines that are new are kept as briefly as before: {soon:?}");
+}
