--- a/fuzz/tests/edges.rs
+++ b/fuzz/tests/edges.rs
@@ -5,9 +5,11 @@
 use std::path::{Path, PathBuf};
 
 use bolero::check;
+use lemonweir_coordination::{Config, Core};
 use lemonweir_lab::scenario::Scenario;
 use lemonweir_model::settings::Settings;
 use lemonweir_model::{JobId, MachineId, Rank, Room, Shape};
+use lemonweir_protocol::links::{self, Answers, Carried, Carry, Fate, Goal, LINKS_VERSION, Reports, Service, Standing, Word};
 use lemonweir_protocol::peer::{self, Evict, Have, Span, Sync, View, Want};
 use lemonweir_protocol::state::{Changes, Page, TxnReply};
 use lemonweir_protocol::worker::{Commands, Report, ReportReply};
@@ -215,3 +217,54 @@
         }
     });
 }
+
+/// What other controllers say of links and ask to be carried: one message has one
+/// form, and a core that takes any word of links goes on judging its own.
+#[test]
+fn link_messages() {
+    let word = Word {
+        version: LINKS_VERSION,
+        host: 1,
+        store_ms: Some(40),
+        cloud_ms: None,
+        peers: vec![(0, Standing::OneWay, 900), (2, Standing::Up, 3)],
+        zones: vec![("north".into(), 12), ("south".into(), 90_000)],
+    };
+    let carry = Carry {
+        version: LINKS_VERSION,
+        goal: Goal::Worker("10.1.0.1:9000".into()),
+        method: "POST".into(),
+        path: "/commands".into(),
+        body: vec![1, 2, 3],
+        wait_ms: 2_500,
+    };
+    let carried = Carried { version: LINKS_VERSION, fate: Fate::Answer { status: 200, body: vec![4] } };
+    let reports = Reports { version: LINKS_VERSION, by: 2, reports: vec![vec![5, 6], Vec::new()] };
+    let answers = Answers { version: LINKS_VERSION, answers: vec![(200, vec![7]), (503, Vec::new())] };
+    let good = [links::write(&word), links::write(&carry), links::write(&carried), links::write(&reports), links::write(&answers)];
+    let scenario = lemonweir_lab::sample::site(3, 4, Default::default());
+    check!().with_type::<(u8, Edits)>().for_each(|(which, edits)| {
+        fn form<T: borsh::BorshDeserialize + borsh::BorshSerialize>(bytes: &[u8]) -> Option<T> {
+            let message = links::read::<T>(bytes).ok()?;
+            assert_eq!(links::write(&message), bytes, "one message, one form");
+            Some(message)
+        }
+        let bytes = edited(&good[usize::from(*which) % good.len()], edits);
+        form::<Carry>(&bytes);
+        form::<Carried>(&bytes);
+        form::<Reports>(&bytes);
+        form::<Answers>(&bytes);
+        if let Some(word) = form::<Word>(&bytes) {
+            let mut core = Core::new(Config::new(&scenario.settings(0)), scenario.policy.clone());
+            let own = core.links.hail_in(word.clone(), 1_000);
+            assert_eq!((own.version, own.host), (LINKS_VERSION, 0));
+            core.links.hailed(word.host, true, Some(word.clone()), 1_100);
+            for at in [2_000, 4_000] {
+                core.links.tried(Service::Store, 0, false, at);
+            }
+            let by = core.links.route(Service::Store, 0, 4_100);
+            assert!(by.is_none_or(|by| by == word.host && by != 0), "only one that said so carries");
+            assert!(core.links.rows(5_000).iter().all(|r| !r.to.is_empty()));
+        }
+    });
+}
