--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -323,7 +323,10 @@
 
     /// A worker reported.
     pub fn report(&mut self, report: &Report, now: u64) -> ReportAnswer {
-        self.links.came(&report.zone, now);
+        // A zone that nobody knows is no link.
+        if self.config.zones.contains(&report.zone) {
+            self.links.came(&report.zone, now);
+        }
         let part = self.config.part_of(&report.zone, &report.machine);
         if self.mirror.revision.is_none() && part == self.config.me {
             return self.keep_promise(report, now);
--- a/crates/coordination/tests/links.rs
+++ b/crates/coordination/tests/links.rs
@@ -90,6 +90,16 @@
     }
 }
 
+#[test]
+fn a_zone_that_nobody_knows_is_no_link() {
+    let mut core = core();
+    let stray = of_part_0(&core, 0).next().expect("some");
+    core.report(&Report { zone: "nowhere".into(), ..stray.clone() }, 1_000);
+    core.report(&stray, 1_100);
+    let zones: Vec<String> = core.links.rows(1_200).into_iter().map(|r| r.to).filter(|to| to.starts_with("workers")).collect();
+    assert_eq!(zones, ["workers of north"]);
+}
+
 #[test]
 fn a_carried_report_is_answered_by_an_owner_only() {
     let mut core = core();
