--- /dev/null
+++ b/crates/lab/src/world/sending.rs
@@ -0,0 +1,111 @@
+//! What controllers send, and what of it gets through.
+
+use super::*;
+
+impl World {
+    /// True if what `a` sends to `b` does not get through, or its answer.
+    pub(super) fn is_cut(&self, a: usize, b: usize) -> bool {
+        self.down.contains(&Link::OneWay(a, b))
+            || self.down.contains(&Link::Hosts(a.min(b), a.max(b)))
+            || self.parted(self.scenario.zone_of(a), self.scenario.zone_of(b))
+    }
+
+    /// True if a cut is between two zones.
+    pub(super) fn parted(&self, a: &str, b: &str) -> bool {
+        a != b && (self.cut_zones.contains(a) || self.cut_zones.contains(b))
+    }
+
+    /// True if a controller and a machine can't reach each other.
+    pub(super) fn far(&self, host: usize, number: usize) -> bool {
+        let zone = self.workers.get(number).and_then(Option::as_ref).map(|w| w.zone.as_str());
+        self.down.contains(&Link::Workers(host))
+            || zone.is_some_and(|zone| {
+                self.parted(self.scenario.zone_of(host), zone) || self.down.contains(&Link::Zone(host, zone.to_owned()))
+            })
+    }
+
+    /// True if a controller can't reach what is outside the zones.
+    pub(super) fn inside_cut(&self, host: usize) -> bool {
+        self.cut_zones.contains(self.scenario.zone_of(host))
+    }
+
+    /// The host that a controller's copy names as a part's holder.
+    pub(super) fn known_holder(&self, host: usize, part: u16) -> Option<usize> {
+        let core = self.hosts[host].core.as_ref()?;
+        let name = &core.mirror.parts.get(&part)?.host;
+        core.config.members.iter().position(|m| m.host == *name)
+    }
+
+    pub(super) fn send_txn(&mut self, host: usize, whose: For, txn: Txn) {
+        let (now, life) = (self.now, self.hosts[host].life);
+        let h = &mut self.hosts[host];
+        let wait = h.requests.take(1.0, now).max(h.writes.take(txn.writes.len() as f64, now));
+        if matches!(whose, For::Core(_)) {
+            self.measures.written(&txn, now, self.leaves(host));
+        }
+        let at = self.leaves(host) + wait + self.travel();
+        let way = self.way(host, Service::Store, ways::bytes(&txn));
+        let late = matches!(whose, For::Core(_)) && self.chance(self.scenario.chances.late_txn);
+        if late {
+            let later = self.rng.random_range(3_000..30_000) * MS;
+            let again = Input::Txn(whose.clone(), Txn::default(), TxnOutcome::Again, Vec::new());
+            self.push(at + later, Event::Txn(host, life, whose, Box::new(txn), true, way));
+            self.push(at + STATE_TIMEOUT_MS * MS, Event::To(host, life, Box::new(again)));
+        } else {
+            self.push(at, Event::Txn(host, life, whose, Box::new(txn), false, way));
+        }
+    }
+
+    pub(super) fn send_orders(&mut self, host: usize, lot: Lot, call: CommandCall, at: u64) {
+        let life = self.hosts[host].life;
+        let chances = self.scenario.chances;
+        let number = machine_number(&call.machine);
+        let silent = self.workers.get(number).and_then(Option::as_ref).is_some_and(|w| w.silent || w.hung_until > self.now);
+        let lost = silent || self.blocked(host, call.through, number) || self.chance(chances.lost_command);
+        let late = !lost && self.chance(chances.late_command);
+        if !lost && !late {
+            self.push(at, Event::Orders(host, life, lot, Box::new(call), false));
+            return;
+        }
+        if late || self.chance(500) {
+            // Held back: it may arrive much later.
+            let later = self.rng.random_range(3_000..90_000) * MS;
+            self.push(at + later, Event::Orders(host, life, lot, Box::new(call.clone()), true));
+        }
+        let unknown = Input::Command(lot, call, CommandResult::Unknown);
+        self.push(at + COMMAND_TIMEOUT_MS * MS, Event::To(host, life, Box::new(unknown)));
+    }
+
+    pub(super) fn send_sync(&mut self, host: usize, lot: Lot, sync: Sync, at: u64) {
+        let life = self.hosts[host].life;
+        let part = sync.to;
+        let failed = move |lot| Box::new(Input::View(lot, part, None));
+        self.hosts[host].work.peer_bytes += peer::written(&sync) as u64;
+        let Some(to) = self.known_holder(host, part).filter(|to| self.hosts[*to].core.is_some()) else {
+            self.push(at + 2 * MS, Event::To(host, life, failed(lot)));
+            return;
+        };
+        let lost = self.is_cut(host, to) || self.chance(self.scenario.chances.lost_sync);
+        if lost {
+            if self.chance(self.scenario.chances.late_sync) {
+                let later = self.rng.random_range(2_000..60_000) * MS;
+                let (to_life, sync) = (self.hosts[to].life, Box::new(sync));
+                self.push(at + later, Event::To(to, to_life, Box::new(Input::Sync(usize::MAX, 0, lot, sync))));
+            }
+            self.push(at + SYNC_TIMEOUT_MS * MS, Event::To(host, life, failed(lot)));
+        } else {
+            let to_life = self.hosts[to].life;
+            self.push(at, Event::To(to, to_life, Box::new(Input::Sync(host, life, lot, Box::new(sync)))));
+        }
+    }
+
+    pub(super) fn mail(&mut self, host: usize, line: MailLine, id: (u64, u64), bytes: &[u8]) {
+        let Some(hold) = self.hosts[host].hold else { return };
+        self.largest_mail = self.largest_mail.max(bytes.len());
+        let piece = mail_piece_bytes((self.scenario.state.value_kb * 1024.0) as usize);
+        let txn = post(line, id, bytes, piece, hold);
+        if txn.writes.len() <= self.scenario.state.txn_ops {
+            self.send_txn(host, For::Nobody, txn);
+        }
+    }
+}
