After one more reading: one answer for strays, one age and bound a service, part told once

Cause: the carriage had a type for its choice and one for an arrival beside the picture's own, and the caller translated between them; which age and which bound belong to a service stood in two places; a report's part was worked out twice; a carrier worked out an address that it then left unused.

Change: the carriage answers with the picture's types; Word::age_ms and fresh_ms; the part is handed on; the carrier's call and its guard are one match. A comment says what holds if a token could not rise.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -332,7 +332,7 @@
             return self.keep_promise(report, now);
         }
         if self.parts.contains_key(&part) {
-            return self.answer_report(report, None, now);
+            return self.answer_report(report, part, None, now);
         }
         let members = &self.config.members;
         let holder = self.mirror.parts.get(&part).filter(|h| h.host != members[usize::from(self.config.me)].host);
@@ -366,12 +366,12 @@
     /// Another controller carries a worker's report here. Only an owner answers
     /// it: nothing is carried on.
     pub fn carried_report(&mut self, report: &Report, by: u16, now: u64) -> ReportAnswer {
-        self.answer_report(report, Some(by), now)
+        let part = self.config.part_of(&report.zone, &report.machine);
+        self.answer_report(report, part, Some(by), now)
     }
 
-    fn answer_report(&mut self, report: &Report, by: Option<u16>, now: u64) -> ReportAnswer {
+    fn answer_report(&mut self, report: &Report, part: u16, by: Option<u16>, now: u64) -> ReportAnswer {
         let blind = self.blind(now);
-        let part = self.config.part_of(&report.zone, &report.machine);
         let began = self.links.store_heard().map(|at| at + self.config.wall_offset_ms);
         let at_home = part == self.config.me;
         match self.parts.get_mut(&part) {
--- a/crates/coordination/src/links/carriage.rs
+++ b/crates/coordination/src/links/carriage.rs
@@ -10,18 +10,10 @@
 
 use std::collections::{BTreeMap, HashMap};
 
+use super::{Stray, StrayReport};
 use lemonweir_model::MachineId;
 use lemonweir_model::constants::*;
 
-/// What to do with a worker that is not ours.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Choice {
-    /// Carry its report.
-    Carry,
-    /// Send it to its owner.
-    Send,
-}
-
 /// A worker whose reports are carried.
 #[derive(Debug)]
 struct Rider {
@@ -44,46 +36,34 @@
     swept: u64,
 }
 
-/// What is known when a worker comes that is another's.
-pub(crate) struct Arrival<'a> {
-    /// Its part.
-    pub(crate) part: u16,
-    /// Its zone.
-    pub(crate) zone: &'a str,
-    /// Its name.
-    pub(crate) machine: &'a MachineId,
-    /// It can't reach its owner: it shows the owner's own token, or was sent
-    /// there a moment ago.
-    pub(crate) in_vain: bool,
-    /// Workers of its zone come to the owner by themselves, as that says.
-    pub(crate) heard: bool,
-}
-
 impl Carriage {
-    /// What to do with a worker that came.
-    pub(crate) fn choose(&mut self, a: &Arrival, now: u64) -> Choice {
+    /// What to do with a worker that came, whose owner is in reach. `in_vain`: it
+    /// can't reach that owner, whose token it shows or to whom it was sent a moment
+    /// ago. `heard`: workers of its zone come to the owner by themselves, as that
+    /// says.
+    pub(crate) fn choose(&mut self, r: &StrayReport, in_vain: bool, heard: bool, now: u64) -> Stray {
         self.sweep(now);
-        if !a.in_vain {
-            self.riders.remove(a.machine);
-            return Choice::Send;
+        if !in_vain {
+            self.riders.remove(r.machine);
+            return Stray::Send;
         }
-        let Some(rider) = self.riders.get_mut(a.machine) else {
-            self.riders.insert(a.machine.clone(), Rider { tried: false, since: now, carried_ms: CARRIED_MS, seen: now });
-            return Choice::Carry;
+        let Some(rider) = self.riders.get_mut(r.machine) else {
+            self.riders.insert(r.machine.clone(), Rider { tried: false, since: now, carried_ms: CARRIED_MS, seen: now });
+            return Stray::Carry;
         };
         rider.seen = now;
         if std::mem::take(&mut rider.tried) {
             rider.since = now;
             rider.carried_ms = (2 * rider.carried_ms).min(CARRIED_MOST_MS);
-            return Choice::Carry;
+            return Stray::Carry;
         }
-        let scout = self.scouts.entry((a.part, a.zone.to_owned())).or_insert(now);
-        if now < rider.since + rider.carried_ms || !a.heard && now < *scout {
-            return Choice::Carry;
+        let scout = self.scouts.entry((r.part, r.zone.to_owned())).or_insert(now);
+        if now < rider.since + rider.carried_ms || !heard && now < *scout {
+            return Stray::Carry;
         }
         *scout = now + SCOUT_MS;
         rider.tried = true;
-        Choice::Send
+        Stray::Send
     }
 
     /// Number of workers carried of late.
@@ -105,20 +85,21 @@
 mod tests {
     use super::*;
 
-    fn come(c: &mut Carriage, machine: &str, in_vain: bool, heard: bool, now: u64) -> Choice {
-        c.choose(&Arrival { part: 0, zone: "north", machine: &MachineId::from(machine), in_vain, heard }, now)
+    fn come(c: &mut Carriage, machine: &str, in_vain: bool, heard: bool, now: u64) -> Stray {
+        let machine = MachineId::from(machine);
+        c.choose(&StrayReport { part: 0, holder: 1, zone: "north", machine: &machine, knows: false }, in_vain, heard, now)
     }
 
     #[test]
     fn who_comes_in_vain_is_carried_and_others_are_sent() {
         let mut c = Carriage::default();
-        assert_eq!(come(&mut c, "n-1", false, true, 1_000), Choice::Send);
-        assert_eq!(come(&mut c, "n-2", true, true, 1_000), Choice::Carry);
+        assert_eq!(come(&mut c, "n-1", false, true, 1_000), Stray::Send);
+        assert_eq!(come(&mut c, "n-2", true, true, 1_000), Stray::Carry);
         for at in [4_000, 7_000, 10_500] {
-            assert_eq!(come(&mut c, "n-2", true, true, at), Choice::Carry);
+            assert_eq!(come(&mut c, "n-2", true, true, at), Stray::Carry);
         }
         assert_eq!(c.riders(10_500), 1);
-        assert_eq!(come(&mut c, "n-2", true, true, 13_000), Choice::Send);
+        assert_eq!(come(&mut c, "n-2", true, true, 13_000), Stray::Send);
     }
 
     #[test]
@@ -129,7 +110,7 @@
         let mut sent = 0;
         while now < 61_000 {
             for name in &names {
-                sent += usize::from(come(&mut c, name, true, false, now) == Choice::Send);
+                sent += usize::from(come(&mut c, name, true, false, now) == Stray::Send);
             }
             now += 3_000;
         }
@@ -138,7 +119,7 @@
         now += CARRIED_MOST_MS - 5_000;
         let mut back = 0;
         for step in 0..8 {
-            back += names.iter().filter(|n| come(&mut c, n, true, true, now + step * 5_000) == Choice::Send).count();
+            back += names.iter().filter(|n| come(&mut c, n, true, true, now + step * 5_000) == Stray::Send).count();
         }
         assert!(back >= names.len(), "{back}");
     }
@@ -151,11 +132,12 @@
         // Its zone is heard, only this one can't get through.
         while sent_at.len() < 4 {
             match come(&mut c, "n-1", true, true, now) {
-                Choice::Send => {
+                Stray::Send => {
                     sent_at.push(now);
                     now += 5_000;
                 }
-                Choice::Carry => now += 2_000,
+                Stray::Carry => now += 2_000,
+                Stray::Unable => panic!("its owner is in reach"),
             }
         }
         let gaps: Vec<u64> = sent_at.windows(2).map(|w| w[1] - w[0]).collect();
--- a/crates/coordination/src/links/mod.rs
+++ b/crates/coordination/src/links/mod.rs
@@ -17,7 +17,7 @@
 
 use crate::evidence::Strays;
 use crate::machine::Timing;
-use carriage::{Arrival, Carriage, Choice};
+use carriage::Carriage;
 use gauge::Gauge;
 use lemonweir_model::MachineId;
 use lemonweir_model::constants::*;
@@ -174,23 +174,15 @@
 
     /// Controllers that could carry to a service, most recent word first.
     fn able(&self, service: Service, now: u64) -> Vec<Candidate> {
-        let fresh_ms = match service {
-            Service::Store => CARRIER_STORE_MS,
-            Service::Cloud => CARRIER_CLOUD_MS,
-        };
         let word = |peer: &Peer| {
             let (at, word) = peer.said.as_ref()?;
-            let age = match service {
-                Service::Store => word.store_ms,
-                Service::Cloud => word.cloud_ms,
-            };
-            at.checked_sub(age?)
+            at.checked_sub(word.age_ms(service)?)
         };
         let mut able: Vec<Candidate> = Vec::new();
         for (host, peer) in (0..).zip(&self.peers) {
             if host != self.me
                 && !peer.out.down()
-                && let Some(at) = word(peer).filter(|at| now <= at + fresh_ms)
+                && let Some(at) = word(peer).filter(|at| now <= at + fresh_ms(service))
             {
                 able.push((host, at));
             }
@@ -378,11 +370,7 @@
             return if again || r.knows { Stray::Unable } else { Stray::Send };
         };
         let heard = word.zones.iter().any(|(zone, ms)| zone == r.zone && *ms <= unheard_ms);
-        let arrival = Arrival { part: r.part, zone: r.zone, machine: r.machine, in_vain: r.knows || again, heard };
-        match self.carriage.choose(&arrival, now) {
-            Choice::Carry => Stray::Carry,
-            Choice::Send => Stray::Send,
-        }
+        self.carriage.choose(r, r.knows || again, heard, now)
     }
 
     /// Number of workers whose reports this node carries.
@@ -433,9 +421,9 @@
                 took_ms: None,
                 said_s,
             };
-            for (service, age) in [(Service::Store, word.store_ms), (Service::Cloud, word.cloud_ms)] {
-                let fresh_ms = if service == Service::Store { CARRIER_STORE_MS } else { CARRIER_CLOUD_MS };
-                let standing = age.map_or(Standing::Unknown, |ms| if ms <= fresh_ms { Standing::Up } else { Standing::Down });
+            for service in [Service::Store, Service::Cloud] {
+                let age = word.age_ms(service);
+                let standing = age.map_or(Standing::Unknown, |ms| if ms <= fresh_ms(service) { Standing::Up } else { Standing::Down });
                 rows.push(row(name(service).to_owned(), standing, age.unwrap_or(0)));
             }
             rows.extend(word.peers.iter().map(|(h, standing, ms)| row(host(*h), *standing, *ms)));
@@ -445,6 +433,14 @@
     }
 }
 
+/// ms since a service's last answer up to which who got it counts as reaching it.
+fn fresh_ms(service: Service) -> u64 {
+    match service {
+        Service::Store => CARRIER_STORE_MS,
+        Service::Cloud => CARRIER_CLOUD_MS,
+    }
+}
+
 fn name(service: Service) -> &'static str {
     match service {
         Service::Store => "state service",
--- a/crates/coordination/src/owner/orders.rs
+++ b/crates/coordination/src/owner/orders.rs
@@ -160,6 +160,8 @@
                 // that, nothing is concluded from an absence.
                 let sent = call.commands.token;
                 m.ambiguous = Some(m.ambiguous.map_or(sent, |t| t.max(sent)));
+                // No call goes out with a token that can't rise; were it so, the
+                // machine would stay ambiguous until it is promised anew.
                 m.fence = promise::raised(m.fence.max(sent - base)).unwrap_or(m.fence);
             }
         }
--- a/crates/node/src/route.rs
+++ b/crates/node/src/route.rs
@@ -112,20 +112,20 @@
 
     /// Makes a call in another controller's place.
     pub(crate) async fn carry(&self, call: &Carry) -> Reply {
-        let addr = match &call.goal {
-            Goal::Service(service) if self.core().links.carries(*service) => self.address(*service),
-            // Guards against calls that go round: nothing is carried on.
-            Goal::Service(_) => return Reply::empty(503),
+        let wait_ms = call.wait_ms.min(CLOUD_TIMEOUT_MS);
+        let result = match &call.goal {
+            Goal::Service(service) => {
+                // Guards against calls that go round: nothing is carried on.
+                if !self.core().links.carries(*service) {
+                    return Reply::empty(503);
+                }
+                self.call_direct(*service, &call.method, &call.path, &call.body, wait_ms).await
+            }
             Goal::Worker(addr) => match addr.parse() {
-                Ok(addr) if call.path == "/commands" => addr,
+                Ok(addr) if call.path == "/commands" => self.http.call(addr, &call.method, &call.path, &call.body, wait_ms).await,
                 _ => return Reply::empty(400),
             },
         };
-        let wait_ms = call.wait_ms.min(CLOUD_TIMEOUT_MS);
-        let result = match call.goal {
-            Goal::Service(service) => self.call_direct(service, &call.method, &call.path, &call.body, wait_ms).await,
-            Goal::Worker(_) => self.http.call(addr, &call.method, &call.path, &call.body, wait_ms).await,
-        };
         let fate = match result {
             Ok(response) => Fate::Answer { status: response.status, body: response.body },
             Err(CallError::NotSent) => Fate::NotSent,
--- a/crates/protocol/src/links.rs
+++ b/crates/protocol/src/links.rs
@@ -52,6 +52,16 @@
     pub zones: Vec<(String, u64)>,
 }
 
+impl Word {
+    /// ms since a service last answered it by itself.
+    pub fn age_ms(&self, service: Service) -> Option<u64> {
+        match service {
+            Service::Store => self.store_ms,
+            Service::Cloud => self.cloud_ms,
+        }
+    }
+}
+
 /// What a call is meant for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, BorshSerialize, BorshDeserialize, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
