--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -162,6 +162,19 @@
             self.owner.set_needed(images);
         }
     }
+
+    /// An owner on another node answered, by whatever way.
+    ///
+    /// Guards against the answer of a former owner that comes after its successor was
+    /// told what is wanted: what the one refused the other may have started, so that
+    /// it would run twice, or on after its job is told to be withdrawn.
+    fn take_view(&mut self, view: View, now: u64) {
+        if self.placer.wants_told_to(view.part).is_some_and(|token| view.token < token) {
+            debug!(part = self.lot.part, from = view.part, token = view.token, "its successor was told since; not taken");
+            return;
+        }
+        self.placer.take_view(view, now);
+    }
 }
 
 /// What a job uses, unless it shall end.
@@ -550,7 +563,7 @@
             match view {
                 Some(view) => {
                     line.failures = 0;
-                    part.placer.take_view(view, now);
+                    part.take_view(view, now);
                 }
                 None => {
                     part.placer.lost(to);
@@ -581,9 +594,7 @@
                     _ => info!(from = line.from, to = line.to, "mailed sync not understood"),
                 },
                 MailKind::View => match (peer::read::<View>(&bytes), self.parts.get_mut(&line.to)) {
-                    (Ok(view), Some(part)) => {
-                        part.placer.take_view(view, now);
-                    }
+                    (Ok(view), Some(part)) => part.take_view(view, now),
                     _ => info!(from = line.from, to = line.to, "mailed view not understood"),
                 },
             }
--- a/crates/coordination/src/placer/records.rs
+++ b/crates/coordination/src/placer/records.rs
@@ -55,6 +55,11 @@
         self.settle(id, 0);
     }
 
+    /// Token of the owner of a part that was last told what is wanted there.
+    pub(crate) fn wants_told_to(&self, part: u16) -> Option<u64> {
+        self.links.get(usize::from(part)).map(|link| link.to_token)
+    }
+
     /// A key of ours was read again after a conflict.
     pub fn reread(&mut self, id: &JobId, chunk: u32, version: u64) {
         if let Some(c) = self.jobs.get_mut(id).and_then(|j| j.chunks.get_mut(&chunk)) {
