--- a/crates/coordination/tests/cancellations.rs
+++ b/crates/coordination/tests/cancellations.rs
@@ -3,7 +3,7 @@
 
 mod support;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use lemonweir_coordination::answers::Answer;
 use lemonweir_coordination::membership::{Claim, Membership};
@@ -210,6 +210,8 @@
 
 const CORES: usize = 3;
 const BOXES: usize = 9;
+/// Of each job.
+const TASKS: u64 = 3;
 /// Each has another part's placer.
 const TEAMS: [&str; 3] = ["amber", "blue", "red"];
 /// A user gives an answer up after so long.
@@ -239,11 +241,17 @@
     seq: u64,
     token: u64,
     answered: u64,
-    /// Attempts with the cause of their end, if they have ended.
-    tasks: BTreeMap<AttemptId, Option<&'static str>>,
+    /// Attempts with when they began, and the cause of their end, if they have ended.
+    tasks: BTreeMap<AttemptId, (u64, Option<&'static str>)>,
     gone: bool,
 }
 
+impl Box_ {
+    fn runs(&self, job: &JobId) -> bool {
+        self.tasks.iter().any(|(id, (_, cause))| id.job == *job && cause.is_none())
+    }
+}
+
 /// A controller with what its process keeps beside its decisions.
 struct Node {
     core: Core,
@@ -269,6 +277,8 @@
     apart: (u64, u64),
     /// The store is down for all.
     down: (u64, u64),
+    /// A controller that ends then, and is back at once.
+    ends: (usize, u64),
     /// One in so many messages is lost, late or unknown; 0: none.
     trouble: u64,
 }
@@ -297,6 +307,9 @@
     boxes: Vec<Box_>,
     late: Vec<(u64, Late)>,
     users: Vec<User>,
+    /// ms for which a task runs, and the tasks that were done.
+    lasts: u64,
+    done: BTreeSet<(JobId, u32)>,
 }
 
 fn within(span: (u64, u64), now: u64) -> bool {
@@ -324,15 +337,18 @@
     serde_json::from_value(value).expect("settings")
 }
 
+/// A controller that has just started.
+fn process(me: usize, now: u64) -> Node {
+    // Nothing is given back for being empty.
+    let policy = Policy { idle: 1e6, idle_spot: 1e6, ..lemonweir_policy::embedded().expect("policy") };
+    let mut core = Core::new(Config::new(&settings(me)), policy);
+    core.set_catalog([(kind().name, kind())].into_iter().collect());
+    core.set_clock(now, 1_000_000 + now);
+    Node { core, membership: Membership::new(CORES), hold: None, renewed: 0 }
+}
+
 impl Site {
     fn new(seed: u64, days: Days) -> Self {
-        let policy = || Policy { idle: 1e6, idle_spot: 1e6, ..lemonweir_policy::embedded().expect("policy") };
-        let node = |me| {
-            let mut core = Core::new(Config::new(&settings(me)), policy());
-            core.set_catalog([(kind().name, kind())].into_iter().collect());
-            core.set_clock(0, 1_000_000);
-            Node { core, membership: Membership::new(CORES), hold: None, renewed: 0 }
-        };
         let fresh =
             |n| Box_ { at: n % CORES, next: 1_000 + n as u64 * 331, session: 1, seq: 0, token: 0, answered: 100, tasks: BTreeMap::new(), gone: false };
         Self {
@@ -344,10 +360,12 @@
             changes: Vec::new(),
             holds: BTreeMap::new(),
             tied: BTreeMap::new(),
-            nodes: (0..CORES).map(node).collect(),
+            nodes: (0..CORES).map(|me| process(me, 0)).collect(),
             boxes: (0..BOXES).map(fresh).collect(),
             late: Vec::new(),
             users: Vec::new(),
+            lasts: u64::MAX / 2,
+            done: BTreeSet::new(),
         }
     }
 
@@ -464,12 +482,24 @@
         }
     }
 
-    /// Nothing of a job that is over is on a machine.
+    fn end(&self, id: &JobId) -> Option<Phase> {
+        Some(from_value::<EndRecord>(&self.store.get(&end_key(id))?.value)?.phase)
+    }
+
+    /// Nothing of a job that is withdrawn is on a machine, and all of one that is done
+    /// has been done.
     fn check_end(&self, id: &JobId) {
-        let withdrawn = self.store.get(&end_key(id)).and_then(|e| from_value::<EndRecord>(&e.value)).is_some_and(|e| e.phase == Phase::Withdrawn);
-        for (n, b) in self.boxes.iter().enumerate() {
-            let on = b.tasks.iter().any(|(i, cause)| i.job == *id && cause.is_none());
-            assert!(!withdrawn || !on, "at {}: {id} is withdrawn and on machine {n}; {:?}", self.now, self.days);
+        match self.end(id) {
+            Some(Phase::Withdrawn) => {
+                for (n, b) in self.boxes.iter().enumerate() {
+                    assert!(!b.runs(id), "at {}: {id} is withdrawn and on machine {n}; {:?}", self.now, self.days);
+                }
+            }
+            Some(Phase::Done) => {
+                let done = self.done.iter().filter(|(job, _)| job == id).count();
+                assert_eq!(done, TASKS as usize, "at {}: {id} counts as done; {:?}", self.now, self.days);
+            }
+            _ => {}
         }
     }
 
@@ -701,7 +731,7 @@
     fn report_of(&mut self, n: usize) -> Report {
         let b = &mut self.boxes[n];
         b.seq += 1;
-        let tasks = b.tasks.iter().map(|(id, cause)| TaskReport {
+        let tasks = b.tasks.iter().map(|(id, (_, cause))| TaskReport {
             piece: id.piece(),
             attempt: id.attempt,
             phase: if cause.is_some() { TaskPhase::Exited } else { TaskPhase::Running },
@@ -717,12 +747,12 @@
             match o.verb {
                 Verb::Launch if self.boxes[n].tasks.contains_key(&id) => {}
                 Verb::Launch => {
-                    let same = |b: &Box_| b.tasks.iter().any(|(i, c)| (&i.job, i.task) == (&id.job, id.task) && c.is_none());
+                                        let same = |b: &Box_| b.tasks.iter().any(|(i, (_, c))| (&i.job, i.task) == (&id.job, id.task) && c.is_none());
                     assert!(!self.boxes.iter().any(same), "at {}: {id} runs twice; {:?}", self.now, self.days);
-                    self.boxes[n].tasks.insert(id.clone(), None);
+                    self.boxes[n].tasks.insert(id.clone(), (self.now, None));
                     self.check_end(&id.job);
                 }
-                Verb::Kill => drop(self.boxes[n].tasks.get_mut(&id).map(|c| c.get_or_insert("stopped"))),
+                Verb::Kill => drop(self.boxes[n].tasks.get_mut(&id).map(|(_, c)| c.get_or_insert("stopped"))),
                 Verb::Forget => drop(self.boxes[n].tasks.remove(&id)),
             }
         }
@@ -774,6 +804,11 @@
             if b.gone {
                 continue;
             }
+            let now = self.now;
+            for (id, (_, cause)) in b.tasks.iter_mut().filter(|(_, (began, cause))| cause.is_none() && now >= began + self.lasts) {
+                *cause = Some("done");
+                self.done.insert((id.job.clone(), id.task));
+            }
             if self.now > b.answered + TIMING.lease_ms {
                 (b.session, b.answered) = (b.session + 1, self.now);
                 b.tasks.clear();
@@ -786,8 +821,9 @@
 
     // ---- users ----
 
-    fn submit(&mut self, n: u32, team: &str, tasks: u64) -> JobId {
-        let spec = JobSpec { id: JobId::from(format!("req-{n:06}").as_str()), team: team.into(), ..array(tasks) };
+    fn submit(&mut self, n: u32) -> JobId {
+        let team = TEAMS[n as usize % TEAMS.len()];
+        let spec = JobSpec { id: JobId::from(format!("req-{n:06}").as_str()), team: team.into(), ..array(TASKS) };
         let id = spec.id.clone();
         self.apply(&accept_job(&JobRecord { spec, at: 1_000_000 + self.now, withdrawn: false }));
         id
@@ -801,7 +837,7 @@
     fn users_ask(&mut self) {
         for u in 0..self.users.len() {
             let (now, id) = (self.now, self.users[u].job.clone());
-            if now >= self.users[u].asks && !self.boxes.iter().any(|b| b.tasks.iter().any(|(i, c)| i.job == id && c.is_none())) {
+            if now >= self.users[u].asks && !self.boxes.iter().any(|b| b.runs(&id)) {
                 self.users[u].stopped.get_or_insert(now);
             }
             if self.users[u].told.is_some() || now < self.users[u].next {
@@ -816,15 +852,15 @@
             }
             let core = &self.nodes[at].core;
             if let Answer::Over(phase) = core.answer(&id, now) {
+                assert_eq!(Some(phase), self.end(&id), "at {now}: {id} ended otherwise; {:?}", self.days);
                 self.users[u].told = Some((now, phase));
                 self.check_end(&id);
                 continue;
             }
             let Some(job) = core.mirror.jobs.get(&id).cloned() else {
                 // Nobody here knows it: the end is read.
-                let end = self.store.get(&end_key(&id)).and_then(|e| from_value::<EndRecord>(&e.value));
-                if let Some(end) = end {
-                    self.nodes[at].core.mirror.settle(&id, end.phase, now);
+                if let Some(phase) = self.end(&id) {
+                    self.nodes[at].core.mirror.settle(&id, phase, now);
                 }
                 continue;
             };
@@ -840,6 +876,9 @@
         let now = self.now;
         self.holds_end();
         self.deliver_late();
+        if self.days.ends.1 == now {
+            self.nodes[self.days.ends.0] = process(self.days.ends.0, now);
+        }
         for node in 0..CORES {
             self.nodes[node].core.set_clock(now, 1_000_000 + now);
             self.read(node);
@@ -867,7 +906,7 @@
     /// the other from then on.
     fn with_jobs(mut self, from: u64, every: u64) -> Self {
         self.until(12_000);
-        let jobs: Vec<JobId> = (0..9).map(|n| self.submit(10 + n, TEAMS[n as usize % 3], 3)).collect();
+        let jobs: Vec<JobId> = (0..9).map(|n| self.submit(10 + n)).collect();
         self.until(20_000);
         let running = self.boxes.iter().flat_map(|b| &b.tasks).count();
         assert_eq!(running, 27, "all run");
@@ -896,7 +935,9 @@
     let refused = (from, from + 2_000 + 2 * some());
     let apart = (from + some(), from + some() + some());
     let down = (from + some(), from + 2 * some() + some());
-    Days { refused, apart, down, trouble }
+    let back = from + some() + some();
+    let ends = (draws.below(2 * CORES as u64) as usize, back);
+    Days { refused, apart, down, ends: if ends.0 < CORES { ends } else { (0, 0) }, trouble }
 }
 
 #[test]
@@ -907,7 +948,20 @@
         let mut draws = Draws(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1);
         let days = days(&mut draws, [0, 5, 12, 40][seed as usize % 4]);
         let mut site = Site::new(seed, days).with_jobs(24_000 + draws.below(20_000), 200 + draws.below(6_000));
-        site.until(24_000 + 320_000);
+        if seed % 2 == 0 {
+            site.lasts = 10_000 + draws.below(60_000);
+        }
+        // More come all the while, and are withdrawn before, while and after they start.
+        for n in 0..30 {
+            let step = 200 + draws.below(6_000);
+            site.until(site.now + step);
+            while site.down() {
+                site.step();
+            }
+            let job = site.submit(100 + n);
+            site.withdraws(&job, site.now + [0, 100, 300, 1_000, 4_000, 15_000][draws.below(6) as usize]);
+        }
+        site.until(24_000 + 400_000);
         let (in_time, wait, _) = told(&site);
         (asked, answered, longest) = (asked + site.users.len(), answered + in_time, longest.max(wait));
         assert!(site.users.iter().all(|u| u.told.is_some()), "seed {seed}: {days:?}");
