--- a/crates/coordination/tests/cancellations.rs
+++ b/crates/coordination/tests/cancellations.rs
@@ -209,6 +209,7 @@
 // ---- whole controllers, a store, machines and users -----------------------------
 
 const CORES: usize = 3;
+const SEEDS: u64 = 60;
 const BOXES: usize = 9;
 /// Of each job.
 const TASKS: u64 = 3;
@@ -940,11 +941,12 @@
     Days { refused, apart, down, ends: if ends.0 < CORES { ends } else { (0, 0) }, trouble }
 }
 
+/// Whatever is refused, cut, down, lost, late or unknown, and whoever ends: nothing of
+/// a job that is withdrawn is on a machine or starts there, and once all is over each
+/// user is told, of the end that was written.
 #[test]
-fn hunt() {
-    let seeds: u64 = std::env::var("SEEDS").ok().and_then(|s| s.parse().ok()).unwrap_or(50);
-    let (mut asked, mut answered, mut longest) = (0, 0, 0);
-    for seed in 1..=seeds {
+fn no_withdrawal_is_told_while_a_task_is_left() {
+    for seed in 1..=SEEDS {
         let mut draws = Draws(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1);
         let days = days(&mut draws, [0, 5, 12, 40][seed as usize % 4]);
         let mut site = Site::new(seed, days).with_jobs(24_000 + draws.below(20_000), 200 + draws.below(6_000));
@@ -962,11 +964,39 @@
             site.withdraws(&job, site.now + [0, 100, 300, 1_000, 4_000, 15_000][draws.below(6) as usize]);
         }
         site.until(24_000 + 400_000);
-        let (in_time, wait, _) = told(&site);
-        (asked, answered, longest) = (asked + site.users.len(), answered + in_time, longest.max(wait));
         assert!(site.users.iter().all(|u| u.told.is_some()), "seed {seed}: {days:?}");
     }
-    println!("{answered} of {asked} within a user's patience; longest {longest}");
+}
+
+/// The store refuses the leader alone, which reaches no other controller either, while
+/// its machines go on coming to it; another takes its part and withdraws its jobs; then
+/// the store is down for all. At each offset each withdrawal that is told is true, and
+/// those of the leader's machines are stopped when their lease, or the time for which
+/// it may answer blindly, is over.
+#[test]
+fn the_gap_is_no_way_round_the_proof() {
+    const FROM: u64 = 24_000;
+    let (mut asked, mut answered) = (0, 0);
+    for alone in [7_500, 9_000, 14_000, 30_000, 61_000, 90_000, 200_000] {
+        for after in [1_000, 8_500, 14_000, 34_000, 61_000, 76_000] {
+            for long in [0, 20_000, 45_000, 70_000] {
+                let cut = (FROM, FROM + alone);
+                let days = Days { refused: cut, apart: cut, down: (FROM + after, FROM + after + long), ..Days::default() };
+                let mut site = Site::new(alone + after + long, days).with_jobs(FROM + 1_000, 2_000);
+                site.until(FROM + 330_000);
+                let (in_time, _, stop) = told(&site);
+                (asked, answered) = (asked + site.users.len(), answered + in_time);
+println!("{alone} {after} {long} {:?}", told(&site));
+                assert!(site.users.iter().all(|u| u.told.is_some()), "{days:?}");
+                // A user's asking waits for the store; then a stop for whoever can't
+                // know of it.
+                assert!(stop <= long + BLIND_MOST_MS + TIMING.lease_ms + 10_000, "{stop} ms; {days:?}");
+            }
+        }
+    }
+    // As measured when this was written: 1,402 of 1,512.
+    println!("{answered} {asked}");
+assert!(10 * answered >= 9 * asked, "{answered} of {asked} were told within a user's patience");
 }
 
 #[test]
