A start made late leaves no record behind; the copy never goes back to an earlier holder

Cause: that a chunk of a task record is absent is true again once its job is over. A start without an answer could be made under the same token after the end of its job, and so could bring back an attempt that nobody knows. A start that was made, with its answer lost, stayed as a record when its job was withdrawn before the next try: the placer held that it was never there. Either would be counted against its team by the next holder of the part until its machine had proven it over, and the key would stay until then. The copy of the followed keys went back to an earlier holder, or to none, when a peer had told of a newer one than the copy had read.

Ruled out, each with a test: a taking, a submission, a withdrawal, an end and a giving up that are made late (entry's slot, end's key, versions).

Change: the creation of a chunk has the version of its job's key as a condition; one that this refuses waits for the copy, and others go on. A chunk whose creation had no answer is asked for, without a write, before its job is forgotten. Parts in the copy only go on to later tokens.

Conclusion: one condition and no write more for each start.

--- a/crates/coordination/src/job.rs
+++ b/crates/coordination/src/job.rs
@@ -69,6 +69,8 @@
     pub(super) start: u64,
     /// Newest change that records a step of its gang.
     pub(super) step: u64,
+    /// A writing that would create it got no answer: it may be there, or come.
+    pub(super) unsure: bool,
     /// What it carried of the ledger when it was loaded.
     pub(super) loaded: Option<GangRecord>,
 }
@@ -131,8 +133,9 @@
     /// Machines that did not answer for the last attempt of a gang: the next one
     /// does without them if it can.
     pub(super) late: Vec<MachineId>,
-    /// Version of the job's key with which writing its end failed.
-    pub(super) refused_end: Option<u64>,
+    /// Version of the job's key with which a writing of it failed: the key has
+    /// changed since, and the copy will show it.
+    pub(super) refused: Option<u64>,
     pub(super) reason: &'static str,
     /// Whether all its attempts are within their team's guarantee or beyond it,
     /// if they are alike.
@@ -171,7 +174,7 @@
             not_before: 0,
             avoid: Vec::new(),
             late: Vec::new(),
-            refused_end: None,
+            refused: None,
             reason: "",
             over_alike: None,
             placed: None,
@@ -199,7 +202,7 @@
     /// job is withdrawn while a machine out of sight still runs it: every
     /// attempt must be proven over first.
     pub(super) fn finished(&self) -> Option<Phase> {
-        if self.over || self.record.is_none() || self.refused_end == Some(self.version) {
+        if self.over || self.record.is_none() || self.outdated() {
             None
         } else if self.complete() {
             Some(Phase::Done)
@@ -208,6 +211,11 @@
         }
     }
 
+    /// True if the job's key has changed since the copy that this is made of.
+    pub(super) fn outdated(&self) -> bool {
+        self.refused == Some(self.version)
+    }
+
     pub(super) fn is(&self, shape: Shape) -> bool {
         self.spec().is_some_and(|s| s.shape == shape)
     }
@@ -417,7 +425,7 @@
 
     /// True if nothing of it is left anywhere.
     pub(super) fn vanished(&self) -> bool {
-        self.over && self.live.is_empty() && self.ending.is_empty() && self.chunks.values().all(|c| c.version == 0)
+        self.over && self.live.is_empty() && self.ending.is_empty() && self.chunks.values().all(|c| c.version == 0 && !c.unsure)
     }
 
     /// True if it has waited for so long, with less than half of it begun, that it
--- a/crates/coordination/src/placer/mod.rs
+++ b/crates/coordination/src/placer/mod.rs
@@ -73,7 +73,9 @@
 /// A transaction under way, with what it writes.
 struct Pending {
     chunks: Vec<(JobId, u32, u64, bool)>,
-    ends: Vec<(JobId, u64, Phase)>,
+    ends: Vec<(JobId, Phase)>,
+    /// Jobs on whose keys it depends, with the versions that these must have.
+    jobs: Vec<(JobId, u64)>,
 }
 
 /// What a transaction's end means for the part.
--- a/crates/coordination/src/placer/records.rs
+++ b/crates/coordination/src/placer/records.rs
@@ -110,7 +110,7 @@
         }
         due.sort_unstable();
         let mut txn = Txn { conditions: vec![Condition { key: part_key(self.part), version: self.token }], writes: Vec::new() };
-        let mut pending = Pending { chunks: Vec::new(), ends: Vec::new() };
+        let mut pending = Pending { chunks: Vec::new(), ends: Vec::new(), jobs: Vec::new() };
         let (mut bytes, mut idle) = (0, 0);
         'jobs: for (turn, _, _, _, id) in due {
             let Some(job) = self.jobs.get(id) else { continue };
@@ -121,7 +121,8 @@
                 txn.conditions.push(Condition { key: job_key(id), version: job.version });
                 txn.writes.push(Write::Delete { key: job_key(id) });
                 txn.writes.push(Write::put(end_key(id), &EndRecord { phase }));
-                pending.ends.push((id.clone(), job.version, phase));
+                pending.ends.push((id.clone(), phase));
+                pending.jobs.push((id.clone(), job.version));
                 // Its chunks go once the job is over; no need to write them.
                 continue;
             }
@@ -134,9 +135,14 @@
             // are written again and again.
             let starts = |first: bool| job.chunks.iter().filter(move |(_, c)| c.unsaved() && c.start_unwritten() == first);
             for (&index, chunk) in starts(true).chain(starts(false)) {
-                if txn.writes.len() + 1 > self.txn_ops || bytes > TXN_BYTES {
+                // Of conditions four times as many are allowed; a change has two at most.
+                if txn.writes.len() + 1 > self.txn_ops || txn.conditions.len() + 2 > 4 * self.txn_ops || bytes > TXN_BYTES {
                     break 'jobs;
                 }
+                let creates = chunk.version == 0 && !job.over;
+                if creates && job.outdated() {
+                    continue;
+                }
                 // What thousands of jobs leave behind must not keep starts from
                 // their turn, nor the other way round.
                 let most = if turn == Turn::IdleStart { self.idle_writes.div_ceil(2) } else { self.idle_writes };
@@ -146,12 +152,27 @@
                 idle += usize::from(turn >= Turn::IdleStart);
                 let record = job.chunk_record(index);
                 let empty = job.over && record.live.is_empty();
+                let key = run_key(self.part, id, index);
                 if empty && chunk.version == 0 {
+                    // Guards against a chunk that stays for ever, since the answer to
+                    // its creation was lost: now that the job is over it can't be made
+                    // any more, so that a comparison tells.
+                    if chunk.unsure {
+                        txn.conditions.push(Condition { key, version: 0 });
+                    }
                     pending.chunks.push((id.clone(), index, chunk.change, true));
                     continue;
                 }
-                let key = run_key(self.part, id, index);
                 txn.conditions.push(Condition { key: key.clone(), version: chunk.version });
+                // Guards against a transaction that is made late, once the job is over
+                // and the chunk removed: that there is no chunk would be true again,
+                // and an attempt that nobody knows would come back. A job's key never
+                // has the same version twice.
+                if creates && pending.jobs.last().is_none_or(|(last, _)| last != id) {
+                    txn.conditions.push(Condition { key: job_key(id), version: job.version });
+                    pending.jobs.push((id.clone(), job.version));
+                    bytes += RECORD_BYTES;
+                }
                 if empty {
                     txn.writes.push(Write::Delete { key });
                 } else {
@@ -161,7 +182,7 @@
                 pending.chunks.push((id.clone(), index, chunk.change, empty));
             }
         }
-        if txn.writes.is_empty() {
+        if txn.writes.is_empty() && txn.conditions.len() == 1 {
             // Nothing to write: what was to be removed was never there.
             self.apply_saved(&pending, 0, now);
             return None;
@@ -191,6 +212,7 @@
             if let Some(chunk) = job.chunks.get_mut(index) {
                 chunk.saved = *change;
                 chunk.version = if *removed { 0 } else { revision };
+                chunk.unsure = false;
             }
             let chunks = &job.chunks;
             job.ending.retain(|e| chunks.get(&(e.id.task / CHUNK_TASKS)).is_some_and(|c| c.saved < e.change));
@@ -207,7 +229,7 @@
         match outcome {
             TxnOutcome::Done(revision) => {
                 self.apply_saved(&pending, revision, now);
-                let ends: Vec<(JobId, Phase)> = pending.ends.into_iter().map(|(id, _, phase)| (id, phase)).collect();
+                let ends: Vec<(JobId, Phase)> = pending.ends;
                 for (id, phase) in &ends {
                     if let Some(job) = self.jobs.get_mut(id) {
                         info!(job = %id, part = self.part, ?phase, "job is over");
@@ -224,17 +246,24 @@
             }
             TxnOutcome::Conflict(keys) if keys.contains(&part_key(self.part)) => (TxnVerdict::Lost, Vec::new()),
             TxnOutcome::Conflict(keys) => {
-                for (id, version, _) in pending.ends {
+                for (id, version) in pending.jobs {
                     if keys.contains(&job_key(&id)) {
                         if let Some(job) = self.jobs.get_mut(&id) {
-                            job.refused_end = Some(version);
+                            job.refused = Some(version);
                         }
                         self.settle(&id, now);
                     }
                 }
                 (TxnVerdict::Fine, Vec::new())
             }
-            TxnOutcome::Again => (TxnVerdict::Fine, Vec::new()),
+            TxnOutcome::Again => {
+                for (id, index, _, _) in &pending.chunks {
+                    if let Some(chunk) = self.jobs.get_mut(id).and_then(|j| j.chunks.get_mut(index)) {
+                        chunk.unsure |= chunk.version == 0;
+                    }
+                }
+                (TxnVerdict::Fine, Vec::new())
+            }
         }
     }
 }
--- /dev/null
+++ b/crates/coordination/tests/late_transactions.rs
@@ -0,0 +1,436 @@
+//! Transactions of a placer without an answer, made late or never, with the end of
+//! the job, withdrawals and other writings between: each order given by hand against a
+//! plain store, and many drawn ones.
+
+mod support;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use lemonweir_coordination::placer::{Placer, TxnOutcome, TxnVerdict};
+use lemonweir_model::constants::*;
+use lemonweir_model::{AttemptId, JobId, JobSpec};
+use lemonweir_protocol::peer::{AttemptView, Cause, Span, Standing};
+use lemonweir_protocol::state::{Txn, Write, from_value, to_value};
+use lemonweir_protocol::users::Phase;
+use lemonweir_storage::mirror::MirroredJob;
+use lemonweir_storage::records::{
+    ChunkRecord, EndRecord, JobRecord, PartRecord, end_key, job_key, parse_run_key, part_key, run_key, run_prefix, withdraw_job,
+};
+use rmpv::Value;
+use support::{ROOM, TOKEN, array, shown, terms, view};
+
+// ---- the plain store -----------------------------------------------------------
+
+struct Store {
+    revision: u64,
+    keys: BTreeMap<String, (Value, u64)>,
+}
+
+impl Store {
+    /// Part 0 is held under [`TOKEN`].
+    fn new() -> Self {
+        let mut store = Store { revision: TOKEN - 1, keys: BTreeMap::new() };
+        store.put(part_key(0), to_value(&PartRecord { host: "h0".into() }));
+        store
+    }
+
+    fn put(&mut self, key: String, value: Value) -> u64 {
+        self.revision += 1;
+        self.keys.insert(key, (value, self.revision));
+        self.revision
+    }
+
+    fn version(&self, key: &str) -> u64 {
+        self.keys.get(key).map_or(0, |k| k.1)
+    }
+
+    fn value(&self, key: &str) -> Option<&Value> {
+        self.keys.get(key).map(|k| &k.0)
+    }
+
+    fn ended(&self, id: &JobId) -> Option<Phase> {
+        self.value(&end_key(id)).and_then(from_value::<EndRecord>).map(|e| e.phase)
+    }
+
+    fn txn(&mut self, txn: &Txn) -> TxnOutcome {
+        assert!(txn.writes.len() <= terms().txn_ops && txn.conditions.len() <= 4 * terms().txn_ops, "more than a transaction may hold");
+        let failed: Vec<String> = txn.conditions.iter().filter(|c| self.version(&c.key) != c.version).map(|c| c.key.clone()).collect();
+        if !failed.is_empty() {
+            return TxnOutcome::Conflict(failed);
+        }
+        self.revision += 1;
+        for write in &txn.writes {
+            match write {
+                Write::Put { key, value, .. } => drop(self.keys.insert(key.clone(), (value.clone(), self.revision))),
+                Write::Delete { key } => drop(self.keys.remove(key)),
+            }
+        }
+        TxnOutcome::Done(self.revision)
+    }
+
+    fn makes(&mut self, txn: &Txn) -> bool {
+        matches!(self.txn(txn), TxnOutcome::Done(_))
+    }
+
+    /// Jobs of the records of tasks.
+    fn recorded(&self) -> BTreeSet<JobId> {
+        self.keys.keys().filter(|k| k.starts_with(&run_prefix(0))).filter_map(|k| parse_run_key(k)).map(|(job, _)| job).collect()
+    }
+
+    fn live(&self, id: &AttemptId) -> bool {
+        let record = self.value(&run_key(0, &id.job, id.task / CHUNK_TASKS)).and_then(from_value::<ChunkRecord>);
+        record.is_some_and(|r| r.live.iter().any(|l| (l.t, l.a) == (id.task, id.attempt)))
+    }
+}
+
+// ---- a placer --------------------------------------------------------------------
+
+struct Night {
+    store: Store,
+    placer: Placer,
+    now: u64,
+    /// What the owner was told last and is not to be stopped.
+    wanted: BTreeSet<AttemptId>,
+    /// All that the owner was told last.
+    told: BTreeSet<AttemptId>,
+}
+
+impl Night {
+    fn new() -> Self {
+        let placer = Placer::new(0, TOKEN, 1, terms(), 0);
+        let mut night = Night { store: Store::new(), placer, now: 100, wanted: BTreeSet::new(), told: BTreeSet::new() };
+        night.sync(&[]);
+        night
+    }
+
+    fn submit(&mut self, spec: &JobSpec) {
+        self.store.put(job_key(&spec.id), to_value(&JobRecord { spec: spec.clone(), at: 0, withdrawn: false }));
+        self.copy(&spec.id);
+    }
+
+    /// The copy of the followed keys shows how a job stands.
+    fn copy(&mut self, id: &JobId) {
+        let job = self.store.value(&job_key(id)).and_then(from_value::<JobRecord>);
+        let job = job.map(|record| MirroredJob { record: Arc::new(record), version: self.store.version(&job_key(id)) });
+        self.placer.set_job(id, job.as_ref(), self.now);
+    }
+
+    fn withdraw(&mut self, id: &JobId) {
+        let Some(record) = self.store.value(&job_key(id)).and_then(from_value::<JobRecord>).filter(|r| !r.withdrawn) else { return };
+        let version = self.store.version(&job_key(id));
+        assert!(self.store.makes(&withdraw_job(&record, version)));
+    }
+
+    /// The owner of four machines is told what is wanted, and tells this.
+    fn sync(&mut self, attempts: &[(AttemptId, Standing)]) {
+        let sync = self.placer.sync_for(0, TOKEN, ROOM, false, self.now);
+        assert!(sync.span.since == 0 && sync.span.last, "all is told anew each time");
+        self.told = sync.wants.iter().map(|w| w.id.clone()).collect();
+        self.wanted = sync.wants.iter().filter(|w| w.kill.is_none()).map(|w| w.id.clone()).collect();
+        let attempts: Vec<AttemptView> =
+            attempts.iter().map(|(id, standing)| AttemptView { id: id.clone(), standing: *standing }).collect();
+        let machines: Vec<_> = (0..4).map(|n| shown(n, 4)).collect();
+        self.placer.take_view(view(sync.seq, Span { since: 0, upto: 1, last: true }, machines, attempts), self.now);
+    }
+
+    fn place(&mut self) {
+        self.now += 100;
+        self.placer.place(self.now);
+    }
+
+    /// The next transaction, after so many ms.
+    fn next(&mut self, after_ms: u64) -> Option<Txn> {
+        self.now += after_ms;
+        self.placer.next_txn(self.now)
+    }
+
+    /// A transaction ends as the process is told; keys that met other versions are read.
+    fn end(&mut self, outcome: TxnOutcome) -> Vec<(JobId, Phase)> {
+        if let TxnOutcome::Conflict(keys) = &outcome {
+            for key in keys {
+                if let Some((job, chunk)) = parse_run_key(key) {
+                    self.placer.reread(&job, chunk, self.store.version(key));
+                }
+            }
+        }
+        let (verdict, ends) = self.placer.txn_done(outcome, self.now);
+        assert_eq!(verdict, TxnVerdict::Fine);
+        ends
+    }
+
+    /// Writes all that is due.
+    fn write(&mut self) {
+        while let Some(txn) = self.next(END_LAG_MS + 1) {
+            let outcome = self.store.txn(&txn);
+            self.end(outcome);
+        }
+    }
+}
+
+fn attempt(job: &JobId, task: u32, attempt: u32) -> AttemptId {
+    AttemptId { job: job.clone(), task, attempt }
+}
+
+/// A start without an answer, never made so far; its job is withdrawn and ends; then
+/// the start is made. The part is the same holder's and there is no record, as when it
+/// was sent: it would bring back an attempt of a job that is over, which a successor
+/// would count until its machine has proven that it is not there.
+#[test]
+fn a_late_start_of_a_withdrawn_job_is_not_recorded() {
+    let mut night = Night::new();
+    let spec = array(2);
+    night.submit(&spec);
+    night.place();
+    let late = night.next(1).expect("two starts");
+    night.end(TxnOutcome::Again);
+    night.withdraw(&spec.id);
+    night.copy(&spec.id);
+    let txn = night.next(1).expect("its end");
+    let outcome = night.store.txn(&txn);
+    assert_eq!(night.end(outcome), vec![(spec.id.clone(), Phase::Withdrawn)]);
+    night.write();
+    assert_eq!(night.placer.known().count(), 0);
+    assert!(!night.store.makes(&late));
+    assert!(night.store.recorded().is_empty());
+}
+
+/// The same start, tried again and made; the job runs, is done, and its record is
+/// removed; then the first one is made.
+#[test]
+fn a_late_start_of_a_job_that_is_done_is_not_recorded() {
+    let mut night = Night::new();
+    let spec = array(1);
+    night.submit(&spec);
+    night.place();
+    let late = night.next(1).expect("a start");
+    night.end(TxnOutcome::Again);
+    let again = night.next(1).expect("the start again");
+    assert_eq!(late, again);
+    let outcome = night.store.txn(&again);
+    night.end(outcome);
+    night.sync(&[]);
+    assert_eq!(night.wanted, BTreeSet::from([attempt(&spec.id, 0, 1)]));
+    night.sync(&[(attempt(&spec.id, 0, 1), Standing::Exited(Cause::Done))]);
+    night.write();
+    night.copy(&spec.id);
+    night.write();
+    assert_eq!(night.store.ended(&spec.id), Some(Phase::Done));
+    assert!(night.store.recorded().is_empty() && night.placer.known().count() == 0);
+    assert!(!night.store.makes(&late));
+    assert!(night.store.recorded().is_empty());
+}
+
+/// The start is made, but its answer is lost; its job is withdrawn and ends before it
+/// is tried again. The placer remembers no record, and there is one: it asks before it
+/// forgets the job. What can't be asked yet is asked again.
+#[test]
+fn a_start_whose_answer_was_lost_leaves_no_record_behind() {
+    for made_late in [false, true] {
+        let mut night = Night::new();
+        let spec = array(2);
+        night.submit(&spec);
+        night.place();
+        let start = night.next(1).expect("two starts");
+        if !made_late {
+            assert!(night.store.makes(&start));
+        }
+        night.end(TxnOutcome::Again);
+        night.withdraw(&spec.id);
+        night.copy(&spec.id);
+        if made_late {
+            assert!(!night.store.makes(&start), "its job was withdrawn since");
+        }
+        let txn = night.next(1).expect("its end");
+        let outcome = night.store.txn(&txn);
+        night.end(outcome);
+        night.copy(&spec.id);
+        let asked = night.next(END_LAG_MS + 1).expect("whether there is a record");
+        assert!(asked.writes.is_empty());
+        night.end(TxnOutcome::Again);
+        assert_eq!(night.placer.known().count(), 1, "no answer tells nothing");
+        night.write();
+        assert!(night.store.recorded().is_empty());
+        assert_eq!(night.placer.known().count(), 0);
+    }
+}
+
+/// A start of a job whose withdrawal the copy does not show yet is refused, once: other
+/// starts go on, and the job ends when the copy shows it.
+#[test]
+fn a_start_that_a_withdrawal_refuses_does_not_keep_others_from_starting() {
+    let mut night = Night::new();
+    let first = array(1);
+    let second = JobSpec { id: JobId::from("req-000002"), ..array(1) };
+    night.submit(&first);
+    night.submit(&second);
+    night.place();
+    night.withdraw(&first.id);
+    let txn = night.next(1).expect("two starts");
+    assert_eq!(txn.writes.len(), 2);
+    let outcome = night.store.txn(&txn);
+    assert!(matches!(&outcome, TxnOutcome::Conflict(keys) if *keys == vec![job_key(&first.id)]), "{outcome:?}");
+    night.end(outcome);
+    let txn = night.next(1).expect("the other's start");
+    assert_eq!(txn.writes.len(), 1);
+    let outcome = night.store.txn(&txn);
+    night.end(outcome);
+    assert!(night.next(END_LAG_MS + 1).is_none(), "what would be refused again");
+    night.sync(&[]);
+    assert_eq!(night.wanted, BTreeSet::from([attempt(&second.id, 0, 1)]));
+    night.copy(&first.id);
+    night.write();
+    assert_eq!(night.store.ended(&first.id), Some(Phase::Withdrawn));
+    assert_eq!(night.store.recorded(), BTreeSet::from([second.id]));
+}
+
+/// The end of a task without an answer, made between the reading of one key and the
+/// next, or after both: what is remembered of the versions is never more than a
+/// condition, which then fails.
+#[test]
+fn a_transaction_made_between_two_readings_is_written_over() {
+    for between in [true, false] {
+        let mut night = Night::new();
+        let spec = array(2 * u64::from(CHUNK_TASKS));
+        night.submit(&spec);
+        night.place();
+        night.write();
+        night.sync(&[]);
+        let all: Vec<AttemptId> = night.wanted.iter().cloned().collect();
+        assert!(all.len() > 2);
+        night.sync(&[(all[0].clone(), Standing::Exited(Cause::Done))]);
+        let late = night.next(END_LAG_MS + 1).expect("an end");
+        night.end(TxnOutcome::Again);
+        night.sync(&[(all[0].clone(), Standing::Exited(Cause::Done)), (all[1].clone(), Standing::Exited(Cause::Done))]);
+        let txn = night.next(END_LAG_MS + 1).expect("two ends");
+        let key = run_key(0, &spec.id, 0);
+        let read = night.store.version(&key);
+        // Another key's conflict made the process read this one too; the late one
+        // comes before or after.
+        if between {
+            assert!(night.store.makes(&late));
+            let outcome = night.store.txn(&txn);
+            assert!(matches!(outcome, TxnOutcome::Conflict(_)));
+            night.placer.reread(&spec.id, 0, read);
+            night.placer.txn_done(outcome, night.now);
+        } else {
+            let outcome = night.store.txn(&txn);
+            night.end(outcome);
+            assert!(!night.store.makes(&late), "its version is no more");
+        }
+        night.write();
+        let record = night.store.value(&key).and_then(from_value::<ChunkRecord>).expect("a record");
+        assert_eq!(record.done, vec![(0, 1)], "between: {between}");
+    }
+}
+
+// ---- drawn nights ------------------------------------------------------------------
+
+struct Draw(u64);
+
+impl Draw {
+    fn below(&mut self, n: u64) -> u64 {
+        self.0 ^= self.0 << 13;
+        self.0 ^= self.0 >> 7;
+        self.0 ^= self.0 << 17;
+        self.0 % n
+    }
+}
+
+/// Many orders: whatever is answered, lost, refused or made late, no owner is told of
+/// an attempt that the store does not hold, an end that was written stays, and of a
+/// job that is over nothing is left or comes back.
+#[test]
+fn what_is_remembered_never_runs_ahead_of_the_store() {
+    let (mut late_made, mut over) = (0, 0);
+    for seed in 1..=120 {
+        let mut draw = Draw(0x9E37_79B9_7F4A_7C15 ^ seed << 20);
+        let mut night = Night::new();
+        let mut late: Vec<Txn> = Vec::new();
+        let mut ends: BTreeMap<JobId, Phase> = BTreeMap::new();
+        let specs: Vec<JobSpec> =
+            (1..=4).map(|n| JobSpec { id: JobId::from(format!("req-{n:06}").as_str()), ..array(1 + draw.below(70)) }).collect();
+        for spec in &specs {
+            night.submit(spec);
+        }
+        // Ends of attempts, so that none is told twice in different ways.
+        let mut standing: BTreeMap<AttemptId, Standing> = BTreeMap::new();
+        for step in 0..800 {
+            let calm = step >= 500;
+            night.now += draw.below(400);
+            match draw.below(9) {
+                0 => night.placer.place(night.now),
+                1..=3 => {
+                    let Some(txn) = night.next(draw.below(END_LAG_MS)) else { continue };
+                    let outcome = match draw.below(if calm { 1 } else { 5 }) {
+                        0 | 1 => night.store.txn(&txn),
+                        2 => {
+                            night.store.txn(&txn);
+                            TxnOutcome::Again
+                        }
+                        3 => {
+                            late.push(txn);
+                            TxnOutcome::Again
+                        }
+                        _ => TxnOutcome::Again,
+                    };
+                    // A late one may be made while the keys are read.
+                    if matches!(outcome, TxnOutcome::Conflict(_)) && !late.is_empty() && draw.below(2) == 0 {
+                        let txn = late.remove(draw.below(late.len() as u64) as usize);
+                        late_made += usize::from(night.store.makes(&txn));
+                    }
+                    for (id, phase) in night.end(outcome) {
+                        assert_eq!(ends.insert(id.clone(), phase), None, "seed {seed}: {id} ends once");
+                    }
+                }
+                4 if !late.is_empty() => {
+                    let txn = late.remove(draw.below(late.len() as u64) as usize);
+                    late_made += usize::from(night.store.makes(&txn));
+                }
+                5 => specs.iter().for_each(|spec| night.copy(&spec.id)),
+                6 if draw.below(20) == 0 || step == 520 => night.withdraw(&specs[draw.below(4) as usize].id.clone()),
+                _ => {
+                    let now: Vec<(AttemptId, Standing)> = standing.iter().map(|(id, s)| (id.clone(), *s)).collect();
+                    night.sync(&now);
+                    for id in &night.wanted {
+                        assert!(night.store.live(id) || standing.get(id).is_some_and(|s| s.ended()), "seed {seed}: {id} is not recorded");
+                    }
+                    for id in night.told.clone() {
+                        let end = if night.wanted.contains(&id) { Standing::Exited(Cause::Done) } else { Standing::Gone };
+                        let next = if draw.below(3) == 0 { end } else { Standing::Running };
+                        let before = standing.get(&id).copied();
+                        if before.is_none_or(|s| !s.ended()) {
+                            standing.insert(id, next);
+                        }
+                    }
+                    standing.retain(|id, _| night.told.contains(id));
+                }
+            }
+        }
+        for spec in &specs {
+            night.withdraw(&spec.id);
+        }
+        for _ in 0..20 {
+            specs.iter().for_each(|spec| night.copy(&spec.id));
+            let gone: Vec<(AttemptId, Standing)> = night
+                .told
+                .iter()
+                .map(|id| (id.clone(), standing.get(id).copied().filter(|s| s.ended()).unwrap_or(Standing::Gone)))
+                .collect();
+            night.sync(&gone);
+            night.write();
+        }
+        for txn in late {
+            late_made += usize::from(night.store.makes(&txn));
+        }
+        over += specs.iter().filter(|spec| night.store.version(&end_key(&spec.id)) > 0).count();
+        for spec in &specs {
+            assert!(night.store.version(&end_key(&spec.id)) > 0, "seed {seed}: {} is over", spec.id);
+        }
+        assert!(night.store.recorded().is_empty(), "seed {seed}: {:?} came back", night.store.recorded());
+        for (id, phase) in &ends {
+            assert_eq!(night.store.ended(id), Some(*phase), "seed {seed}");
+        }
+    }
+    assert!(late_made > 20 && over == 480, "{late_made} {over}");
+}
--- a/crates/storage/src/mirror.rs
+++ b/crates/storage/src/mirror.rs
@@ -76,7 +76,7 @@
         for change in changes {
             match (&change.set, &change.drop, &change.value) {
                 (Some(key), _, Some(value)) => self.set(key, value, change.version),
-                (_, Some(key), _) => self.remove(key, now),
+                (_, Some(key), _) => self.remove(key, change.version, now),
                 _ => tracing::error!("change without key"),
             }
         }
@@ -95,7 +95,11 @@
             },
             Some(("part", index)) => match (index.parse(), from_value::<PartRecord>(value)) {
                 (Ok(index), Some(record)) => {
-                    self.parts.insert(index, Holder { host: record.host, token: version });
+                    // Guards against going back to a holder from before one that a
+                    // peer has told of already: the copy learns what lies between later.
+                    if self.parts.get(&index).is_none_or(|h| h.token < version) {
+                        self.parts.insert(index, Holder { host: record.host, token: version });
+                    }
                     true
                 }
                 _ => false,
@@ -133,7 +137,7 @@
         }
     }
 
-    fn remove(&mut self, key: &str, now: u64) {
+    fn remove(&mut self, key: &str, version: u64, now: u64) {
         match key.strip_prefix("w/").and_then(|k| k.split_once('/')) {
             Some(("job", id)) => {
                 let id = JobId::from(id);
@@ -145,7 +149,10 @@
                 self.touched.insert(id);
             }
             Some(("part", index)) => {
-                if let Ok(index) = index.parse::<u16>() {
+                // The same guard: a holder that came after this is still there.
+                if let Ok(index) = index.parse::<u16>()
+                    && self.parts.get(&index).is_some_and(|h| h.token < version)
+                {
                     self.parts.remove(&index);
                 }
             }
--- /dev/null
+++ b/crates/storage/tests/late.rs
@@ -0,0 +1,200 @@
+//! Transactions that are made late, and readings that don't agree, against a plain
+//! store: each order given by hand.
+
+use std::collections::BTreeMap;
+
+use lemonweir_model::{JobId, JobSpec, Rank, Shape};
+use lemonweir_protocol::state::{Change as Changed, Entry, Txn, Write, to_value};
+use lemonweir_protocol::users::Phase;
+use lemonweir_storage::Mirror;
+use lemonweir_storage::handovers::{Change, HandoverRecord, NewHandover};
+use lemonweir_storage::mirror::Holder;
+use lemonweir_storage::records::{
+    EndRecord, JobRecord, PartRecord, accept_job, end_key, hand_back, job_key, part_key, take_part, withdraw_job,
+};
+
+#[derive(Default)]
+struct Store {
+    revision: u64,
+    versions: BTreeMap<String, u64>,
+}
+
+impl Store {
+    fn version(&self, key: &str) -> u64 {
+        self.versions.get(key).copied().unwrap_or(0)
+    }
+
+    /// The revision at which it was made.
+    fn txn(&mut self, txn: &Txn) -> Option<u64> {
+        if txn.conditions.iter().any(|c| self.version(&c.key) != c.version) {
+            return None;
+        }
+        self.revision += 1;
+        for write in &txn.writes {
+            match write {
+                Write::Put { key, .. } => drop(self.versions.insert(key.clone(), self.revision)),
+                Write::Delete { key } => drop(self.versions.remove(key)),
+            }
+        }
+        Some(self.revision)
+    }
+
+    /// A hold ends, with the key of the part that it held.
+    fn end_hold(&mut self, part: u16) {
+        self.revision += 1;
+        self.versions.remove(&part_key(part));
+    }
+}
+
+/// The next entry of part 0, as counted from a copy that is up to date.
+fn entry(store: &Store, n: u64, to: Option<&str>) -> NewHandover {
+    let record = HandoverRecord { n, from: None, to: to.map(str::to_owned), how: Change::Vacant, at: 0, up: None, closed: None };
+    let key = lemonweir_storage::handovers::handover_key(0, n);
+    NewHandover { part: 0, slot_version: store.version(&key), record }
+}
+
+/// A taking without an answer is made again under another hold, and the part is given
+/// up, or its hold ends. There is no key as there was none when the first was sent:
+/// made now, it would give the part to who did not decide to have it.
+#[test]
+fn a_part_is_not_taken_by_a_late_transaction_once_its_key_is_gone_again() {
+    for given_up in [true, false] {
+        let mut store = Store::default();
+        let late = take_part(0, "h1", 7, &entry(&store, 1, Some("h1")));
+        let token = store.txn(&take_part(0, "h1", 8, &entry(&store, 1, Some("h1")))).expect("there is no key");
+        if given_up {
+            store.txn(&hand_back(token, &entry(&store, 2, None))).expect("it is held");
+        } else {
+            store.end_hold(0);
+        }
+        assert_eq!(store.version(&part_key(0)), 0);
+        assert_eq!(store.txn(&late), None, "given up: {given_up}");
+    }
+}
+
+/// The same where the first one is made after all: the second fails, and its sender
+/// reads that the part's key names its own host.
+#[test]
+fn of_two_takings_only_one_is_made() {
+    let mut store = Store::default();
+    let first = take_part(0, "h1", 7, &entry(&store, 1, Some("h1")));
+    let again = take_part(0, "h1", 8, &entry(&store, 1, Some("h1")));
+    assert!(store.txn(&first).is_some());
+    assert_eq!(store.txn(&again), None);
+    // A giving up without an answer, tried again, and then taken back: the late one
+    // names a token that is no more.
+    let token = store.version(&part_key(0));
+    let late = hand_back(token, &entry(&store, 2, None));
+    store.txn(&hand_back(token, &entry(&store, 2, None))).expect("it is held");
+    store.txn(&take_part(0, "h1", 8, &entry(&store, 3, Some("h1")))).expect("there is no key");
+    assert_eq!(store.txn(&late), None);
+}
+
+fn job() -> JobRecord {
+    let spec = JobSpec {
+        id: JobId::from("req-000001"),
+        class: "work".into(),
+        team: "red".into(),
+        shape: Shape::Array,
+        rank: Rank::Normal,
+        tasks: 1,
+        cores: 1.0,
+        gpus: 0.0,
+        ram_gb: 1.0,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        image: "img".into(),
+        image_gb: 1.0,
+        estimate_s: 20.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    };
+    JobRecord { spec, at: 0, withdrawn: false }
+}
+
+fn over(version: u64, phase: Phase) -> Txn {
+    let id = job().spec.id;
+    Txn {
+        conditions: vec![lemonweir_protocol::state::Condition { key: job_key(&id), version }],
+        writes: vec![Write::Delete { key: job_key(&id) }, Write::put(end_key(&id), &EndRecord { phase })],
+    }
+}
+
+/// A submission without an answer, tried again at another node, done, and then made:
+/// the job that is over must not come back.
+#[test]
+fn a_job_that_is_over_is_not_accepted_by_a_late_transaction() {
+    let mut store = Store::default();
+    let late = accept_job(&job());
+    let version = store.txn(&accept_job(&JobRecord { at: 5, ..job() })).expect("nobody knows it");
+    assert_eq!(store.txn(&late), None, "it is known");
+    // A withdrawal and an end that were sent before others changed the job.
+    let late_withdrawal = withdraw_job(&job(), version);
+    let late_end = over(version, Phase::Done);
+    let withdrawn = store.txn(&withdraw_job(&job(), version)).expect("it is not over");
+    assert_eq!(store.txn(&late_end), None, "it was withdrawn since");
+    store.txn(&over(withdrawn, Phase::Withdrawn)).expect("nothing of it is left");
+    for txn in [late, late_withdrawal, late_end] {
+        assert_eq!(store.txn(&txn), None, "it is over");
+    }
+}
+
+// ---- the copy --------------------------------------------------------------------
+
+fn held_by(part: u16, host: &str, version: u64) -> Changed {
+    let value = to_value(&PartRecord { host: host.into() });
+    Changed { set: Some(part_key(part)), drop: None, value: Some(value), version }
+}
+
+fn gone(part: u16, version: u64) -> Changed {
+    Changed { set: None, drop: Some(part_key(part)), value: None, version }
+}
+
+fn holder(host: &str, token: u64) -> Holder {
+    Holder { host: host.into(), token }
+}
+
+/// A peer tells of a holder that the copy does not know yet, and the copy then learns
+/// what happened before: the part must not seem to be an earlier holder's, or nobody's.
+#[test]
+fn the_copy_never_goes_back_to_an_earlier_holder() {
+    let mut mirror = Mirror::default();
+    mirror.apply(&[held_by(0, "h0", 10)], 30, 0);
+    // As `Core::superseded` does.
+    mirror.parts.insert(0, holder("h2", 50));
+    mirror.apply(&[gone(0, 35), held_by(0, "h1", 40)], 41, 0);
+    assert_eq!(mirror.parts.get(&0), Some(&holder("h2", 50)));
+    mirror.apply(&[gone(0, 45)], 46, 0);
+    assert_eq!(mirror.parts.get(&0), Some(&holder("h2", 50)));
+    // What comes after it counts.
+    mirror.apply(&[held_by(0, "h2", 50), gone(0, 60)], 61, 0);
+    assert_eq!(mirror.parts.get(&0), None);
+    mirror.apply(&[held_by(0, "h1", 70)], 70, 0);
+    assert_eq!(mirror.parts.get(&0), Some(&holder("h1", 70)));
+}
+
+/// Pages of a full reading are of different moments; the changes since the first bring
+/// the copy to one state, and between them nothing older is shown than was read.
+#[test]
+fn pages_of_different_moments_come_to_one_state() {
+    let entry = |key: String, value, version| Entry { key, value, version };
+    let mut mirror = Mirror::default();
+    mirror.apply(&[held_by(0, "h0", 5), held_by(1, "h1", 6)], 6, 0);
+    // The first page is of revision 100, that with the parts of 120: meanwhile part 0
+    // changed hands twice, and part 1 was given up.
+    let parts = [entry(part_key(0), to_value(&PartRecord { host: "h2".into() }), 115)];
+    mirror.replace(&parts, 100);
+    assert_eq!((mirror.revision, mirror.parts.get(&0)), (Some(100), Some(&holder("h2", 115))));
+    // Learned in two readings, the first of which ends between the two changes.
+    mirror.apply(&[gone(0, 102), held_by(0, "h1", 105)], 108, 0);
+    assert_eq!(mirror.parts.get(&0), Some(&holder("h2", 115)));
+    mirror.apply(&[gone(0, 110), gone(1, 112), held_by(0, "h2", 115)], 121, 0);
+    assert_eq!(mirror.parts, BTreeMap::from([(0, holder("h2", 115))]));
+    // A reading that was asked for earlier than the last one takes nothing back.
+    mirror.apply(&[], 90, 0);
+    assert_eq!(mirror.revision, Some(121));
+}
