--- /dev/null
+++ b/crates/coordination/tests/late_orders.rs
@@ -0,0 +1,831 @@
+//! Orders, answers and reports that come late, at owners in succession, against a
+//! slow plain model of one worker and of a store that only knows who holds the part.
+//! Whatever is held back, lost, copied or delivered after newer things, nothing runs
+//! on the machine that an owner has told to be over.
+
+mod support;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::LazyLock;
+
+use lemonweir_coordination::owner::{CommandCall, CommandResult};
+use lemonweir_coordination::{Config, Core, Effect, Lot, ReportAnswer};
+use lemonweir_model::AttemptId;
+use lemonweir_model::constants::*;
+use lemonweir_model::policy::Policy;
+use lemonweir_protocol::links::Word;
+use lemonweir_protocol::peer::{Have, Span, Sync, Want};
+use lemonweir_protocol::worker::{Order, Report, ReportReply, TaskPhase, TaskReport, Verb};
+use lemonweir_storage::mirror::Holder;
+use proptest::prelude::*;
+use support::*;
+
+const HOSTS: usize = 3;
+const LEASE_MS: u64 = 14_000;
+/// Time of day at the start, ms.
+const DAY_MS: u64 = 1_790_000_000_000;
+
+fn core(me: usize) -> Core {
+    static POLICY: LazyLock<Policy> = LazyLock::new(|| lemonweir_policy::embedded().expect("policy"));
+    let zone = |n: usize| if n == 0 { "north" } else { "south" };
+    let seed = |n: usize| serde_json::json!({"host_name": format!("h{n}"), "zone": zone(n), "address": format!("10.0.0.{n}:8081")});
+    let seeds: Vec<_> = (0..HOSTS).filter(|n| *n != me).map(seed).collect();
+    let value = serde_json::json!({
+        "host_name": format!("h{me}"), "zone": zone(me), "listen": "10.0.0.9:8080", "internal_addr": "10.0.0.9:8081",
+        "seeds": seeds,
+        "services": {"cloud": "10.2.0.2:8443", "state": "10.2.0.1:2379"},
+        "cluster": {
+            "zones": ["north", "south"], "teams": [{"name": "red"}], "objectives": [],
+            "workers": {"report_s": 3.0, "lease_s": LEASE_MS as f64 / 1000.0, "gang_wait_s": 50.0, "gang_peer_s": 8.0, "cancel_s": 34.0},
+            "state": {"rps": 200.0, "write_rps": 80.0, "value_kb": 8.0, "txn_ops": 4},
+            "cloud": {"rps": 4.0, "list_lag_s": 10.0},
+            "limits": {"cpu_share": 0.12, "mem_mb": 104.0, "fd_limit": 1800},
+            "clock_off_ms": 250.0
+        }
+    });
+    let mut core = Core::new(Config::new(&serde_json::from_value(value).expect("settings")), POLICY.clone());
+    core.set_catalog(BTreeMap::from([("box".to_owned(), kind())]));
+    core
+}
+
+/// Numbers from a seed.
+struct Dice(u64);
+
+impl Dice {
+    fn below(&mut self, n: u64) -> u64 {
+        self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (self.0 >> 33) % n
+    }
+
+    fn chance(&mut self, percent: u64) -> bool {
+        self.below(100) < percent
+    }
+}
+
+// ---- the worker ----------------------------------------------------------------
+
+/// A worker by the protocol page.
+struct Worker {
+    life: u64,
+    session: u64,
+    seq: u64,
+    token: u64,
+    lease_from: u64,
+    /// The report in flight: its number and when it was sent.
+    waits: Option<(u64, u64)>,
+    next: u64,
+    node: usize,
+    tasks: BTreeMap<AttemptId, TaskPhase>,
+    hangs_until: u64,
+    /// What lies in its sockets while it hangs.
+    held: Vec<Message>,
+}
+
+impl Worker {
+    fn new(life: u64, now: u64) -> Self {
+        Self {
+            life,
+            session: 1,
+            seq: 0,
+            token: 0,
+            lease_from: now,
+            waits: None,
+            next: now,
+            node: 0,
+            tasks: BTreeMap::new(),
+            hangs_until: 0,
+            held: Vec::new(),
+        }
+    }
+
+    fn report(&mut self) -> Report {
+        self.seq += 1;
+        let task = |(id, phase): (&AttemptId, &TaskPhase)| TaskReport {
+            piece: id.piece(),
+            attempt: id.attempt,
+            phase: *phase,
+            cause: (*phase == TaskPhase::Exited).then(|| "stopped".to_owned()),
+            saved: None,
+        };
+        Report { session: self.session, seq: self.seq, token: self.token, tasks: self.tasks.iter().map(task).collect(), ..report(0, 0) }
+    }
+
+    fn execute(&mut self, orders: &[Order]) {
+        for o in orders {
+            let id = AttemptId::parse(&o.piece, o.attempt).expect("a task");
+            match o.verb {
+                Verb::Launch => drop(self.tasks.entry(id).or_insert(TaskPhase::Running)),
+                Verb::Kill => {
+                    if let Some(phase) = self.tasks.get_mut(&id) {
+                        *phase = TaskPhase::Exited;
+                    }
+                }
+                Verb::Forget => drop(self.tasks.remove(&id)),
+            }
+        }
+    }
+
+    /// It tries the next controller 1 s later.
+    fn turns(&mut self, now: u64) {
+        (self.waits, self.next, self.node) = (None, now + NEXT_NODE_MS, (self.node + 1) % HOSTS);
+    }
+}
+
+// ---- what is on its way ----------------------------------------------------------
+
+#[derive(Clone)]
+enum Message {
+    /// A report to a controller, carried on by another; not the original: `copy`.
+    Report { report: Report, life: u64, sent: u64, host: usize, by: Option<u16>, copy: bool },
+    /// What a worker is answered; `None`: that it can't be, or a controller's number.
+    Answer { life: u64, session: u64, seq: u64, sent: u64, answer: Result<ReportReply, Option<usize>> },
+    /// A call; `to` is the life of the worker that it was sent to: a connection ends
+    /// with that.
+    Orders { number: u64, call: CommandCall, to: u64, answered: bool },
+    /// A call's answer, or the end of the wait for it.
+    Done { number: u64, result: Option<Report>, executed: bool, sent: bool },
+}
+
+/// A call that a process has made.
+struct Pending {
+    host: usize,
+    process: u64,
+    lot: Lot,
+    call: CommandCall,
+}
+
+/// One controller.
+struct Host {
+    core: Option<Core>,
+    /// Number of its process.
+    process: u64,
+    back_at: u64,
+    /// It stands still until then, ms; what came meanwhile.
+    stands_until: u64,
+    held: Vec<Message>,
+    /// The store does not answer it until then, ms.
+    cut_until: u64,
+    /// Workers and it don't reach each other until then, ms.
+    deaf_until: u64,
+    /// A reading under way: when it began, when it ends, and what it will show.
+    reading: Option<(u64, u64, Option<Holder>)>,
+    read_at: u64,
+    /// A part that it has taken and not adopted yet.
+    taken: Option<(u64, u64)>,
+}
+
+impl Host {
+    /// Its process, if it does not stand still.
+    fn runs(&mut self, now: u64) -> Option<&mut Core> {
+        self.core.as_mut().filter(|_| now >= self.stands_until)
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Trouble {
+    /// The machine hangs.
+    Hang,
+    /// Calls are held back and delivered then, or within three times that.
+    CallsHeld,
+    CallsLost,
+    /// Reports are held back and delivered then.
+    ReportsHeld,
+    AnswersLost,
+    AnswersSlow,
+    /// Of this share of reports a copy comes again.
+    Copies(u64),
+    /// Nobody reaches the machine.
+    Unreachable,
+    /// The machine and one controller don't reach each other.
+    Apart(usize),
+    /// The store does not answer one controller.
+    CutFromStore(usize),
+    SlowStore,
+    /// A controller takes the part.
+    Take(usize),
+    /// Its process ends, and is back then.
+    Crash(usize),
+    StandStill(usize),
+    /// The machine is back within a moment, empty.
+    NewLife,
+    Quiet,
+}
+
+struct World {
+    dice: Dice,
+    now: u64,
+    worker: Worker,
+    hosts: Vec<Host>,
+    processes: u64,
+    holder: Option<Holder>,
+    revision: u64,
+    mail: Vec<(u64, u64, Message)>,
+    posted: u64,
+    calls: BTreeMap<u64, Pending>,
+    called: u64,
+    // Until when what is troubled.
+    calls_held: u64,
+    calls_lost: u64,
+    reports_held: u64,
+    answers_lost: u64,
+    answers_slow: u64,
+    slow_store: u64,
+    unreachable: u64,
+    copies: u64,
+    // The placer.
+    to: u64,
+    sync: u64,
+    tasks: u32,
+    wanted: BTreeMap<AttemptId, Want>,
+    over: BTreeSet<AttemptId>,
+    open: bool,
+    given_back: bool,
+    starts: u64,
+    log: bool,
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let host = |n: usize| Host {
+            core: Some(core(n)),
+            process: n as u64,
+            back_at: 0,
+            stands_until: 0,
+            held: Vec::new(),
+            cut_until: 0,
+            deaf_until: 0,
+            reading: None,
+            read_at: 0,
+            taken: None,
+        };
+        let mut world = Self {
+            dice: Dice(seed),
+            now: 100,
+            worker: Worker::new(1, 100),
+            hosts: (0..HOSTS).map(host).collect(),
+            processes: HOSTS as u64,
+            holder: None,
+            revision: TOKEN - 1,
+            mail: Vec::new(),
+            posted: 0,
+            calls: BTreeMap::new(),
+            called: 0,
+            calls_held: 0,
+            calls_lost: 0,
+            reports_held: 0,
+            answers_lost: 0,
+            answers_slow: 0,
+            slow_store: 0,
+            unreachable: 0,
+            copies: 0,
+            to: 0,
+            sync: 0,
+            tasks: 0,
+            wanted: BTreeMap::new(),
+            over: BTreeSet::new(),
+            open: false,
+            given_back: false,
+            starts: 0,
+            log: std::env::var_os("LATE_ORDERS_LOG").is_some(),
+        };
+        world.take(0);
+        world
+    }
+
+    fn note(&self, text: impl FnOnce() -> String) {
+        if self.log {
+            eprintln!("{:>7} {}", self.now, text());
+        }
+    }
+
+    fn post_at(&mut self, at: u64, message: Message) {
+        self.posted += 1;
+        self.mail.push((at.max(self.now + 1), self.posted, message));
+    }
+
+    fn post(&mut self, most_ms: u64, message: Message) {
+        let at = self.now + 1 + self.dice.below(most_ms);
+        self.post_at(at, message);
+    }
+
+    /// What was told to be over does not run, nor will it.
+    fn check(&self) {
+        // What hangs past its lease goes on with nothing.
+        if self.now > self.worker.lease_from + LEASE_MS {
+            return;
+        }
+        for id in self.worker.tasks.iter().filter(|(_, p)| **p != TaskPhase::Exited).map(|(id, _)| id) {
+            assert!(!self.over.contains(id), "{id} runs at {} ms and was told to be over", self.now);
+        }
+    }
+
+    // ---- the store -----------------------------------------------------------
+
+    fn take(&mut self, n: usize) {
+        let now = self.now;
+        let host = &mut self.hosts[n];
+        if host.core.is_none() || now < host.stands_until || now < host.cut_until || host.taken.is_some() {
+            return;
+        }
+        self.revision += 1;
+        self.holder = Some(Holder { host: format!("h{n}"), token: self.revision });
+        let wait = 20 + self.dice.below(600);
+        self.hosts[n].taken = Some((self.revision, now + wait));
+        let token = self.revision;
+        self.note(|| format!("h{n} takes the part with {token}"));
+    }
+
+    fn show(core: &mut Core, holder: Option<Holder>, began: u64) {
+        let revision = holder.as_ref().map_or(1, |h| h.token);
+        match holder {
+            Some(holder) => drop(core.mirror.parts.insert(0, holder)),
+            None => drop(core.mirror.parts.remove(&0)),
+        }
+        core.mirror.revision = core.mirror.revision.max(Some(revision));
+        core.refreshed(began, true);
+    }
+
+    fn read_store(&mut self) {
+        let (now, slow) = (self.now, self.now < self.slow_store);
+        for n in 0..HOSTS {
+            let wait = if slow { 10 + self.dice.below(1_490) } else { 5 + self.dice.below(30) };
+            let holder = self.holder.clone();
+            let host = &mut self.hosts[n];
+            let Some(core) = host.core.as_mut() else { continue };
+            if now < host.stands_until {
+                continue;
+            }
+            if let Some((began, _, shown)) = host.reading.take_if(|(_, ends, _)| now >= *ends) {
+                Self::show(core, shown, began);
+                host.read_at = now + REFRESH_IDLE_MS;
+            }
+            if now < host.cut_until {
+                continue;
+            }
+            if host.reading.is_none() && now >= host.read_at {
+                host.reading = Some((now, now + wait, holder.clone()));
+            }
+            if let Some((token, _)) = host.taken.take_if(|(_, at)| now >= *at) {
+                // The reading before it adopts the part.
+                Self::show(core, holder.clone(), now - 1);
+                if holder.is_some_and(|h| h.token == token) {
+                    core.adopt(Lot { part: 0, token }, &[], Vec::new(), now);
+                }
+            }
+        }
+        // Who finds itself the holder without knowing takes the part anew.
+        for n in 0..HOSTS {
+            let host = &self.hosts[n];
+            let Some(core) = host.core.as_ref() else { continue };
+            let ours = core.mirror.parts.get(&0).is_some_and(|h| h.host == format!("h{n}"));
+            if ours && core.held().is_empty() && host.taken.is_none() && self.holder.as_ref() == core.mirror.parts.get(&0) {
+                self.take(n);
+            }
+        }
+    }
+
+    // ---- messages ------------------------------------------------------------
+
+    fn deliver(&mut self, message: Message) {
+        let now = self.now;
+        let held_by = match &message {
+            Message::Report { host, .. } => Some(*host),
+            Message::Done { number, .. } => match self.calls.get(number) {
+                Some(p) => Some(p.host),
+                None => return,
+            },
+            _ => None,
+        };
+        match held_by {
+            Some(n) if now < self.hosts[n].stands_until => return self.hosts[n].held.push(message),
+            None if now < self.worker.hangs_until => return self.worker.held.push(message),
+            _ => {}
+        }
+        match message {
+            Message::Report { report, life, sent, host, by, copy } => self.report_arrives(report, life, sent, host, by, copy),
+            Message::Answer { life, session, seq, sent, answer } => {
+                let pick = self.dice.below(1_500);
+                let w = &mut self.worker;
+                if w.life != life || w.waits != Some((seq, sent)) {
+                    return;
+                }
+                if now >= sent + WORKER_PATIENCE_MS {
+                    return w.turns(now);
+                }
+                let reply = match answer {
+                    Ok(reply) => reply,
+                    Err(Some(node)) if node != w.node => {
+                        (w.waits, w.node, w.next) = (None, node, now + pick / 3);
+                        return;
+                    }
+                    Err(_) => return w.turns(now),
+                };
+                (w.waits, w.next) = (None, now + 2_250 + pick);
+                if reply.token < w.token || session != w.session {
+                    return;
+                }
+                if reply.token > w.token {
+                    (w.token, w.next) = (reply.token, now + 500);
+                }
+                w.lease_from = w.lease_from.max(sent);
+                w.execute(&reply.orders);
+                self.note(|| format!("answer to {session}/{seq}: {reply:?}"));
+            }
+            Message::Orders { number, call, to, answered } => {
+                let w = &mut self.worker;
+                if w.life != to {
+                    return;
+                }
+                let executed = call.commands.token >= w.token && call.commands.session == w.session;
+                if executed {
+                    w.token = call.commands.token;
+                    w.execute(&call.commands.orders);
+                }
+                let report = w.report();
+                self.note(|| format!("call {number} executed: {executed}, {:?}; {report:?}", call.commands));
+                if answered {
+                    let most = if self.dice.chance(15) { 3_000 } else { 30 };
+                    self.post(most, Message::Done { number, result: Some(report), executed, sent: true });
+                }
+            }
+            Message::Done { number, result, executed, sent } => {
+                let Some(p) = self.calls.remove(&number) else { return };
+                let host = &mut self.hosts[p.host];
+                let Some(core) = host.core.as_mut().filter(|_| host.process == p.process) else { return };
+                let result = match result {
+                    Some(report) if executed => CommandResult::Executed(report),
+                    Some(report) => CommandResult::Refused(report),
+                    None if sent => CommandResult::Unknown,
+                    None => CommandResult::NotSent,
+                };
+                core.command_done(p.lot, &p.call, result, now);
+                self.pump(p.host);
+            }
+        }
+        self.check();
+    }
+
+    fn report_arrives(&mut self, report: Report, life: u64, sent: u64, host: usize, by: Option<u16>, copy: bool) {
+        let now = self.now;
+        let answer = match self.hosts[host].core.as_mut() {
+            None => ReportAnswer::Unable,
+            Some(core) => match by {
+                None => core.report(&report, now),
+                Some(by) => core.carried_report(&report, by, now),
+            },
+        };
+        self.note(|| format!("h{host} hears {report:?} by {by:?}, copy {copy}: {answer:?}"));
+        self.pump(host);
+        let answer = match answer {
+            ReportAnswer::Orders(reply) => Ok(reply),
+            ReportAnswer::Carry(to) => {
+                let report = Message::Report { report, life, sent, host: usize::from(to), by: Some(host as u16), copy };
+                return self.post(40, report);
+            }
+            ReportAnswer::Elsewhere(name) => Err(name[1..].parse().ok()),
+            ReportAnswer::Unable => Err(None),
+        };
+        let lost = now < self.answers_lost || now < self.unreachable || now < self.hosts[host].deaf_until && by.is_none();
+        if copy || lost {
+            return;
+        }
+        let most = if now < self.answers_slow { 6_000 } else { 40 };
+        self.post(most, Message::Answer { life, session: report.session, seq: report.seq, sent, answer });
+    }
+
+    fn pump(&mut self, n: usize) {
+        let now = self.now;
+        let Some(core) = self.hosts[n].runs(now) else { return };
+        for effect in core.pump(now) {
+            match effect {
+                Effect::Command(lot, call) => self.call(n, lot, call),
+                Effect::Release(lot, names) => {
+                    // The cloud answers nothing here: ends are proven by the machine
+                    // or time.
+                    self.given_back = true;
+                    if let Some(core) = self.hosts[n].core.as_mut() {
+                        core.released(lot, &names, false, now);
+                    }
+                }
+                Effect::Hail(to, word) => self.hail(n, usize::from(to), word),
+                _ => {}
+            }
+        }
+    }
+
+    fn hail(&mut self, from: usize, to: usize, word: Word) {
+        let now = self.now;
+        let answer = self.hosts[to].runs(now).map(|core| core.links.hail_in(word, now));
+        if let Some(core) = self.hosts[from].core.as_mut() {
+            core.links.hailed(to as u16, answer.is_some(), answer, now);
+        }
+    }
+
+    fn call(&mut self, host: usize, lot: Lot, call: CommandCall) {
+        let now = self.now;
+        self.called += 1;
+        let number = self.called;
+        self.starts += call.commands.orders.iter().filter(|o| o.verb == Verb::Launch).count() as u64;
+        let (to, process) = (self.worker.life, self.hosts[host].process);
+        self.note(|| format!("h{host} calls ({number}): {:?} through {:?}", call.commands, call.through));
+        self.calls.insert(number, Pending { host, process, lot, call: call.clone() });
+        let apart = now < self.unreachable || now < self.hosts[host].deaf_until && call.through.is_none();
+        if apart && self.dice.chance(50) || self.dice.chance(3) {
+            return self.post_at(now + CONNECT_MS, Message::Done { number, result: None, executed: false, sent: false });
+        }
+        self.post_at(now + COMMAND_TIMEOUT_MS, Message::Done { number, result: None, executed: false, sent: true });
+        let held = now < self.calls_held || apart;
+        let message = |answered| Message::Orders { number, call: call.clone(), to, answered };
+        if held || self.dice.chance(5) {
+            if now < self.calls_lost || self.dice.chance(20) {
+                return;
+            }
+            // Delivered after the trouble, or long after it.
+            let after = self.calls_held.max(self.unreachable).max(now + 100);
+            let most = if self.dice.chance(30) { 90_000 } else { 5_000 };
+            let at = after + self.dice.below(most);
+            return self.post_at(at, message(at < now + COMMAND_TIMEOUT_MS));
+        }
+        if now >= self.calls_lost {
+            self.post(40, message(true));
+        }
+    }
+
+    // ---- the worker's own motion -----------------------------------------------
+
+    fn work(&mut self) {
+        let now = self.now;
+        let w = &mut self.worker;
+        if now < w.hangs_until {
+            return;
+        }
+        if now > w.lease_from + LEASE_MS {
+            w.tasks.clear();
+            (w.session, w.lease_from, w.next) = (w.session + 1, now, now);
+            let session = w.session;
+            self.note(|| format!("session {session}"));
+        }
+        for message in std::mem::take(&mut self.worker.held) {
+            self.deliver(message);
+        }
+        let w = &mut self.worker;
+        if w.waits.is_some_and(|(_, sent)| now >= sent + WORKER_PATIENCE_MS) {
+            w.turns(now);
+        }
+        if w.waits.is_some() || now < w.next {
+            return;
+        }
+        // Tasks end by themselves now and then.
+        if self.dice.chance(5)
+            && let Some(phase) = w.tasks.values_mut().find(|p| **p == TaskPhase::Running)
+        {
+            *phase = TaskPhase::Exited;
+        }
+        let report = w.report();
+        w.waits = Some((report.seq, now));
+        let (life, host) = (w.life, w.node);
+        let message = |host, copy| Message::Report { report: report.clone(), life, sent: now, host, by: None, copy };
+        if self.dice.chance(self.copies) {
+            let at = now + 200 + self.dice.below(4 * LEASE_MS);
+            let host = self.dice.below(HOSTS as u64) as usize;
+            self.post_at(at, message(host, true));
+        }
+        if now < self.unreachable || now < self.hosts[host].deaf_until || self.hosts[host].core.is_none() {
+            return match self.dice.chance(50) {
+                // Refused at once, or held back until long after.
+                true => self.worker.turns(now),
+                false => {
+                    let at = now + self.dice.below(40_000);
+                    self.post_at(at, message(host, false));
+                }
+            };
+        }
+        if now < self.reports_held {
+            let at = self.reports_held + self.dice.below(100);
+            return self.post_at(at, message(host, false));
+        }
+        self.post(40, message(host, false));
+    }
+
+    // ---- the placer --------------------------------------------------------------
+
+    fn place(&mut self) {
+        while self.wanted.len() < 4 {
+            self.tasks += 1;
+            let want = want(self.tasks, 0);
+            self.wanted.insert(want.id.clone(), want);
+        }
+        if self.dice.chance(5)
+            && let Some(want) = self.wanted.values_mut().next()
+        {
+            want.kill = Some(0);
+        }
+        // It learns of changes of hands some time after.
+        let newest = self.holder.as_ref().map_or(0, |h| h.token);
+        if newest > self.to && self.dice.chance(30) {
+            self.to = newest;
+        }
+        let (now, to) = (self.now, self.to);
+        let at = |h: &Host| h.core.as_ref().is_some_and(|c| c.held().contains(&Lot { part: 0, token: to })) && now >= h.stands_until;
+        let Some(n) = self.hosts.iter().position(at) else { return };
+        for from in [2, 1] {
+            self.sync += 1;
+            let wants = if from == 1 { self.wanted.values().cloned().collect() } else { Vec::new() };
+            let span = Span { since: 0, upto: self.sync, last: true };
+            let message =
+                Sync { from, from_token: 39, to_token: to, keep: vec![machine(0)], ..sync(self.sync, span, wants, Have::default()) };
+            let Some(core) = self.hosts[n].core.as_mut() else { return };
+            let Ok(view) = core.sync_in(&message, now) else { return };
+            // An answer may be lost.
+            if from != 1 || self.dice.chance(10) {
+                continue;
+            }
+            self.open = view.machines.iter().any(|m| m.up && m.open);
+            for a in view.attempts.iter().filter(|a| a.standing.ended()) {
+                if self.wanted.remove(&a.id).is_some() {
+                    self.note(|| format!("h{n} tells that {} is over: {:?}", a.id, a.standing));
+                }
+                self.over.insert(a.id.clone());
+            }
+        }
+        self.check();
+        self.pump(n);
+    }
+
+    // ---- troubles ------------------------------------------------------------------
+
+    fn befall(&mut self, trouble: &Trouble, for_ms: u64) {
+        let until = self.now + for_ms;
+        self.note(|| format!("{trouble:?} for {for_ms} ms"));
+        match trouble {
+            Trouble::Hang => self.worker.hangs_until = until,
+            Trouble::CallsHeld => self.calls_held = until,
+            Trouble::CallsLost => (self.calls_lost, self.calls_held) = (until, until),
+            Trouble::ReportsHeld => self.reports_held = until,
+            Trouble::AnswersLost => self.answers_lost = until,
+            Trouble::AnswersSlow => self.answers_slow = until,
+            Trouble::Copies(percent) => self.copies = *percent,
+            Trouble::Unreachable => self.unreachable = until,
+            Trouble::Apart(n) => self.hosts[*n].deaf_until = until,
+            Trouble::CutFromStore(n) => {
+                self.hosts[*n].cut_until = until;
+                self.hosts[*n].reading = None;
+            }
+            Trouble::SlowStore => self.slow_store = until,
+            Trouble::Take(n) => self.take(*n),
+            Trouble::Crash(n) => {
+                let host = &mut self.hosts[*n];
+                (host.core, host.reading, host.taken, host.back_at) = (None, None, None, self.now + for_ms / 8);
+                host.held.clear();
+                self.calls.retain(|_, p| p.host != *n);
+            }
+            Trouble::StandStill(n) => {
+                let host = &mut self.hosts[*n];
+                host.stands_until = until;
+            }
+            Trouble::NewLife => {
+                let life = self.worker.life + 1;
+                self.worker = Worker::new(life, self.now + 100);
+            }
+            Trouble::Quiet => {
+                (self.calls_held, self.calls_lost, self.reports_held, self.answers_lost) = (0, 0, 0, 0);
+                (self.answers_slow, self.slow_store, self.unreachable, self.copies) = (0, 0, 0, 0);
+                for host in &mut self.hosts {
+                    (host.cut_until, host.deaf_until) = (0, 0);
+                }
+            }
+        }
+    }
+
+    fn pass(&mut self, ms: u64) {
+        let until = self.now + ms;
+        while self.now < until {
+            self.now += 20;
+            let now = self.now;
+            for n in 0..HOSTS {
+                let host = &mut self.hosts[n];
+                if host.core.is_none() && now >= host.back_at {
+                    self.processes += 1;
+                    (host.core, host.process, host.read_at) = (Some(core(n)), self.processes, now);
+                    if let Some(core) = host.core.as_mut() {
+                        core.set_clock(now, DAY_MS + now);
+                    }
+                }
+                if now >= host.stands_until && !host.held.is_empty() {
+                    for message in std::mem::take(&mut host.held) {
+                        self.deliver(message);
+                    }
+                }
+            }
+            let mut due: Vec<(u64, u64, Message)> = self.mail.extract_if(.., |(at, _, _)| *at <= now).collect();
+            due.sort_by_key(|(at, n, _)| (*at, *n));
+            due.into_iter().for_each(|(_, _, m)| self.deliver(m));
+            self.work();
+            self.read_store();
+            if now.is_multiple_of(100) {
+                for n in 0..HOSTS {
+                    if let Some(core) = self.hosts[n].runs(now) {
+                        core.set_clock(now, DAY_MS + now);
+                    }
+                    self.pump(n);
+                }
+            }
+            if now.is_multiple_of(500) {
+                self.place();
+            }
+            self.check();
+        }
+    }
+}
+
+// ---- random histories --------------------------------------------------------------
+
+/// A trouble, for how long, and how long until the next.
+type Step = (Trouble, u64, u64);
+
+fn trouble() -> impl Strategy<Value = Trouble> {
+    let host = 0..HOSTS;
+    prop_oneof![
+        3 => Just(Trouble::Hang),
+        3 => Just(Trouble::CallsHeld),
+        1 => Just(Trouble::CallsLost),
+        2 => Just(Trouble::ReportsHeld),
+        2 => Just(Trouble::AnswersLost),
+        2 => Just(Trouble::AnswersSlow),
+        2 => prop_oneof![Just(0u64), Just(30), Just(100)].prop_map(Trouble::Copies),
+        2 => Just(Trouble::Unreachable),
+        2 => host.clone().prop_map(Trouble::Apart),
+        3 => host.clone().prop_map(Trouble::CutFromStore),
+        1 => Just(Trouble::SlowStore),
+        4 => host.clone().prop_map(Trouble::Take),
+        2 => host.clone().prop_map(Trouble::Crash),
+        2 => host.prop_map(Trouble::StandStill),
+        1 => Just(Trouble::NewLife),
+        3 => Just(Trouble::Quiet),
+    ]
+}
+
+fn steps() -> impl Strategy<Value = (u64, Vec<Step>)> {
+    let long = prop_oneof![3 => 500u64..8_000, 2 => 8_000u64..30_000, 1 => 30_000u64..120_000];
+    (any::<u64>(), prop::collection::vec((trouble(), long, 20..9_000u64), 1..30))
+}
+
+fn play(seed: u64, steps: &[Step]) -> World {
+    let mut world = World::new(seed);
+    world.pass(5_000);
+    for (trouble, for_ms, then_ms) in steps {
+        world.befall(trouble, *for_ms);
+        world.pass(*then_ms);
+    }
+    world.befall(&Trouble::Quiet, 0);
+    world
+}
+
+fn cases(default: u32) -> u32 {
+    std::env::var("LATE_ORDERS_CASES").ok().and_then(|n| n.parse().ok()).unwrap_or(default)
+}
+
+fn seed() -> u64 {
+    std::env::var("LATE_ORDERS_SEED").ok().and_then(|n| n.parse().ok()).unwrap_or(5)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: cases(60),
+        max_shrink_iters: 400,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(seed()),
+        ..ProptestConfig::default()
+    })]
+
+    /// In any order of calls, answers and reports that are held back, lost, copied or
+    /// late, of a machine that hangs and goes on, and of owners that change, are cut
+    /// off, stand still and come back.
+    #[test]
+    fn nothing_runs_that_was_told_to_be_over((seed, steps) in steps()) {
+        play(seed, &steps).pass(100_000);
+    }
+}
+
+/// The histories are worth something: in them tasks start, end and are told to be over,
+/// and once all troubles are over the machine is used.
+#[test]
+fn histories_start_and_end_tasks_and_leave_the_machine_in_use() {
+    use proptest::strategy::ValueTree;
+    let mut runner = proptest::test_runner::TestRunner::new_with_rng(
+        ProptestConfig::default(),
+        proptest::test_runner::TestRng::from_seed(proptest::test_runner::RngAlgorithm::ChaCha, &[7; 32]),
+    );
+    let (mut starts, mut over, mut used, mut kept) = (0, 0, 0, 0);
+    for _ in 0..40 {
+        let (seed, steps) = steps().new_tree(&mut runner).expect("drawn").current();
+        let mut world = play(seed, &steps);
+        world.pass(140_000);
+        (starts, over) = (starts + world.starts, over + world.over.len());
+        if !world.given_back {
+            kept += 1;
+            used += usize::from(world.open);
+        }
+    }
+    eprintln!("{starts} starts, {over} over, {used} of {kept} in use");
+}
