A machine that goes gives back its place among the calls to deaf machines

Cause: released() removed the machine, so call_done() returned before it counted the call's end. After eight deaf machines were given back during a call, an owner called no deaf machine any more: stops for them went by answers alone, which they don't hear. Ruled out: a machine that is inserted anew (gone machines are not taken up). Change: the place is given back with the machine. Conclusion: fault found by reading, mended at the count.

--- a/crates/coordination/src/owner/upkeep.rs
+++ b/crates/coordination/src/owner/upkeep.rs
@@ -293,7 +293,10 @@
         self.releasing = false;
         for id in names {
             if done {
-                self.machines.remove(id);
+                // Guards against a call under way to a machine that goes: its end finds
+                // no machine, and its place among the calls to deaf ones would be lost.
+                let calling = self.machines.remove(id).is_some_and(|m| m.deaf_call);
+                self.deaf_calls -= usize::from(calling);
                 self.blame.forget(id);
                 self.gone.insert(id.clone());
                 info!(machine = %id, part = self.part, "machine is gone");
--- a/crates/coordination/tests/hearing.rs
+++ b/crates/coordination/tests/hearing.rs
@@ -317,3 +317,30 @@
     part.owner.tick(5_200, 5_100);
     assert_eq!(part.call().expect("at once").commands.orders.len(), 1);
 }
+
+/// A deaf machine is given back while a call to it is under way: its place among the
+/// calls to deaf machines is free again. With each that was lost, stops for others would
+/// have waited for ever.
+#[test]
+fn a_deaf_machine_that_goes_leaves_its_call_to_others() {
+    let mut part = Part::new(2 * DEAF_CALLS);
+    let stopped = |n: usize| Want { kill: Some(0), ..want(n as u32, n) };
+    let all: Vec<Want> = (0..2 * DEAF_CALLS).map(stopped).collect();
+    for at in [3_000, 8_050, 13_100] {
+        part.pass(at);
+        for n in 0..2 * DEAF_CALLS {
+            part.report(n, None, false, vec![running_task(n)]);
+        }
+    }
+    part.tell(all.clone());
+    let calls = part.owner.calls(part.now, 100);
+    assert_eq!(calls.len(), DEAF_CALLS, "no more at a time");
+    let gone: Vec<_> = calls.iter().map(|c| c.machine.clone()).collect();
+    part.owner.released(&gone, true, part.now);
+    for call in &calls {
+        part.owner.call_done(call, CommandResult::Unknown, part.now);
+    }
+    part.tell(all);
+    let rest = part.owner.calls(part.now, 100);
+    assert_eq!(rest.len(), DEAF_CALLS, "the others are told to stop");
+}
