A hold is renewed while the records of a part that was taken are read

Cause: one loop renewed the hold, took parts and read their records. Where the store answers slowly, the records of one more part take longer than the hold lives: it ends, and every part of the controller with it. A page that got no answer ended the reading; the part then was taken anew, under another token.

Ruled out: that a part is adopted under a token that is no more. It is adopted only if a reading that began after the records shows its token.

Change: the hold is kept by a loop of its own, which waits for nothing else. Presence is shown with each new hold by the loop that takes parts, so a hold is not lost for an unanswered showing. Records are read again until they are had, or the part is another's.

Before and after: node/tests/holds.rs, a process against a store whose pages take 1 s, one of them refused.

Conclusion: the hold depends on renewals alone.

--- a/crates/node/src/holds.rs
+++ b/crates/node/src/holds.rs
@@ -17,56 +17,69 @@
     ChunkRecord, ImagesRecord, assign_teams, images_prefix, parse_images_key, parse_run_key, run_prefix, show_node,
 };
 
-/// Keeps the hold alive and takes and gives up parts, for ever.
+/// Keeps the hold alive, for ever. Nothing else is waited for here.
+///
+/// Guards against a hold that ends, with all that lives with it, while the records of
+/// one more part are read from a store that answers slowly.
 pub async fn keep(node: Rc<Node>) {
-    let mut hold: Option<u64> = None;
-    let mut membership = Membership::new(node.core().config.members.len());
     let mut renewed = 0;
     loop {
         if node.core().mirror.revision.is_none() {
             smol::Timer::after(Duration::from_millis(TICK_MS)).await;
             continue;
         }
+        // A hold lives from when its renewal was executed, which is after this.
         let now = node.now();
         node.core().set_clock(now, wall_ms());
-        let alive = match hold {
-            None => begin(&node, &membership).await,
-            Some(id) if now < renewed + HOLD_RENEW_MS => Ok(id),
-            Some(id) => node.state.renew(id).await.map(|()| {
-                renewed = now;
-                id
-            }),
-        };
-        match alive {
-            Ok(id) => {
-                if hold.is_none() {
+        match node.hold.get() {
+            0 => {
+                if let Ok(hold) = node.state.hold(HOLD_TTL_MS).await {
+                    info!(hold, "got a hold");
+                    node.hold.set(hold);
                     renewed = now;
                 }
-                hold = Some(id);
-                node.hold.set(id);
-                teams(&node).await;
-                if let Err(StateError::NoHold) = parts(&node, id, &mut membership).await {
-                    hold = None;
-                }
-            }
-            Err(StateError::NoHold) => {
-                warn!("the hold has ended");
-                hold = None;
-                continue;
             }
-            Err(_) => {}
+            hold if now >= renewed + HOLD_RENEW_MS => match node.state.renew(hold).await {
+                Ok(()) => renewed = now,
+                Err(StateError::NoHold) => {
+                    warn!("the hold has ended");
+                    node.hold.set(0);
+                    continue;
+                }
+                Err(_) => {}
+            },
+            _ => {}
         }
-        smol::Timer::after(Duration::from_millis(if hold.is_some() { 2 * TICK_MS } else { 5 * TICK_MS })).await;
+        smol::Timer::after(Duration::from_millis(if node.hold.get() == 0 { 5 * TICK_MS } else { 2 * TICK_MS })).await;
     }
 }
 
-/// Gets a hold and shows this node's presence with it.
-async fn begin(node: &Node, membership: &Membership) -> Result<u64, StateError> {
-    let hold = node.state.hold(HOLD_TTL_MS).await?;
-    let left = membership.left(&node.core(), node.now());
-    node.state.txn(&show_node(&node.settings.host_name, &node.settings.zone, hold, left)).await?;
-    info!(hold, "got a hold");
-    Ok(hold)
+/// Shows this node's presence, and takes and gives up parts, for ever.
+pub async fn claim(node: Rc<Node>) {
+    let mut membership = Membership::new(node.core().config.members.len());
+    let mut shown = 0;
+    loop {
+        let hold = node.hold.get();
+        if hold != 0
+            && let Err(StateError::NoHold) = tend(&node, hold, &mut shown, &mut membership).await
+            && node.hold.get() == hold
+        {
+            node.hold.set(0);
+        }
+        smol::Timer::after(Duration::from_millis(2 * TICK_MS)).await;
+    }
+}
+
+/// Does what is due with this hold. `shown`: the hold that the presence was last shown
+/// with.
+async fn tend(node: &Rc<Node>, hold: u64, shown: &mut u64, membership: &mut Membership) -> Result<(), StateError> {
+    if *shown != hold {
+        let left = membership.left(&node.core(), node.now());
+        node.state.txn(&show_node(&node.settings.host_name, &node.settings.zone, hold, left)).await?;
+        *shown = hold;
+    }
+    teams(node).await;
+    parts(node, hold, membership).await
 }
 
 /// Records the parts of teams that have none yet.
@@ -93,7 +106,7 @@
         match (claim, result) {
             // An entry's slot or the part's key has changed meanwhile.
             (_, TxnResult::Conflict(_)) => drop(node.fresh().await),
-            (Claim::Take { part, .. }, TxnResult::Done(token)) => acquire(node, part, token).await?,
+            (Claim::Take { part, .. }, TxnResult::Done(token)) => acquire(node, part, token).await,
             (Claim::HandBack(lot), TxnResult::Done(_)) => {
                 info!(part = lot.part, "handed the part back");
                 give_up(node, lot).await;
@@ -119,11 +132,42 @@
 }
 
 /// Loads the records of a part that was taken with this token.
-async fn acquire(node: &Rc<Node>, index: u16, token: u64) -> Result<(), StateError> {
+async fn acquire(node: &Rc<Node>, index: u16, token: u64) {
     // From here on no earlier owner can write this part's records: all their
     // transactions demand their own token.
+    let (chunks, images) = loop {
+        match records(node, index).await {
+            Ok(found) => break found,
+            // Guards against a part that is taken anew, with another token, for each
+            // page that the store does not answer.
+            Err(fault) => info!(part = index, %fault, "records not read; trying again"),
+        }
+        smol::Timer::after(Duration::from_millis(2 * TICK_MS)).await;
+        let core = node.core();
+        if core.mirror.revision >= Some(token) && core.mirror.parts.get(&index).is_none_or(|h| h.token != token) {
+            return;
+        }
+    };
+    // The jobs must be at least as new as the records.
+    while !node.fresh().await {
+        smol::Timer::after(Duration::from_millis(TICK_MS)).await;
+    }
+    let now = node.now();
+    let mut core = node.core();
+    if core.mirror.parts.get(&index).is_some_and(|h| h.token == token) {
+        core.adopt(Lot { part: index, token }, &chunks, images, now);
+    }
+    drop(core);
+    node.poke();
+}
+
+/// Chunks of task records, each with its version.
+type Chunks = Vec<(JobId, u32, ChunkRecord, u64)>;
+
+/// Reads a part's records of tasks, and its notes of images.
+async fn records(node: &Node, index: u16) -> Result<(Chunks, Vec<ImagesRecord>), StateError> {
     let (entries, _) = node.state.list(&run_prefix(index)).await?;
-    let mut chunks: Vec<(JobId, u32, ChunkRecord, u64)> = Vec::with_capacity(entries.len());
+    let mut chunks: Chunks = Vec::with_capacity(entries.len());
     for e in &entries {
         match (parse_run_key(&e.key), from_value::<ChunkRecord>(&e.value)) {
             (Some((job, chunk)), Some(record)) => chunks.push((job, chunk, record, e.version)),
@@ -139,16 +183,5 @@
             _ => tracing::info!(key = e.key, "note of images not understood"),
         }
     }
-    // The jobs must be at least as new as the records.
-    while !node.fresh().await {
-        smol::Timer::after(Duration::from_millis(TICK_MS)).await;
-    }
-    let now = node.now();
-    let mut core = node.core();
-    if core.mirror.parts.get(&index).is_some_and(|h| h.token == token) {
-        core.adopt(Lot { part: index, token }, &chunks, images.into_values().collect(), now);
-    }
-    drop(core);
-    node.poke();
-    Ok(())
+    Ok((chunks, images.into_values().collect()))
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -154,6 +154,7 @@
             .detach();
         executor.spawn(follow(node.clone(), fresh_requests)).detach();
         executor.spawn(holds::keep(node.clone())).detach();
+        executor.spawn(holds::claim(node.clone())).detach();
         executor.spawn(web::tell(node.clone())).detach();
         executor.spawn(cloud::catalog(node.clone())).detach();
         executor.spawn(cloud::list(node.clone())).detach();
--- /dev/null
+++ b/crates/node/tests/holds.rs
@@ -0,0 +1,182 @@
+//! A controller process against a store that answers slowly: its hold, and the part
+//! that it takes.
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Read, Write as _};
+use std::net::{TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use lemonweir_model::settings::Settings;
+use lemonweir_protocol::state::{Change, Changes, Entry, HoldReply, Page, Txn, TxnReply, Write, to_value};
+use lemonweir_protocol::{decode, encode};
+use lemonweir_storage::records::{ChunkRecord, part_key, run_prefix};
+
+/// Pages of the part's task records, and how long each answer takes.
+const PAGES: usize = 9;
+const PAGE_TAKES: Duration = Duration::from_millis(1_000);
+/// The page that is refused when it is first asked for.
+const REFUSED: usize = 3;
+
+#[derive(Clone, Debug, PartialEq)]
+enum Seen {
+    Renewal,
+    Page(usize),
+    Taking,
+    Images,
+}
+
+#[derive(Default)]
+struct Store {
+    revision: u64,
+    versions: BTreeMap<String, u64>,
+    log: Vec<Change>,
+    seen: Vec<Seen>,
+    refused: bool,
+}
+
+impl Store {
+    fn txn(&mut self, txn: &Txn) -> (u16, Vec<u8>) {
+        let version = |key: &String| self.versions.get(key).copied().unwrap_or(0);
+        let failed: Vec<String> = txn.conditions.iter().filter(|c| version(&c.key) != c.version).map(|c| c.key.clone()).collect();
+        if !failed.is_empty() {
+            return (409, encode(&TxnReply { failed, revision: self.revision }));
+        }
+        self.revision += 1;
+        for write in &txn.writes {
+            let change = match write {
+                Write::Put { key, value, .. } => {
+                    if *key == part_key(0) {
+                        self.seen.push(Seen::Taking);
+                    }
+                    self.versions.insert(key.clone(), self.revision);
+                    Change { set: Some(key.clone()), drop: None, value: Some(value.clone()), version: self.revision }
+                }
+                Write::Delete { key } => {
+                    self.versions.remove(key);
+                    Change { set: None, drop: Some(key.clone()), value: None, version: self.revision }
+                }
+            };
+            self.log.push(change);
+        }
+        (200, encode(&TxnReply { failed: Vec::new(), revision: self.revision }))
+    }
+}
+
+fn answer(store: &Mutex<Store>, method: &str, path: &str, body: &[u8]) -> (u16, Vec<u8>) {
+    let page = |entries: Vec<Entry>, more: bool, revision: u64| (200, encode(&Page { entries, more, revision }));
+    if method == "GET" && path.contains(&format!("under={}", run_prefix(0))) {
+        std::thread::sleep(PAGE_TAKES);
+        let asked = path.split("&after=run/0/req-000001/").nth(1).and_then(|rest| rest.split('&').next()?.parse::<usize>().ok());
+        let n = asked.map_or(0, |last| last + 1);
+        let mut store = store.lock().expect("unbroken");
+        if n == REFUSED && !std::mem::replace(&mut store.refused, true) {
+            return (503, Vec::new());
+        }
+        store.seen.push(Seen::Page(n));
+        let entry = Entry { key: format!("{}req-000001/{n}", run_prefix(0)), value: to_value(&ChunkRecord::default()), version: 1 };
+        return page(vec![entry], n + 1 < PAGES, store.revision);
+    }
+    let mut store = store.lock().expect("unbroken");
+    match (method, path) {
+        ("POST", "/holds") => (200, encode(&HoldReply { hold: 7 })),
+        ("POST", "/holds/7/renew") => {
+            store.seen.push(Seen::Renewal);
+            (200, encode(&HoldReply { hold: 7 }))
+        }
+        ("POST", "/txn") => {
+            let txn = decode::<Txn>(body).expect("a transaction");
+            store.txn(&txn)
+        }
+        ("GET", path) if path.starts_with("/watch") => {
+            let after: u64 = path.split("after=").nth(1).and_then(|rest| rest.split('&').next()?.parse().ok()).expect("a revision");
+            let events = store.log.iter().filter(|c| c.version > after).cloned().collect();
+            (200, encode(&Changes { revision: store.revision, events }))
+        }
+        ("GET", path) if path.contains("under=") => {
+            if path.contains("under=img/") {
+                store.seen.push(Seen::Images);
+            }
+            page(Vec::new(), false, store.revision)
+        }
+        _ => (404, Vec::new()),
+    }
+}
+
+/// Answers the requests of one connection.
+fn serve(stream: TcpStream, store: &Mutex<Store>) -> Option<()> {
+    let mut reader = BufReader::new(stream.try_clone().ok()?);
+    let mut stream = stream;
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line).ok().filter(|n| *n > 0)?;
+        let mut words = line.split(' ').map(str::to_owned);
+        let (method, path) = (words.next()?, words.next()?);
+        let mut length = 0;
+        loop {
+            let mut head = String::new();
+            reader.read_line(&mut head).ok()?;
+            if head.trim().is_empty() {
+                break;
+            }
+            if let Some((name, value)) = head.split_once(':')
+                && name.eq_ignore_ascii_case("content-length")
+            {
+                length = value.trim().parse().ok()?;
+            }
+        }
+        let mut body = vec![0; length];
+        reader.read_exact(&mut body).ok()?;
+        let (status, body) = answer(store, &method, &path, &body);
+        let head = format!("HTTP/1.1 {status} x\r\ncontent-length: {}\r\n\r\n", body.len());
+        stream.write_all(&[head.as_bytes(), &body].concat()).ok()?;
+    }
+}
+
+fn settings(store: u16) -> Settings {
+    serde_json::from_value(serde_json::json!({
+        "host_name": "h0", "zone": "north", "listen": "127.0.0.1:0", "internal_addr": "127.0.0.1:0",
+        "seeds": [],
+        "services": {"cloud": "127.0.0.1:9", "state": format!("127.0.0.1:{store}")},
+        "cluster": {
+            "zones": ["north"], "teams": [{"name": "red"}], "objectives": [],
+            "workers": {"report_s": 3.0, "lease_s": 14.0, "gang_wait_s": 50.0, "gang_peer_s": 8.0, "cancel_s": 34.0},
+            "state": {"rps": 200.0, "write_rps": 80.0, "value_kb": 8.0, "txn_ops": 4},
+            "cloud": {"rps": 4.0, "list_lag_s": 10.0},
+            "limits": {"cpu_share": 0.12, "mem_mb": 104.0, "fd_limit": 1800},
+            "clock_off_ms": 250.0
+        }
+    }))
+    .expect("settings")
+}
+
+/// Reading the records of a part takes longer than a hold lives, and one page is
+/// refused: the hold is renewed all the same, and the part is taken once.
+#[test]
+fn a_hold_is_renewed_while_a_part_is_read_slowly() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let port = listener.local_addr().expect("an address").port();
+    let store = Arc::new(Mutex::new(Store { revision: 1, ..Store::default() }));
+    let shared = store.clone();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let store = shared.clone();
+            std::thread::spawn(move || serve(stream, &store));
+        }
+    });
+    // It runs until the test's process ends.
+    std::thread::spawn(move || lemonweir_node::run(settings(port), lemonweir_policy::embedded().expect("policy")));
+    let began = Instant::now();
+    let seen = loop {
+        std::thread::sleep(Duration::from_millis(100));
+        let seen = store.lock().expect("unbroken").seen.clone();
+        if seen.contains(&Seen::Images) {
+            break seen;
+        }
+        assert!(began.elapsed() < Duration::from_secs(120), "{seen:?}");
+    };
+    assert_eq!(seen.iter().filter(|s| **s == Seen::Taking).count(), 1, "{seen:?}");
+    // In pages, each of which takes a seventh of what a hold lives.
+    let longest = seen.split(|s| *s == Seen::Renewal).map(|s| s.iter().filter(|s| matches!(s, Seen::Page(_))).count()).max();
+    assert!(longest.is_some_and(|pages| pages <= 5), "{seen:?}");
+}
