Tests of elections: several changes of hands within a reading, late takings, early word

Orders given by hand: the holder loses its part and gets it back within one reading; a taking of the host's earlier process is made late; all controllers end and one returns; a peer's word of a newer holder comes before readings of what lies between; a full reading whose pages are of different moments.

--- /dev/null
+++ b/crates/coordination/tests/elections.rs
@@ -0,0 +1,193 @@
+//! Changes of hands that meet: several within one reading, takings of an earlier
+//! process of the same host that are made late, word of a peer before the store's.
+
+use std::sync::LazyLock;
+
+use lemonweir_coordination::membership::{Claim, Membership};
+use lemonweir_coordination::owner::SyncRefusal;
+use lemonweir_coordination::{Config, Core, Lot};
+use lemonweir_model::constants::*;
+use lemonweir_model::policy::Policy;
+use lemonweir_model::settings::Settings;
+use lemonweir_protocol::peer::{Have, Span, Superseded, Sync};
+use lemonweir_protocol::state::{Change, Entry, to_value};
+use lemonweir_storage::records::{NodeRecord, PartRecord, node_key, part_key};
+
+const HOSTS: u16 = 3;
+
+fn core(me: u16) -> Core {
+    static POLICY: LazyLock<Policy> = LazyLock::new(|| lemonweir_policy::embedded().expect("policy"));
+    let seed = |n: u16| serde_json::json!({"host_name": format!("h{n}"), "zone": "north", "address": format!("10.0.0.{n}:8081")});
+    let seeds: Vec<_> = (0..HOSTS).filter(|n| *n != me).map(seed).collect();
+    let value = serde_json::json!({
+        "host_name": format!("h{me}"), "zone": "north", "listen": "10.0.0.9:8080", "internal_addr": "10.0.0.9:8081",
+        "seeds": seeds,
+        "services": {"cloud": "10.2.0.2:8443", "state": "10.2.0.1:2379"},
+        "cluster": {
+            "zones": ["north"], "teams": [{"name": "red"}], "objectives": [],
+            "workers": {"report_s": 3.0, "lease_s": 14.0, "gang_wait_s": 50.0, "gang_peer_s": 8.0, "cancel_s": 34.0},
+            "state": {"rps": 200.0, "write_rps": 80.0, "value_kb": 8.0, "txn_ops": 4},
+            "cloud": {"rps": 4.0, "list_lag_s": 10.0},
+            "limits": {"cpu_share": 0.12, "mem_mb": 104.0, "fd_limit": 1800},
+            "clock_off_ms": 250.0
+        }
+    });
+    let settings: Settings = serde_json::from_value(value).expect("settings");
+    Core::new(Config::new(&settings), POLICY.clone())
+}
+
+fn taken(part: u16, host: u16, version: u64) -> Change {
+    let value = to_value(&PartRecord { host: format!("h{host}") });
+    Change { set: Some(part_key(part)), drop: None, value: Some(value), version }
+}
+
+fn given_up(part: u16, version: u64) -> Change {
+    Change { set: None, drop: Some(part_key(part)), value: None, version }
+}
+
+fn lives(host: u16, version: u64) -> Change {
+    let value = to_value(&NodeRecord { zone: "north".into(), format: PEER_VERSION, deaf: Vec::new() });
+    Change { set: Some(node_key(&format!("h{host}"))), drop: None, value: Some(value), version }
+}
+
+/// A reading that began at `now` shows these changes.
+fn read(core: &mut Core, changes: &[Change], revision: u64, now: u64) {
+    core.mirror.apply(changes, revision, now);
+    core.refreshed(now, true);
+}
+
+/// The controller of this number, which has read that it and two others live.
+fn among(me: u16) -> Core {
+    let mut core = core(me);
+    read(&mut core, &[lives(0, 1), lives(1, 2), lives(2, 3)], 3, 1_000);
+    core
+}
+
+fn holds(core: &mut Core, part: u16, token: u64, now: u64) {
+    let me = core.config.me;
+    read(core, &[taken(part, me, token)], token, now);
+    core.adopt(Lot { part, token }, &[], Vec::new(), now);
+}
+
+fn membership() -> Membership {
+    Membership::new(usize::from(HOSTS))
+}
+
+/// Within one reading the holder lost its part, another had it, and a taking of the
+/// first one's, made late, gave it back: its host is the one that it knows, and what it
+/// remembers is from before another held it.
+#[test]
+fn who_lost_its_part_and_got_it_back_within_a_reading_begins_anew() {
+    let mut core = among(0);
+    holds(&mut core, 0, 10, 2_000);
+    read(&mut core, &[given_up(0, 20), taken(0, 1, 21), given_up(0, 22), taken(0, 0, 23)], 24, 3_000);
+    assert_eq!(core.held(), Vec::new());
+    assert_eq!(membership().claim(&core, 0, 3_100), Some(Claim::Take { part: 0, version: 23 }));
+    // Nor does the taking of an earlier life count as its own.
+    read(&mut core, &[taken(0, 0, 30)], 30, 3_200);
+    core.adopt(Lot { part: 0, token: 30 }, &[], Vec::new(), 3_200);
+    assert_eq!(core.held(), vec![Lot { part: 0, token: 30 }]);
+    assert_eq!(membership().claim(&core, 0, 3_300), None);
+}
+
+/// A taking of the host's earlier process is made late, of a part that is not its home:
+/// the new process takes it with a token of its own, and hands it back to its home.
+#[test]
+fn a_late_taking_of_an_earlier_process_is_taken_over_and_handed_back() {
+    let mut core = among(1);
+    read(&mut core, &[taken(0, 1, 12)], 12, 2_000);
+    assert_eq!(core.held(), Vec::new(), "it has not decided to hold it");
+    let mut membership = membership();
+    assert_eq!(membership.claim(&core, 0, 2_100), Some(Claim::Take { part: 0, version: 12 }));
+    holds(&mut core, 0, 13, 2_200);
+    assert_eq!(membership.claim(&core, 0, 2_300), Some(Claim::HandBack(Lot { part: 0, token: 13 })));
+}
+
+/// All controllers end, and one returns while the others' holds live on: it leaves their
+/// parts to them until their keys are gone, and takes its own by its key's version.
+#[test]
+fn who_returns_alone_takes_the_others_parts_once_their_holds_are_over() {
+    let mut core = among(1);
+    read(&mut core, &[taken(0, 0, 10), taken(1, 1, 11), taken(2, 2, 12)], 12, 2_000);
+    let mut membership = membership();
+    let claims = |membership: &mut Membership, core: &Core, now| (0..HOSTS).map(|p| membership.claim(core, p, now)).collect::<Vec<_>>();
+    assert_eq!(claims(&mut membership, &core, 2_000), [None, Some(Claim::Take { part: 1, version: 11 }), None]);
+    holds(&mut core, 1, 13, 2_100);
+    let ended = |host: u16, version| Change { set: None, drop: Some(node_key(&format!("h{host}"))), value: None, version };
+    read(&mut core, &[given_up(0, 14), ended(0, 14), given_up(2, 15), ended(2, 15)], 15, 9_000);
+    assert_eq!(claims(&mut membership, &core, 9_000), [None, None, None], "their homes go first");
+    let later = 9_000 + TAKEOVER_WAIT_MS + HEIR_STEP_MS * u64::from(HOSTS);
+    assert_eq!(
+        claims(&mut membership, &core, later),
+        [Some(Claim::Take { part: 0, version: 0 }), None, Some(Claim::Take { part: 2, version: 0 })]
+    );
+}
+
+fn sync(from: u16, from_token: u64, to: u16, to_token: u64) -> Sync {
+    Sync {
+        version: PEER_VERSION,
+        from,
+        from_token,
+        to,
+        to_token,
+        seq: 1,
+        store_age_ms: 0,
+        span: Span { since: 0, upto: 0, last: true },
+        wants: Vec::new(),
+        dropped: Vec::new(),
+        stops: Vec::new(),
+        have: Have::default(),
+        strays: 0,
+        rented: Vec::new(),
+        keep: Vec::new(),
+        notes: Vec::new(),
+    }
+}
+
+/// A peer tells of a holder that the store's reading has not come to; the reading then
+/// shows one from before it. Whoever was superseded must not be taken for the holder
+/// again.
+#[test]
+fn word_of_a_newer_holder_outlasts_a_reading_from_before_it() {
+    let mut core = among(1);
+    holds(&mut core, 1, 10, 2_000);
+    read(&mut core, &[taken(0, 0, 11)], 11, 2_100);
+    core.superseded(Superseded { version: PEER_VERSION, part: 0, token: 50, host: "h2".into() }, 2_200);
+    read(&mut core, &[given_up(0, 20), taken(0, 0, 30)], 31, 2_300);
+    assert!(matches!(core.sync_in(&sync(0, 30, 1, 10), 2_400), Err(SyncRefusal::Superseded(by)) if by.token == 50));
+    read(&mut core, &[given_up(0, 40)], 41, 2_500);
+    assert!(matches!(core.sync_in(&sync(0, 30, 1, 10), 2_600), Err(SyncRefusal::Superseded(by)) if by.token == 50));
+    assert!(core.sync_in(&sync(0, 50, 1, 10), 2_700).is_ok());
+}
+
+/// The same of the controller's own part: told that it is superseded it gives the part
+/// up, and its own earlier taking, read later, does not make it the holder.
+#[test]
+fn who_is_superseded_does_not_take_its_part_by_an_earlier_taking() {
+    let mut core = among(0);
+    holds(&mut core, 0, 10, 2_000);
+    core.superseded(Superseded { version: PEER_VERSION, part: 0, token: 50, host: "h1".into() }, 2_100);
+    assert_eq!(core.held(), Vec::new());
+    read(&mut core, &[given_up(0, 20), taken(0, 0, 30)], 31, 2_200);
+    assert_eq!(membership().claim(&core, 0, 2_300), None);
+    // Late word of an earlier holder changes nothing.
+    core.superseded(Superseded { version: PEER_VERSION, part: 0, token: 40, host: "h2".into() }, 2_400);
+    assert_eq!(core.mirror.parts.get(&0).map(|h| h.token), Some(50));
+}
+
+/// A full reading whose pages are of different moments: a part that was taken after the
+/// first page is not judged by it, one that was lost before is given up.
+#[test]
+fn a_full_reading_judges_only_what_it_is_new_enough_for() {
+    let entry =
+        |part: u16, host: u16, version| Entry { key: part_key(part), value: to_value(&PartRecord { host: format!("h{host}") }), version };
+    let mut core = among(0);
+    holds(&mut core, 0, 10, 2_000);
+    holds(&mut core, 1, 110, 2_100);
+    // The first page is of revision 100, the parts' page of one before part 1 was taken.
+    core.mirror.replace(&[entry(0, 2, 90), entry(1, 1, 5)], 100);
+    core.refreshed(2_200, true);
+    assert_eq!(core.held(), vec![Lot { part: 1, token: 110 }]);
+    read(&mut core, &[given_up(1, 105), taken(1, 0, 110)], 111, 2_300);
+    assert_eq!(core.held(), vec![Lot { part: 1, token: 110 }]);
+}
