A first start is written under its job's key; a late one can't come back

Cause: a new chunk of a job's record is written under version 0, no key. A start whose transaction got no answer was tried again, its tasks completed, the job ended and its chunk was removed; then the first transaction was carried out, and found the key as absent as before. The record stayed, with attempts that run nowhere: no rule broke, but a successor counted them in their team's quota until they were proven over, 75 s where their machine was gone. The other way round, a start that was made without an answer was taken for unmade when its user cancelled the job, and its record stayed too.

Change: the first writing of a chunk also demands its job's key at the version that was read, which never comes back once the job is over, and changes when it is cancelled. Where it is refused, nothing more that demands it is tried until a newer copy shows. A chunk whose transaction got no answer goes only once the store has said that it is absent, by a question without a write. Starts of a cancelled job that were under way and refused, or unanswered, are taken back at once, so its end is the next that is written. A successor no longer writes every finished chunk of a job once more: it took a job that the followed keys had not spoken of yet for one that is over.

--- a/crates/coordination/src/job.rs
+++ b/crates/coordination/src/job.rs
@@ -71,6 +71,9 @@
     pub(super) step: u64,
     /// What it carried of the ledger when it was loaded.
     pub(super) loaded: Option<GangRecord>,
+    /// A transaction that writes it got no answer: what there is in the store may
+    /// be newer than its version here.
+    pub(super) unsure: bool,
 }
 
 impl Chunk {
@@ -100,6 +103,8 @@
     pub(super) version: u64,
     /// The job is done or withdrawn.
     pub(super) over: bool,
+    /// The followed keys have not said yet whether it is.
+    pub(super) unheard: bool,
     pub(super) team: String,
     pub(super) need: Room,
     pub(super) tasks: u32,
@@ -131,8 +136,8 @@
     /// Machines that did not answer for the last attempt of a gang: the next one
     /// does without them if it can.
     pub(super) late: Vec<MachineId>,
-    /// Version of the job's key with which writing its end failed.
-    pub(super) refused_end: Option<u64>,
+    /// Version of the job's key with which writing its end failed, or a start.
+    pub(super) refused: Option<u64>,
     pub(super) reason: &'static str,
     /// Whether all its attempts are within their team's guarantee or beyond it,
     /// if they are alike.
@@ -151,6 +156,7 @@
             record: None,
             version: 0,
             over: true,
+            unheard: true,
             team: String::new(),
             need: Room::default(),
             tasks: 0,
@@ -171,7 +177,7 @@
             not_before: 0,
             avoid: Vec::new(),
             late: Vec::new(),
-            refused_end: None,
+            refused: None,
             reason: "",
             over_alike: None,
             placed: None,
@@ -199,7 +205,7 @@
     /// job is withdrawn while a machine out of sight still runs it: every
     /// attempt must be proven over first.
     pub(super) fn finished(&self) -> Option<Phase> {
-        if self.over || self.record.is_none() || self.refused_end == Some(self.version) {
+        if self.over || self.record.is_none() || self.refused == Some(self.version) {
             None
         } else if self.complete() {
             Some(Phase::Done)
@@ -417,7 +423,7 @@
 
     /// True if nothing of it is left anywhere.
     pub(super) fn vanished(&self) -> bool {
-        self.over && self.live.is_empty() && self.ending.is_empty() && self.chunks.values().all(|c| c.version == 0)
+        self.over && self.live.is_empty() && self.ending.is_empty() && self.chunks.values().all(|c| c.version == 0 && !c.unsure)
     }
 
     /// True if it has waited for so long, with less than half of it begun, that it
--- a/crates/coordination/src/placer/mod.rs
+++ b/crates/coordination/src/placer/mod.rs
@@ -71,9 +71,12 @@
 }
 
 /// A transaction under way, with what it writes.
+#[derive(Default)]
 struct Pending {
     chunks: Vec<(JobId, u32, u64, bool)>,
     ends: Vec<(JobId, u64, Phase)>,
+    /// Jobs with a chunk that is new, with the version of their keys that it demands.
+    begun: Vec<(JobId, u64)>,
 }
 
 /// What a transaction's end means for the part.
@@ -376,7 +379,9 @@
     /// Brings the indexes up to date after a job changed.
     fn settle(&mut self, id: &JobId, now: u64) {
         let Some(job) = self.jobs.get_mut(id) else { return };
-        if job.over {
+        // Guards against a successor that writes each finished chunk of a large job
+        // once more, as if it were to go.
+        if job.over && !job.unheard {
             job.clear_chunks();
         }
         if job.lasting() {
@@ -453,7 +458,7 @@
                 job.tasks = spec.tasks.min(u64::from(u32::MAX)) as u32;
                 job.version = m.version;
                 job.record = Some(m.record.clone());
-                job.over = false;
+                (job.over, job.unheard) = (false, false);
                 job.reason = "not looked at yet";
                 self.regauge.insert(spec.team.clone());
                 job.inherit(self.gang_wait_ms, now, now + self.wall_offset_ms);
@@ -464,6 +469,7 @@
             }
             None => {
                 let Some(job) = self.jobs.get_mut(id) else { return };
+                job.unheard = false;
                 if !job.over {
                     info!(job = %id, part = self.part, live = job.live.len(), "job is over");
                     job.over = true;
--- a/crates/coordination/src/placer/records.rs
+++ b/crates/coordination/src/placer/records.rs
@@ -110,7 +110,7 @@
         }
         due.sort_unstable();
         let mut txn = Txn { conditions: vec![Condition { key: part_key(self.part), version: self.token }], writes: Vec::new() };
-        let mut pending = Pending { chunks: Vec::new(), ends: Vec::new() };
+        let mut pending = Pending::default();
         let (mut bytes, mut idle) = (0, 0);
         'jobs: for (turn, _, _, _, id) in due {
             let Some(job) = self.jobs.get(id) else { continue };
@@ -134,7 +134,8 @@
             // are written again and again.
             let starts = |first: bool| job.chunks.iter().filter(move |(_, c)| c.unsaved() && c.start_unwritten() == first);
             for (&index, chunk) in starts(true).chain(starts(false)) {
-                if txn.writes.len() + 1 > self.txn_ops || bytes > TXN_BYTES {
+                let full = txn.conditions.len() + 2 > CONDITIONS_A_CHANGE * self.txn_ops;
+                if txn.writes.len() + 1 > self.txn_ops || full || bytes > TXN_BYTES {
                     break 'jobs;
                 }
                 // What thousands of jobs leave behind must not keep starts from
@@ -146,22 +147,37 @@
                 idle += usize::from(turn >= Turn::IdleStart);
                 let record = job.chunk_record(index);
                 let empty = job.over && record.live.is_empty();
-                if empty && chunk.version == 0 {
+                if empty && chunk.version == 0 && !chunk.unsure {
                     pending.chunks.push((id.clone(), index, chunk.change, true));
                     continue;
                 }
                 let key = run_key(self.part, id, index);
+                let new = !empty && chunk.version == 0;
+                if new && job.refused == Some(job.version) {
+                    continue;
+                }
                 txn.conditions.push(Condition { key: key.clone(), version: chunk.version });
-                if empty {
+                if empty && chunk.version == 0 {
+                    // Guards against a record that was made without an answer and
+                    // stays behind its job: that there is none is asked, and a
+                    // conflict brings its version.
+                } else if empty {
                     txn.writes.push(Write::Delete { key });
                 } else {
+                    // Guards against a start that was tried again and is carried out
+                    // late: where its chunk has come and gone, the key is as absent
+                    // as before. A job's key never comes back once it is over.
+                    if new && pending.begun.last().is_none_or(|(begun, _)| begun != id) {
+                        txn.conditions.push(Condition { key: job_key(id), version: job.version });
+                        pending.begun.push((id.clone(), job.version));
+                    }
                     bytes += RECORD_BYTES + record.live.len() * LIVE_BYTES + record.done.len() * RANGE_BYTES;
                     txn.writes.push(Write::put(key, &record));
                 }
                 pending.chunks.push((id.clone(), index, chunk.change, empty));
             }
         }
-        if txn.writes.is_empty() {
+        if txn.conditions.len() == 1 {
             // Nothing to write: what was to be removed was never there.
             self.apply_saved(&pending, 0, now);
             return None;
@@ -191,6 +207,7 @@
             if let Some(chunk) = job.chunks.get_mut(index) {
                 chunk.saved = *change;
                 chunk.version = if *removed { 0 } else { revision };
+                chunk.unsure = false;
             }
             let chunks = &job.chunks;
             job.ending.retain(|e| chunks.get(&(e.id.task / CHUNK_TASKS)).is_some_and(|c| c.saved < e.change));
@@ -199,6 +216,17 @@
         }
     }
 
+    /// Takes back starts of jobs that were withdrawn while a transaction with them was
+    /// under way, which was not made or may not have been: no owner has heard of them.
+    fn drop_unmade(&mut self, pending: &Pending) {
+        let withdrawn = |id: &&JobId| self.jobs.get(id).is_some_and(|j| !j.over && j.stopping());
+        let ids: BTreeSet<JobId> = pending.chunks.iter().map(|(id, ..)| id).filter(withdrawn).cloned().collect();
+        for id in ids {
+            self.drop_unrecorded(&id);
+            self.settle(&id, self.passed_at);
+        }
+    }
+
     /// A transaction ended. Returns the jobs whose end is now written.
     pub fn txn_done(&mut self, outcome: TxnOutcome, now: u64) -> (TxnVerdict, Vec<(JobId, Phase)>) {
         let Some(pending) = self.pending.take() else {
@@ -224,17 +252,27 @@
             }
             TxnOutcome::Conflict(keys) if keys.contains(&part_key(self.part)) => (TxnVerdict::Lost, Vec::new()),
             TxnOutcome::Conflict(keys) => {
-                for (id, version, _) in pending.ends {
+                self.drop_unmade(&pending);
+                let ends = pending.ends.into_iter().map(|(id, version, _)| (id, version));
+                for (id, version) in ends.chain(pending.begun) {
                     if keys.contains(&job_key(&id)) {
                         if let Some(job) = self.jobs.get_mut(&id) {
-                            job.refused_end = Some(version);
+                            job.refused = Some(version);
                         }
                         self.settle(&id, now);
                     }
                 }
                 (TxnVerdict::Fine, Vec::new())
             }
-            TxnOutcome::Again => (TxnVerdict::Fine, Vec::new()),
+            TxnOutcome::Again => {
+                for (id, index, ..) in &pending.chunks {
+                    if let Some(chunk) = self.jobs.get_mut(id).and_then(|j| j.chunks.get_mut(index)) {
+                        chunk.unsure = true;
+                    }
+                }
+                self.drop_unmade(&pending);
+                (TxnVerdict::Fine, Vec::new())
+            }
         }
     }
 }
