--- a/crates/coordination/src/job.rs
+++ b/crates/coordination/src/job.rs
@@ -102,6 +102,8 @@
     pub(super) version: u64,
     /// The job is done or withdrawn.
     pub(super) over: bool,
+    /// The followed keys have not said yet whether it is.
+    pub(super) unheard: bool,
     pub(super) team: String,
     pub(super) need: Room,
     pub(super) tasks: u32,
@@ -154,6 +156,7 @@
             record: None,
             version: 0,
             over: true,
+            unheard: true,
             team: String::new(),
             need: Room::default(),
             tasks: 0,
--- a/crates/coordination/src/placer/records.rs
+++ b/crates/coordination/src/placer/records.rs
@@ -126,7 +126,7 @@
         }
         due.sort_unstable();
         let mut txn = Txn { conditions: vec![Condition { key: part_key(self.part), version: self.token }], writes: Vec::new() };
-        let mut pending = Pending { chunks: Vec::new(), ends: Vec::new(), jobs: Vec::new() };
+        let mut pending = Pending::default();
         let (mut bytes, mut idle) = (0, 0);
         'jobs: for (turn, _, _, _, id) in due {
             let Some(job) = self.jobs.get(id) else { continue };
@@ -151,8 +151,8 @@
             // are written again and again.
             let starts = |first: bool| job.chunks.iter().filter(move |(_, c)| c.unsaved() && c.start_unwritten() == first);
             for (&index, chunk) in starts(true).chain(starts(false)) {
-                // Of conditions four times as many are allowed; a change has two at most.
-                if txn.writes.len() + 1 > self.txn_ops || txn.conditions.len() + 2 > 4 * self.txn_ops || bytes > TXN_BYTES {
+                let full = txn.conditions.len() + 2 > CONDITIONS_A_CHANGE * self.txn_ops;
+                if txn.writes.len() + 1 > self.txn_ops || full || bytes > TXN_BYTES {
                     break 'jobs;
                 }
                 let creates = chunk.version == 0 && !job.over;
@@ -237,6 +237,17 @@
         }
     }
 
+    /// Takes back starts of jobs that were withdrawn while a transaction with them was
+    /// under way, which was not made or may not have been: no owner has heard of them.
+    fn drop_unmade(&mut self, pending: &Pending) {
+        let withdrawn = |id: &&JobId| self.jobs.get(id).is_some_and(|j| !j.over && j.stopping());
+        let ids: BTreeSet<JobId> = pending.chunks.iter().map(|(id, ..)| id).filter(withdrawn).cloned().collect();
+        for id in ids {
+            self.drop_unrecorded(&id);
+            self.settle(&id, self.passed_at);
+        }
+    }
+
     /// A transaction ended. Returns the jobs whose end is now written.
     pub fn txn_done(&mut self, outcome: TxnOutcome, now: u64) -> (TxnVerdict, Vec<(JobId, Phase)>) {
         let Some(pending) = self.pending.take() else {
@@ -262,6 +273,7 @@
             }
             TxnOutcome::Conflict(keys) if keys.contains(&part_key(self.part)) => (TxnVerdict::Lost, Vec::new()),
             TxnOutcome::Conflict(keys) => {
+                self.drop_unmade(&pending);
                 for (id, version) in pending.jobs {
                     if keys.contains(&job_key(&id)) {
                         if let Some(job) = self.jobs.get_mut(&id) {
@@ -278,6 +290,7 @@
                         chunk.unsure |= chunk.version == 0;
                     }
                 }
+                self.drop_unmade(&pending);
                 (TxnVerdict::Fine, Vec::new())
             }
         }
--- a/crates/coordination/tests/late_orders.rs
+++ b/crates/coordination/tests/late_orders.rs
@@ -849,6 +849,23 @@
 #[test]
 fn zz_replay() {
     use Trouble::*;
-    let steps = [ ( Take( 0, ), 500, 5041, ), ( Take( 2, ), 500, 5481, ), ( Crash( 0, ), 500, 2521, ), ( AnswersLost, 10061, 741, ), ( Hang, 2341, 961, ), ( Hang, 1361, 821, ), ( Unreachable, 500, 161, ), ( Hang, 6441, 6421, ), ( Apart( 0, ), 7041, 5622, ), ( CallsHeld, 29432, 1115, ), ( NewLife, 5446, 1950, ), ( Hang, 91047, 5207, ), ( CallsHeld, 70356, 7921, ), ( CallsHeld, 23337, 8679, ), ( AnswersSlow, 37368, 3905, ), ( Hang, 4221, 5990, ), ];
+    let steps = [
+        (Take(0), 500, 5041),
+        (Take(2), 500, 5481),
+        (Crash(0), 500, 2521),
+        (AnswersLost, 10061, 741),
+        (Hang, 2341, 961),
+        (Hang, 1361, 821),
+        (Unreachable, 500, 161),
+        (Hang, 6441, 6421),
+        (Apart(0), 7041, 5622),
+        (CallsHeld, 29432, 1115),
+        (NewLife, 5446, 1950),
+        (Hang, 91047, 5207),
+        (CallsHeld, 70356, 7921),
+        (CallsHeld, 23337, 8679),
+        (AnswersSlow, 37368, 3905),
+        (Hang, 4221, 5990),
+    ];
     play(3133205684968110023, &steps).pass(100_000);
 }
