Answers to an earlier holder are not taken; a leaving tried again is one leaving

Cause: a view through the store names its owner's token and the number of the message that it answers, not the asker's token. Numbers began at 1 with each holder, so an answer to an earlier one, written late, was taken: it acknowledged wants that this holder had never told and set its copy of the machines back. A leaving that got no answer or met another version doubled, with each try, how long the part was left for: up to ten minutes in place of one.

Ruled out: that a false acknowledgement loses wants. The owner has state 0 of a new holder's wants, says so, and is told from nothing.

Change: a part's numbers begin at its token and rise over all holders; what is not above it is not taken. The wire is as it was. What a part is left for counts once it is over.

Before and after: late_transactions.rs (taken, now not) and elections.rs (left for longer than a minute after five tries, now for one). Both guards taken out once; their tests fail.

--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -107,8 +107,13 @@
             // alone is cut from the workers.
             (Some(_), Some(lot)) if core.deaf(part, now) && core.mirror.nodes.keys().any(|n| n != me && !leaves(n)) => {
                 *slot = None;
-                let before = self.left.get(&part).map_or(DEAF_MS / 2, |(_, length)| *length);
-                let length = (2 * before).min(DEAF_MOST_MS);
+                // Guards against a longer time for each try that got no answer: what it
+                // was left for last counts once that is over.
+                let length = match self.left.get(&part) {
+                    None => DEAF_MS,
+                    Some((until, length)) if now < *until => *length,
+                    Some((_, length)) => (2 * length).min(DEAF_MOST_MS),
+                };
                 self.left.insert(part, (now + length, length));
                 Some(Claim::Leave(lot))
             }
--- a/crates/coordination/src/placer/mod.rs
+++ b/crates/coordination/src/placer/mod.rs
@@ -246,7 +246,8 @@
             part,
             token,
             jobs: BTreeMap::new(),
-            links: (0..parts).map(|_| Link::default()).collect(),
+            // A part's numbers rise over all its holders.
+            links: (0..parts).map(|_| Link { seq: token << FENCE_BITS, ..Link::default() }).collect(),
             fields: (0..parts).map(|p| fresh_field(part, p, parts)).collect(),
             on: HashMap::new(),
             unseen: HashMap::new(),
--- a/crates/coordination/src/placer/telling.rs
+++ b/crates/coordination/src/placer/telling.rs
@@ -150,6 +150,11 @@
         if view.token < link.token || view.token == link.token && view.seq <= link.got {
             return false;
         }
+        // Guards against an answer to an earlier holder's message that comes late
+        // through the store: it acknowledges what this one never said.
+        if view.seq <= self.token << FENCE_BITS {
+            return false;
+        }
         if view.seq > link.seq || view.token == link.to_token && view.wants_at > link.wants.last() {
             warn!(part = self.part, from = view.part, "a view with numbers that were never given; not taken");
             return false;
--- a/crates/coordination/tests/elections.rs
+++ b/crates/coordination/tests/elections.rs
@@ -11,6 +11,7 @@
 use lemonweir_model::settings::Settings;
 use lemonweir_protocol::peer::{Have, Span, Superseded, Sync};
 use lemonweir_protocol::state::{Change, Entry, to_value};
+use lemonweir_protocol::worker::Report;
 use lemonweir_storage::records::{NodeRecord, PartRecord, node_key, part_key};
 
 const HOSTS: u16 = 3;
@@ -191,3 +192,44 @@
     read(&mut core, &[given_up(1, 105), taken(1, 0, 110)], 111, 2_300);
     assert_eq!(core.held(), vec![Lot { part: 1, token: 110 }]);
 }
+
+/// A holder that can't hear its machines leaves the part, and has no answer: it tries
+/// again, and stays away for no longer than had it been answered at once.
+#[test]
+fn a_leaving_that_is_tried_again_is_one_leaving() {
+    let mut core = among(0);
+    holds(&mut core, 0, 10, 2_000);
+    let ours = |n: &u32| core.config.part_of("north", &format!("n-{n:06}").as_str().into()) == 0;
+    let report = Report {
+        machine: format!("n-{:06}", (0..400).find(ours).expect("some")).as_str().into(),
+        address: "10.1.0.1:9000".into(),
+        kind: "box".into(),
+        zone: "north".into(),
+        spot: false,
+        session: 1,
+        seq: 1,
+        token: 0,
+        notice_s: None,
+        tasks: Vec::new(),
+    };
+    core.carried_report(&report, 1, 2_100);
+    let mut membership = membership();
+    let since = 2_100 + CARRIED_PART_MS + 1;
+    read(&mut core, &[lives(0, 11)], 11, since);
+    for again in 0..5 {
+        assert_eq!(membership.claim(&core, 0, since + 1_700 * again), Some(Claim::Leave(Lot { part: 0, token: 10 })));
+    }
+    core.abandon(0, since + 8_000);
+    assert!(membership.left(&core, since + 8_000).contains(&0));
+    assert_eq!(membership.left(&core, since + 8_000 + DEAF_MS), Vec::<u16>::new());
+    // The next time it is for twice as long.
+    read(&mut core, &[given_up(0, 12)], 12, since + 10_000 + DEAF_MS);
+    holds(&mut core, 0, 20, since + 10_000 + DEAF_MS);
+    core.carried_report(&Report { seq: 2, ..report }, 1, since + 10_000 + DEAF_MS);
+    let anew = since + 10_000 + DEAF_MS + CARRIED_PART_MS + 1;
+    read(&mut core, &[lives(0, 21)], 21, anew);
+    assert_eq!(membership.claim(&core, 0, anew), Some(Claim::Leave(Lot { part: 0, token: 20 })));
+    core.abandon(0, anew);
+    assert!(membership.left(&core, anew + 2 * DEAF_MS - 1).contains(&0));
+    assert_eq!(membership.left(&core, anew + 2 * DEAF_MS), Vec::<u16>::new());
+}
--- a/crates/coordination/tests/late_transactions.rs
+++ b/crates/coordination/tests/late_transactions.rs
@@ -324,6 +324,25 @@
     }
 }
 
+/// An owner's answer to an earlier holder of the placer's part comes late, through the
+/// store, between the present holder's messages and their answers: it tells of states
+/// that this one was never told of, and acknowledges what it never said.
+#[test]
+fn a_late_answer_to_an_earlier_holder_is_not_taken() {
+    let mut earlier = Placer::new(0, TOKEN, 1, terms(), 0);
+    let seq = (0..3).map(|_| earlier.sync_for(0, TOKEN, ROOM, false, 0).seq).last().expect("some");
+    let late = view(seq, Span { since: 0, upto: 4, last: true }, vec![shown(0, 4)], Vec::new());
+    let mut placer = Placer::new(0, TOKEN + 1, 1, terms(), 0);
+    let first = placer.sync_for(0, TOKEN, ROOM, false, 0).seq;
+    for _ in 0..5 {
+        placer.sync_for(0, TOKEN, ROOM, false, 0);
+    }
+    assert!(!placer.take_view(late, 100));
+    assert_eq!(placer.sync_for(0, TOKEN, ROOM, false, 0).have.machines, 0);
+    let answer = view(first, Span { since: 0, upto: 1, last: true }, vec![shown(0, 4)], Vec::new());
+    assert!(placer.take_view(answer, 200), "its own is");
+}
+
 // ---- drawn nights ------------------------------------------------------------------
 
 struct Draw(u64);
