Slow answers of the store are no outage: its word is up to two answers old

Cause: a node counts as without word once the reading behind its copy began over 2 s ago.

Change: the limit grows by what the store's last answer took, at most what one is waited for (1.5 s). Against others' word it stays: where others are answered faster, users are better off with them.

Ruled out by reading: the time of an answer is nowhere taken for that of the reading; promises, the proofs by time, the answers from memory, blindness and the hold's outliving all count from when the reading began (Links::read), and an older reading that ends later takes nothing back. A store whose answers all come later than they are waited for makes what it is asked to and tells nobody: a test of ends.rs shows that this costs only time, nothing started twice, nothing lost.

--- a/crates/coordination/src/links/mod.rs
+++ b/crates/coordination/src/links/mod.rs
@@ -86,6 +86,8 @@
     pub(crate) strays: Strays,
     /// When the last successful reading of the store began, by whatever way, ms.
     store_heard: Option<u64>,
+    /// How long its last answer took, ms, as far as it was waited for.
+    store_took: u64,
     /// When another node surely had word from the store, as far as they say.
     others_heard: Option<u64>,
     events: VecDeque<(u64, String)>,
@@ -110,6 +112,7 @@
             carriage: Carriage::default(),
             strays: Strays::new(timing),
             store_heard: None,
+            store_took: 0,
             others_heard: None,
             events: VecDeque::new(),
             rousing_until: 0,
@@ -158,7 +161,14 @@
     /// True if the store was heard so lately, on whatever way, that a question to it
     /// is worth its user's wait.
     pub fn store_told(&self, now: u64) -> bool {
-        self.store_age(now) <= UNREADY_MS
+        self.store_age(now) <= self.unready_ms()
+    }
+
+    /// ms without word from the store that tell of no answers. Guards against slow
+    /// answers that count as none: one reading follows another, so the word behind the
+    /// last one is up to two answers old though each came in time.
+    fn unready_ms(&self) -> u64 {
+        UNREADY_MS + self.store_took
     }
 
     /// Another node says how long ago it had word from the store.
@@ -175,7 +185,7 @@
         let others = self.others_heard.is_some_and(|others| {
             now <= others + UNREADY_MS + COPY_REFRESH_MS && self.store_heard.is_none_or(|own| others > own + UNREADY_MS)
         });
-        others || self.store_age(now) > UNREADY_MS && self.apart(now)
+        others || self.store_age(now) > self.unready_ms() && self.apart(now)
     }
 
     /// True if there are other controllers and none is in touch with this one.
@@ -268,6 +278,9 @@
 
     /// An answer of a service took so long, by itself or carried.
     pub fn took(&mut self, service: Service, ms: u64, now: u64) {
+        if service == Service::Store {
+            self.store_took = ms.min(STATE_TIMEOUT_MS);
+        }
         self.times.entry(service).or_default().record(ms, now);
     }
 
--- a/crates/coordination/tests/ends.rs
+++ b/crates/coordination/tests/ends.rs
@@ -899,3 +899,19 @@
         }
     }
 }
+
+/// A store whose answers all come too late makes what it is asked to and tells nobody:
+/// each try meets what the one before wrote. Nothing starts twice or is lost by it, and
+/// once it answers in time the versions are read again and all goes on.
+#[test]
+fn a_store_that_answers_too_late_costs_only_time() {
+    for late in 1..30 {
+        let mut site = ready();
+        site.submit(0, job(1, 3));
+        site.submit(0, gang(2, 2));
+        site.fates.extend((0..late).map(|_| Fate::Silent));
+        (0..100).for_each(|_| site.beat());
+        site.settle();
+        assert_eq!(site.launches, 5, "after {late}");
+    }
+}
--- /dev/null
+++ b/crates/coordination/tests/slow_store.rs
@@ -0,0 +1,91 @@
+//! A store that answers after seconds: which timers take that for an outage.
+
+use lemonweir_coordination::{Config, Core};
+use lemonweir_model::constants::*;
+use lemonweir_model::settings::Settings;
+use lemonweir_protocol::links::Service;
+
+fn core() -> Core {
+    let seed = |n: u16| serde_json::json!({"host_name": format!("h{n}"), "zone": "north", "address": format!("10.0.0.{n}:8081")});
+    let value = serde_json::json!({
+        "host_name": "h1", "zone": "north", "listen": "10.0.0.1:8080", "internal_addr": "10.0.0.1:8081",
+        "seeds": [seed(0), seed(2)],
+        "services": {"cloud": "10.2.0.2:8443", "state": "10.2.0.1:2379"},
+        "cluster": {
+            "zones": ["north"], "teams": [{"name": "red"}], "objectives": [],
+            "workers": {"report_s": 3.0, "lease_s": 14.0, "gang_wait_s": 50.0, "gang_peer_s": 8.0, "cancel_s": 34.0},
+            "state": {"rps": 200.0, "write_rps": 80.0, "value_kb": 8.0, "txn_ops": 32},
+            "cloud": {"rps": 4.0, "list_lag_s": 10.0},
+            "limits": {"cpu_share": 0.12, "mem_mb": 104.0, "fd_limit": 1800},
+            "clock_off_ms": 250.0
+        }
+    });
+    let settings: Settings = serde_json::from_value(value).expect("settings");
+    let mut core = Core::new(Config::new(&settings), lemonweir_policy::embedded().expect("policy"));
+    core.mirror.replace(&[], 50);
+    core.set_catalog(Default::default());
+    core
+}
+
+/// Readings one after another, each answered after `took` ms, with the usual rest
+/// between; tells when each began and ended.
+fn readings(took: u64, until: u64) -> Vec<(u64, u64)> {
+    let mut all = Vec::new();
+    let mut began = 10_000;
+    while began + took < until {
+        all.push((began, began + took));
+        began += took + REFRESH_IDLE_MS;
+    }
+    all
+}
+
+/// While every reading is answered in time, however slowly, submissions are taken and
+/// the node stays with its users.
+#[test]
+fn slow_answers_are_no_outage() {
+    for took in [5, 300, 800, 950, 1_200, 1_490] {
+        let mut core = core();
+        let mut next = readings(took, 60_000).into_iter().peekable();
+        let (mut told, mut looked) = (0, 0);
+        for now in (10_000..59_000).step_by(10) {
+            while let Some((began, ended)) = next.next_if(|(_, ended)| *ended <= now) {
+                core.links.took(Service::Store, ended - began, ended);
+                core.refreshed(began, false);
+            }
+            if now > 14_000 {
+                looked += 1;
+                told += usize::from(core.links.store_told(now) && core.ready(now));
+            }
+        }
+        assert_eq!(told, looked, "answers after {took} ms");
+    }
+}
+
+/// Once none comes any more, users are told so as before, later by one answer at most.
+#[test]
+fn an_outage_after_slow_answers_is_one_within_seconds() {
+    for took in [5, 1_490] {
+        let mut core = core();
+        core.links.took(Service::Store, took, 20_000);
+        core.refreshed(20_000 - took, false);
+        let heard = 20_000 - took;
+        assert!(core.links.store_told(heard + UNREADY_MS));
+        assert!(!core.links.store_told(heard + UNREADY_MS + took + 1));
+    }
+}
+
+/// What counts is when a reading began: one that took long gives no later word, and a
+/// reading that ends after a newer one takes nothing back.
+#[test]
+fn a_readings_word_is_as_old_as_its_beginning() {
+    let mut core = core();
+    core.refreshed(20_000, false);
+    core.links.took(Service::Store, STATE_TIMEOUT_MS, 24_000);
+    assert!(!core.links.store_told(20_000 + UNREADY_MS + STATE_TIMEOUT_MS + 1));
+    core.refreshed(30_000, false);
+    core.refreshed(26_000, false);
+    assert!(core.links.store_told(30_000 + UNREADY_MS));
+    // A carried answer that took longer than anybody waits for one counts no more.
+    core.links.took(Service::Store, 60_000, 31_000);
+    assert!(!core.links.store_told(30_000 + UNREADY_MS + STATE_TIMEOUT_MS + 1));
+}
