--- a/crates/lab/src/host.rs
+++ b/crates/lab/src/host.rs
@@ -4,7 +4,7 @@
 use std::collections::VecDeque;
 
 use lemonweir_coordination::budget::Bucket;
-use lemonweir_coordination::membership::Membership;
+use lemonweir_coordination::membership::{Claim, Membership};
 use lemonweir_coordination::owner::{CommandCall, CommandResult};
 use lemonweir_coordination::placer::TxnOutcome;
 use lemonweir_coordination::{Config, Core, Lot, RentResult, ReportAnswer, Tally};
@@ -26,10 +26,12 @@
     Core(Lot),
     /// Nobody waits for it.
     Nobody,
-    /// A part that is to be taken.
-    Part(u16),
-    /// A user's submission or withdrawal.
-    User(JobId, bool),
+    /// The loop that keeps hold and parts.
+    Keeper(Option<Claim>),
+    /// The same, for the presence that a new hold begins with.
+    Presence(u64),
+    /// A user's submission or withdrawal, asked for at that time.
+    User(JobId, bool, u64),
 }
 
 /// What a reading of the followed keys brought.
@@ -75,8 +77,9 @@
     Hail(u64, Box<Word>),
     /// It answered, or did not.
     Hailed(u16, Option<Box<Word>>),
-    /// A transaction ended; with the versions of keys read again.
-    Txn(For, Txn, TxnOutcome, Vec<(String, u64)>),
+    /// A transaction ended, `None`: without an answer; with the versions of keys
+    /// read again.
+    Txn(For, Txn, Option<TxnOutcome>, Vec<(String, u64)>),
     /// A call to a worker ended.
     Command(Lot, CommandCall, CommandResult),
     /// Another controller's sync; the answer goes to that host.
@@ -107,6 +110,8 @@
     Adopt(Lot, Vec<Entry>, Vec<Entry>),
     /// The hold's fate.
     Hold(Option<u64>),
+    /// Nothing was heard of it.
+    HoldUnknown,
     /// Time to look.
     Tick,
 }
@@ -123,6 +128,8 @@
     pub hold: Option<u64>,
     /// When the hold was last renewed, µs.
     pub renewed: u64,
+    /// Answers that the loop waits for which keeps hold and parts.
+    pub keeping: u32,
     /// What waits to be worked off.
     pub inbox: VecDeque<Input>,
     /// Until when it stands still, µs.
@@ -184,6 +191,7 @@
             membership: Membership::new(nodes),
             hold: None,
             renewed: 0,
+            keeping: 0,
             inbox: VecDeque::new(),
             frozen_until: 0,
             busy_until: 0,
--- a/crates/lab/src/hunt.rs
+++ b/crates/lab/src/hunt.rs
@@ -7,7 +7,7 @@
 use lemonweir_model::Shape;
 use lemonweir_protocol::state::from_value;
 use lemonweir_storage::records::{JobRecord, job_key};
-use rand::seq::{IndexedRandom, SliceRandom};
+use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -23,8 +23,10 @@
 /// s after the last trouble's end for all to be well again: a hall's lost work
 /// is proven over, machines boot, images come.
 const TAIL_S: f64 = 200.0;
-/// s of a day; the last trouble may last 70 s.
-const DAY_S: f64 = CALM_S + TROUBLES_S + 70.0 + TAIL_S;
+/// s that a trouble lasts at the most.
+const LONGEST_S: f64 = 70.0;
+/// s of a day.
+const DAY_S: f64 = CALM_S + TROUBLES_S + LONGEST_S + TAIL_S;
 /// Share of the replicas that must be up then.
 const UP: f64 = 0.9;
 
@@ -114,13 +116,11 @@
     }
     w.push_str(&guest);
     let host = |rng: &mut ChaCha8Rng| rng.random_range(0..controllers);
-    let troubles = (0..rng.random_range(1..=5usize)).map(|_| {
-        let at = CALM_S + rng.random::<f64>() * TROUBLES_S;
-        let length = rng.random_range(3.0..70.0f64);
-        let (a, b, zone) = (host(&mut rng), host(&mut rng), rng.random_range(0..zones));
+    let one = |rng: &mut ChaCha8Rng, at: f64, length: f64| {
+        let (a, b, zone) = (host(rng), host(rng), rng.random_range(0..zones));
         let share = rng.random_range(0.05..0.5f64);
         let flap = if rng.random_range(0..4) == 0 { format!("\nflap_s = {:.1}", rng.random_range(1.0..8.0f64)) } else { String::new() };
-        let mut only = ["", "\nonly = 'answers'", "\nonly = 'commands'"].choose(&mut rng).map_or(String::new(), |o| (*o).to_owned());
+        let mut only = ["", "\nonly = 'answers'", "\nonly = 'commands'"].choose(rng).map_or(String::new(), |o| (*o).to_owned());
         if rng.random_range(0..3) == 0 {
             let _ = write!(only, "\ncontroller = {b}");
         }
@@ -147,17 +147,22 @@
             format!("kind = 'faulty'\nshare = {:.2}\nfor_s = 1", share / 10.0),
             format!(
                 "kind = 'boots'\nfactor = {}\nshare = {:.2}\nfor_s = {length:.1}",
-                [0.03, 8.0].choose(&mut rng).unwrap_or(&1.0),
+                [0.03, 8.0].choose(rng).unwrap_or(&1.0),
                 share / 2.0
             ),
-            format!("kind = 'polls'\nfactor = {}\nfor_s = {length:.1}", [8, 50].choose(&mut rng).unwrap_or(&8)),
+            format!("kind = 'polls'\nfactor = {}\nfor_s = {length:.1}", [8, 50].choose(rng).unwrap_or(&8)),
             format!("kind = 'die'\nshare = {:.2}\nfor_s = 1", share / 2.0),
-            format!("kind = 'take_spot'\nshare = {share:.2}\nnotice_s = {}", [0, 8].choose(&mut rng).unwrap_or(&0)),
+            format!("kind = 'take_spot'\nshare = {share:.2}\nnotice_s = {}", [0, 8].choose(rng).unwrap_or(&0)),
             format!("kind = 'deaf'\nshare = {share:.2}\nfor_s = {length:.1}{only}"),
             format!("kind = 'deaf'\nzone = 'z{zone}'\nfor_s = {length:.1}{only}"),
             format!("kind = 'late_copies'\nshare = {:.2}\nfor_s = {length:.1}\nlow_s = {low:.1}\nhigh_s = {high:.1}", 2.0 * share),
             format!("kind = 'alone'\ncontroller = {a}\nfor_s = {length:.1}"),
             format!("kind = 'reborn'\nshare = {share:.2}\nfor_s = 1"),
+            format!("kind = 'late_writes'\nshare = {share:.2}\nfor_s = {length:.1}"),
+            format!("kind = 'store_slow'\nfor_s = {length:.1}\nlow_s = {:.2}\nhigh_s = {:.2}", 0.3 * short, 3.0 * short),
+            format!("kind = 'held_orders'\nshare = {share:.2}\nfor_s = {length:.1}\nlow_s = {low:.1}\nhigh_s = {high:.1}"),
+            format!("kind = 'refused'\ncontroller = {a}\ncarried = true\nfor_s = {length:.1}"),
+            format!("kind = 'refused'\ncontroller = {a}\ncarried = true\nfor_s = {length:.1}"),
             format!("kind = 'crash'\ncontroller = {a}\nfor_s = {short:.1}"),
             format!("kind = 'crash'\nfor_s = {short:.1}"),
             // The second is back while the first one's part is being taken.
@@ -168,11 +173,23 @@
                 (a + 1) % controllers
             ),
         ];
-        let kind = kinds.choose(&mut rng).map_or("", String::as_str);
+        let kind = kinds.choose(rng).map_or("", String::as_str);
         format!("[[fault]]\nat_s = {at:.1}\n{kind}\n")
-    });
-    let mut troubles: Vec<String> = troubles.collect();
-    troubles.shuffle(&mut rng);
+    };
+    // Pairs of which the second begins while the first lasts, and some days one more.
+    let mut troubles = Vec::new();
+    for _ in 0..rng.random_range(1..=2) {
+        let at = CALM_S + rng.random::<f64>() * TROUBLES_S;
+        let length = rng.random_range(3.0..LONGEST_S);
+        troubles.push(one(&mut rng, at, length));
+        let second = (at + rng.random::<f64>() * length).min(CALM_S + TROUBLES_S);
+        let length = rng.random_range(3.0..LONGEST_S);
+        troubles.push(one(&mut rng, second, length));
+    }
+    if rng.random_range(0..2) == 0 {
+        let (at, length) = (CALM_S + rng.random::<f64>() * TROUBLES_S, rng.random_range(3.0..LONGEST_S));
+        troubles.push(one(&mut rng, at, length));
+    }
     (w, troubles)
 }
 
@@ -190,6 +207,20 @@
     }
 }
 
+/// What a day broke: rules, and the terms on what must be accepted, served and begun.
+pub fn broken_terms(world: &World) -> Vec<String> {
+    let mut faults = world.ground.checker.broken.clone();
+    let (submitted, accepted) = world.measures.taken();
+    if accepted * 2 < submitted {
+        faults.push(format!("{accepted} of {submitted} submissions were accepted"));
+    }
+    for (name, (up, of)) in world.measures.served(world).into_iter().filter(|(_, (up, of))| up * 2 < *of) {
+        faults.push(format!("{name}: {up} of {of} tasks were started"));
+    }
+    faults.extend(world.measures.late(world));
+    faults
+}
+
 /// Plays a world with troubles; what failed, and how many tasks were started.
 fn play(world: &str, troubles: &[String], seed: u64) -> (Vec<String>, u64) {
     let scenario = match Scenario::parse("hunt", &format!("{world}{}", troubles.concat())) {
@@ -201,15 +232,7 @@
     let load = load::synthetic(&scenario, seed);
     let mut world = World::new(scenario, load, seed, History::new(None));
     world.run(ms);
-    let mut faults: Vec<String> = world.ground.checker.broken.clone();
-    let (submitted, accepted) = world.measures.taken();
-    if accepted * 2 < submitted {
-        faults.push(format!("{accepted} of {submitted} submissions were accepted"));
-    }
-    for (name, (up, of)) in world.measures.served(&world).into_iter().filter(|(_, (up, of))| up * 2 < *of) {
-        faults.push(format!("{name}: {up} of {of} tasks were started"));
-    }
-    faults.extend(world.measures.late(&world));
+    let mut faults = broken_terms(&world);
     let live = world.live();
     let (mut up, mut wanted) = (0, 0);
     for (id, job) in world.ground.jobs.iter().filter(|(_, l)| l.spec.shape == Shape::Service) {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod cloud;
 pub mod compare;
 pub mod fields;
+pub mod ground;
 pub mod history;
 pub mod host;
 pub mod hunt;
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -7,9 +7,9 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use crate::ground::Load;
 use crate::run::Replayed;
 use crate::scenario::{Class, Dist, Scenario};
-use crate::worker::Load;
 use crate::world::Planned;
 
 /// Draws the jobs of a scenario's classes. Each class draws from a generator
--- a/crates/lab/src/measures.rs
+++ b/crates/lab/src/measures.rs
@@ -10,8 +10,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::cloud::Cloud;
+use crate::ground::Ground;
 use crate::host::Host;
-use crate::worker::{Ground, Worker};
+use crate::worker::Worker;
 use crate::world::World;
 
 /// µs between two samples of the fleet.
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -11,6 +11,9 @@
 
 use crate::fields::{Faults, Section, as_number};
 
+/// How much later a write is carried out that got no answer.
+pub const LATE_WRITES: Seconds = Seconds { low: 2.0, high: 12.0 };
+
 /// How a number is drawn.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Dist {
@@ -153,10 +156,21 @@
     },
     /// Each report of some machines arrives a second time, so many s later.
     LateCopies {
-        /// At least.
-        low_s: f64,
-        /// At most.
-        high_s: f64,
+        /// How much later.
+        seconds: Seconds,
+    },
+    /// The share of all writes gets no answer and is carried out later.
+    LateWrites,
+    /// The state service carries out and answers so much later.
+    StoreSlow {
+        /// How much later.
+        seconds: Seconds,
+    },
+    /// The share of calls to machines and of answers to their reports arrives so much
+    /// later, or what the machine says to a call is lost.
+    HeldOrders {
+        /// How much later.
+        seconds: Seconds,
     },
     /// A controller loses the state service and all others, not its workers.
     Alone {
@@ -172,6 +186,27 @@
     },
 }
 
+/// How much later something comes, s.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Seconds {
+    /// At least.
+    pub low: f64,
+    /// At most.
+    pub high: f64,
+}
+
+impl Seconds {
+    fn read(t: &Section<'_>) -> Self {
+        let low = t.number("low_s", 0.0, 3_600.0, None);
+        Self { low, high: t.number("high_s", low, 3_600.0, None) }
+    }
+
+    /// The same in µs.
+    pub fn us(&self) -> std::ops::RangeInclusive<u64> {
+        (self.low * 1e6) as u64..=(self.high * 1e6) as u64
+    }
+}
+
 /// A trouble with its time.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Fault {
@@ -192,7 +227,8 @@
     fn over_s(&self, hosts: u16) -> f64 {
         let more = match self.trouble {
             Trouble::Roll => self.for_s * f64::from(hosts),
-            Trouble::LateCopies { high_s, .. } => high_s,
+            Trouble::LateCopies { seconds } | Trouble::StoreSlow { seconds } | Trouble::HeldOrders { seconds } => seconds.high,
+            Trouble::LateWrites => LATE_WRITES.high,
             Trouble::TakeSpot { notice_s } => 1.5 * notice_s,
             _ => 0.0,
         };
@@ -205,6 +241,8 @@
 pub enum Link {
     /// A controller and the state service, which refuses it.
     Store(usize),
+    /// The same; it refuses what others carry for that controller too.
+    Barred(usize),
     /// A controller and the cloud.
     Cloud(usize),
     /// A controller and all workers.
@@ -549,7 +587,7 @@
 fn known_zone(t: &Section<'_>, scenario: &Scenario) -> String {
     let zone = t.text("zone", None);
     if !scenario.zones.contains(&zone) {
-        t.fault("zone", &format!("no zone is called {zone}"));
+        t.fault("zone", &format!("no zone is called {zone}: must be one of {}", scenario.zones.join(", ")));
     }
     zone
 }
@@ -581,11 +619,17 @@
         ("late_copies", 20),
         ("alone", 21),
         ("reborn", 22),
+        ("late_writes", 23),
+        ("store_slow", 24),
+        ("held_orders", 25),
     ];
+    let at_s = t.number("at_s", 0.0, scenario.duration_s, None);
+    let for_s = t.number("for_s", 0.0, scenario.duration_s - at_s, Some(5.0));
     let trouble = match t.word("kind", &words, None)? {
         0 => Trouble::Crash { host: t.has("controller").then(|| host("controller")) },
         1 => Trouble::Roll,
         2 => Trouble::StoreDown,
+        3 if t.flag("carried", false) => Trouble::Cut(Link::Barred(host("controller"))),
         3 => Trouble::Cut(Link::Store(host("controller"))),
         4 => Trouble::CloudDown,
         5 => {
@@ -616,19 +660,19 @@
                 commands: only != Some(true),
             }
         }
-        20 => {
-            let low_s = t.number("low_s", 0.0, 3_600.0, None);
-            Trouble::LateCopies { low_s, high_s: t.number("high_s", low_s, 3_600.0, None) }
-        }
+        20 => Trouble::LateCopies { seconds: Seconds::read(t) },
         21 => Trouble::Alone { host: host("controller") },
         22 => Trouble::Reborn,
+        23 => Trouble::LateWrites,
+        24 => Trouble::StoreSlow { seconds: Seconds::read(t) },
+        25 => Trouble::HeldOrders { seconds: Seconds::read(t) },
         _ => Trouble::TakeSpot { notice_s: t.number("notice_s", 0.0, 3_600.0, Some(0.0)) },
     };
     let usual_share = if matches!(trouble, Trouble::Boots { .. }) { 0.0 } else { 0.1 };
     Some(Fault {
         trouble,
-        at_s: t.number("at_s", 0.0, scenario.duration_s, None),
-        for_s: t.number("for_s", 0.0, 1e8, Some(5.0)),
+        at_s,
+        for_s,
         share: t.number("share", 0.0, 1.0, Some(usual_share)),
         flap_s: t.number("flap_s", 0.0, 1e6, Some(0.0)),
     })
--- a/crates/lab/src/world/sending.rs
+++ b/crates/lab/src/world/sending.rs
@@ -45,15 +45,7 @@
         }
         let at = self.leaves(host) + wait + self.travel();
         let way = self.way(host, Service::Store, ways::bytes(&txn));
-        let late = matches!(whose, For::Core(_)) && self.chance(self.scenario.chances.late_txn);
-        if late {
-            let later = self.rng.random_range(3_000..30_000) * MS;
-            let again = Input::Txn(whose.clone(), Txn::default(), TxnOutcome::Again, Vec::new());
-            self.push(at + later, Event::Txn(host, life, whose, Box::new(txn), true, way));
-            self.push(at + STATE_TIMEOUT_MS * MS, Event::To(host, life, Box::new(again)));
-        } else {
-            self.push(at, Event::Txn(host, life, whose, Box::new(txn), false, way));
-        }
+        self.push(at, Event::Ask(host, life, Request::Txn(whose, Box::new(txn)), way));
     }
 
     pub(super) fn send_orders(&mut self, host: usize, lot: Lot, call: CommandCall, at: u64) {
@@ -63,14 +55,15 @@
         let silent = self.workers.get(number).and_then(Option::as_ref).is_some_and(|w| w.silent || w.hung_until > self.now);
         let deaf = self.deaf(call.through.map_or(host, usize::from), number, true);
         let lost = silent || deaf || self.blocked(host, call.through, number) || self.chance(chances.lost_command);
-        let late = !lost && self.chance(chances.late_command);
+        let held = if lost { None } else { self.held() };
+        let late = !lost && (held.is_some() || self.chance(chances.late_command));
         if !lost && !late {
             self.push(at, Event::Orders(host, life, lot, Box::new(call), false));
             return;
         }
         if late || self.chance(500) {
             // Held back: it may arrive much later.
-            let later = self.rng.random_range(3_000..90_000) * MS;
+            let later = held.unwrap_or_else(|| self.rng.random_range(3_000..90_000) * MS);
             self.push(at + later, Event::Orders(host, life, lot, Box::new(call.clone()), true));
         }
         let unknown = Input::Command(lot, call, CommandResult::Unknown);
--- a/crates/lab/src/world/troubles.rs
+++ b/crates/lab/src/world/troubles.rs
@@ -42,7 +42,9 @@
                 (h.frozen_until, h.busy_until) = (until, h.busy_until.max(until));
             }
             // Also machines that are rented into the zone meanwhile.
-            Trouble::Deaf { zone: Some(_), .. } => drop(self.struck.insert(i, BTreeSet::new())),
+            Trouble::Deaf { zone: Some(_), .. } | Trouble::LateWrites | Trouble::StoreSlow { .. } | Trouble::HeldOrders { .. } => {
+                drop(self.struck.insert(i, BTreeSet::new()))
+            }
             Trouble::Silent
             | Trouble::Hang
             | Trouble::Faulty
@@ -99,7 +101,11 @@
                 let links = self.all_but_workers(*host);
                 self.down.retain(|link| !links.contains(link));
             }
-            Trouble::Deaf { .. } | Trouble::LateCopies { .. } => drop(self.struck.remove(&i)),
+            Trouble::Deaf { .. }
+            | Trouble::LateCopies { .. }
+            | Trouble::LateWrites
+            | Trouble::StoreSlow { .. }
+            | Trouble::HeldOrders { .. } => drop(self.struck.remove(&i)),
             Trouble::CloudDown => self.cloud.down = false,
             Trouble::Boots { .. } => self.boots = None,
             Trouble::Polls { .. } => self.asked_often = 1.0,
@@ -121,6 +127,22 @@
         faults.filter(move |(trouble, struck)| struck.contains(&number) || here(trouble)).map(|(trouble, _)| trouble)
     }
 
+    /// For how long a call to a machine or an answer to its report is held up, µs;
+    /// 0: it arrives at once, and what the machine says to it is lost.
+    pub(super) fn held(&mut self) -> Option<u64> {
+        let scenario = self.scenario.clone();
+        for i in self.struck.keys().copied().collect::<Vec<_>>() {
+            let fault = &scenario.faults[i];
+            if let Trouble::HeldOrders { seconds } = fault.trouble
+                && self.rng.random::<f64>() < fault.share
+            {
+                self.held += 1;
+                return Some(if self.chance(500) { 0 } else { self.rng.random_range(seconds.us()) });
+            }
+        }
+        None
+    }
+
     /// True if what a controller answers to a machine, or commands it, is lost.
     pub(super) fn deaf(&self, host: usize, number: usize, command: bool) -> bool {
         self.struck_by(number).any(|trouble| match trouble {
@@ -135,7 +157,7 @@
     /// answered to it goes nowhere.
     pub(super) fn copy_report(&mut self, number: usize, report: &Report, host: usize) {
         let late = |trouble: &Trouble| match trouble {
-            Trouble::LateCopies { low_s, high_s } => Some((low_s * 1e6) as u64..=(high_s * 1e6) as u64),
+            Trouble::LateCopies { seconds } => Some(seconds.us()),
             _ => None,
         };
         for range in self.struck_by(number).filter_map(late).collect::<Vec<_>>() {
--- a/crates/lab/src/world/users.rs
+++ b/crates/lab/src/world/users.rs
@@ -19,7 +19,7 @@
             self.reply(host, id, None, 503);
         } else {
             let record = JobRecord { spec: (*spec).clone(), at: self.now / MS, withdrawn: false };
-            self.send_txn(host, For::User(id, false), accept_job(&record));
+            self.send_txn(host, For::User(id, false, self.now), accept_job(&record));
         }
     }
 
@@ -46,7 +46,7 @@
             let txn = (withdraw && !job.record.withdrawn).then(|| withdraw_job(&job.record, job.version));
             let phase = core.progress(&id, self.now / MS).0;
             return match txn {
-                Some(txn) => self.send_txn(host, For::User(id, true), txn),
+                Some(txn) => self.send_txn(host, For::User(id, true, asked), txn),
                 None if withdraw => self.reply_to(host, id, None, 503, asked),
                 None => self.reply_to(host, id, Some(phase), 200, asked),
             };
@@ -117,7 +117,7 @@
     pub(super) fn user_submits(&mut self, id: JobId, tries: u64) {
         let now = self.now;
         let user = self.users.entry(id.clone()).or_default();
-        if user.accepted.is_some() || user.over {
+        if user.accepted.is_some() || user.over || tries > 0 && user.again != now {
             return;
         }
         if tries == 0 {
@@ -137,7 +137,16 @@
         }
         let sent = self.ask(Input::Submit(id.clone()));
         // No answer within 5 s, or none to ask: again.
-        self.at(if sent { 5_000 * MS } else { 1_000 * MS }, Event::Submit(id, tries + 1));
+        self.submit_in(id, if sent { 5_000 * MS } else { 1_000 * MS });
+    }
+
+    /// A user submits again after so long, whatever was planned.
+    fn submit_in(&mut self, id: JobId, us: u64) {
+        let at = self.now + us;
+        if let Some(user) = self.users.get_mut(&id) {
+            user.again = at;
+            self.push(at, Event::Submit(id, 1));
+        }
     }
 
     pub(super) fn user_hears(&mut self, id: JobId, phase: Option<Phase>, status: u16, asked: u64) {
@@ -165,7 +174,7 @@
                 user.over = true;
                 self.measures.refused();
             }
-            503 if user.accepted.is_none() => self.at(RETRY_AFTER_S * 1_000 * MS, Event::Submit(id, 1)),
+            503 if user.accepted.is_none() => self.submit_in(id, RETRY_AFTER_S * 1_000 * MS),
             200 | 404 => {
                 self.ground.checker.told(&id, phase, user.accepted.is_some(), asked, now);
                 let over = matches!(phase, Some(Phase::Done | Phase::Withdrawn));
--- a/crates/lab/src/world/ways.rs
+++ b/crates/lab/src/world/ways.rs
@@ -56,7 +56,10 @@
         there && !self.is_cut(host, by)
     }
 
-    fn passes(&self, host: usize, way: Way) -> bool {
+    pub(super) fn passes(&self, host: usize, way: Way) -> bool {
+        if way.service == Service::Store && self.down.contains(&Link::Barred(host)) {
+            return false;
+        }
         let Some(by) = way.by.map(usize::from) else { return self.reaches(host, way.service) };
         let willing = self.hosts[by].core.as_ref().is_some_and(|c| c.links.carries(way.service));
         self.helps(by, host) && willing && self.reaches(by, way.service)
@@ -65,12 +68,17 @@
     /// True if a request that arrives now is served; its controller hears.
     pub(super) fn served(&mut self, host: usize, life: u64, way: Way) -> bool {
         let good = self.passes(host, way);
-        let at = self.now + self.travel();
+        self.tried(host, life, way, good, 0);
+        good
+    }
+
+    /// A controller hears after so long what became of a request.
+    pub(super) fn tried(&mut self, host: usize, life: u64, way: Way, good: bool, after_us: u64) {
+        let at = self.now + after_us + self.travel();
         if way.by.is_some() {
             self.hosts[host].work.messages += 1;
         }
         self.push(at, Event::To(host, life, Box::new(Input::Tried(way.service, way.by, way.bytes, good))));
-        good
     }
 
     /// True if some request of a controller would be served now.
--- a/crates/lab/src/world/workers.rs
+++ b/crates/lab/src/world/workers.rs
@@ -68,6 +68,7 @@
     /// An answer goes to a machine, if it hears that controller.
     pub(super) fn answer(&mut self, at: u64, host: usize, number: usize, session: u64, sent: u64, answer: ReportAnswer) {
         if !self.deaf(host, number, false) {
+            let at = at + self.held().unwrap_or(0);
             self.push(at, Event::Answer(number, session, sent, Box::new(answer)));
         }
     }
@@ -102,6 +103,10 @@
         let hung = self.workers.get(number).and_then(Option::as_ref).map(|w| w.hung_until).filter(|at| *at > now);
         if let Some(at) = hung {
             // A machine that continues executes what came meanwhile.
+            if !late {
+                let unknown = Input::Command(lot, call.clone(), CommandResult::Unknown);
+                self.at(COMMAND_TIMEOUT_MS * MS, Event::To(host, life, Box::new(unknown)));
+            }
             return self.push(at, Event::Orders(host, life, lot, Box::new(call), true));
         }
         let answer = self.with_worker(number, |w, ground| w.commands(&call.commands, now, ground));
--- a/crates/lab/tests/ledger.rs
+++ b/crates/lab/tests/ledger.rs
@@ -4,10 +4,10 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use lemonweir_lab::ground::Load;
 use lemonweir_lab::history::History;
 use lemonweir_lab::sample::{id, job};
 use lemonweir_lab::scenario::Scenario;
-use lemonweir_lab::worker::Load;
 use lemonweir_lab::world::{Planned, World};
 use lemonweir_model::{JobId, JobSpec, Shape};
 use lemonweir_protocol::state::from_value;
--- a/crates/lab/tests/links.rs
+++ b/crates/lab/tests/links.rs
@@ -4,10 +4,10 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
+use lemonweir_lab::ground::Load;
 use lemonweir_lab::history::History;
 use lemonweir_lab::sample::{id, job, site};
 use lemonweir_lab::scenario::{Chances, Link, Scenario, host_name};
-use lemonweir_lab::worker::Load;
 use lemonweir_lab::world::{Planned, World};
 use lemonweir_model::{JobSpec, Shape};
 use lemonweir_protocol::links::Standing;
--- a/crates/lab/tests/replay.rs
+++ b/crates/lab/tests/replay.rs
@@ -53,7 +53,7 @@
 
 #[test]
 fn swf_replays() {
-    assert_replays(Format::Swf, "traces/small.swf", "25e02c89cd288617d44ce75e2af82e75c08ba43c8b0ba6670686ccd68f20534e");
+    assert_replays(Format::Swf, "traces/small.swf", "4c1dc47a5066d274ed0d1e41f945bee4785d1d266fde560c932512022fcaabae");
 }
 
 #[test]
@@ -61,7 +61,7 @@
     assert_replays(
         Format::Google2011,
         "traces/google-2011/task_events-small.csv",
-        "0bd42a0723d144c3898bacdf852559b4a51855df9c0425932995d9a28dffdce2",
+        "401e2aa6eff3a84396c8f786518d00499c0643a313ad8c1b235260a3ba2c51c3",
     );
 }
 
@@ -70,7 +70,7 @@
     assert_replays(
         Format::Google2019,
         "traces/google-2019/instance_events-small.json",
-        "e8ab63224eebb28f93917f1bcf4c4c329ca9eeb8b7043691e00ccc0d65997c52",
+        "29f5f6c2b0b607865c038d80130690f7ea00b3bbcb562e9e1a60fa3c3af7f24d",
     );
 }
 
@@ -79,7 +79,7 @@
     assert_replays(
         Format::Alibaba2018,
         "traces/alibaba-2018/batch_task-small.csv",
-        "8ad8aa1eb94bba328475beac8bd3f775e489b1ef9e3a5cdd433622c93fb52658",
+        "a97e04377f6e0e6aea49f8fcd45d5a4d3ff9426458f4b0487d71dc83d031bfb2",
     );
 }
 
@@ -88,7 +88,7 @@
     assert_replays(
         Format::Pai2020,
         "traces/pai-2020/pai_task_table-small.csv",
-        "697ec878a649d665c77e190a8fb629f0bc7dc584b182baf5b3f721336ac3c8d5",
+        "401ea87eb8b51bcc20053f6a6d1cb660697beb74484fbeeaff72494dc501d75d",
     );
 }
 
@@ -97,7 +97,7 @@
     assert_replays(
         Format::Philly,
         "traces/philly/cluster_job_log-small.json",
-        "c3dfebcbaaba98021782f70d081903044567ec1304651193c33f7d0807dc2ef1",
+        "c0e33506bd5814d7d13341f25fd8b251657444092765c17cefc8dccd3a0b254e",
     );
 }
 
--- a/crates/lab/tests/rules.rs
+++ b/crates/lab/tests/rules.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 
 use lemonweir_lab::checker::{Checker, Place};
+use lemonweir_lab::ground::Load;
 use lemonweir_lab::history::History;
 use lemonweir_lab::sample::{id, job, site};
 use lemonweir_lab::scenario::{Chances, Link};
-use lemonweir_lab::worker::Load;
 use lemonweir_lab::world::{Planned, World};
 use lemonweir_model::{JobId, JobSpec, Rank, Room, Shape};
 use lemonweir_protocol::state::{Txn, Write};
--- a/crates/lab/tests/troubles.rs
+++ b/crates/lab/tests/troubles.rs
@@ -11,6 +11,8 @@
 use lemonweir_lab::scenario::Scenario;
 use lemonweir_lab::world::World;
 use lemonweir_model::{AttemptId, Shape};
+use lemonweir_protocol::state::from_value;
+use lemonweir_storage::records::{JobRecord, job_key};
 
 /// A fleet of 8 with 6 services of two, and one trouble from 60 s to 100 s.
 fn day(trouble: &str) -> World {
@@ -109,3 +111,107 @@
     assert_eq!(checker.broken.len(), 1, "{:?}", checker.broken);
     assert!(checker.broken[0].contains("two_attempts"));
 }
+
+/// Lets a user of the first service withdraw it at 61 s, with a trouble from 60 s on;
+/// s until the store shows that, and until it shows the end.
+fn withdrawal(trouble: &str) -> (World, u64, u64) {
+    let mut world = day(trouble);
+    world.run(61_000);
+    let job = world.live().into_keys().next().expect("a service");
+    world.withdraw(&job);
+    let marked = |world: &World| {
+        let record = world.store.get(&job_key(&job)).and_then(|(value, _)| from_value::<JobRecord>(value));
+        record.is_none_or(|r| r.withdrawn)
+    };
+    let mut seen = (None, None);
+    while world.now < 140_000_000 {
+        world.run(100);
+        let ms = world.now / 1_000 - 61_000;
+        seen.0 = seen.0.or(marked(&world).then_some(ms));
+        seen.1 = seen.1.or(world.phase(&job).map(|_| ms));
+    }
+    assert!(world.ground.checker.broken.is_empty(), "{:?}", world.ground.checker.broken);
+    assert!(!world.live().contains_key(&job));
+    (world, seen.0.expect("marked"), seen.1.expect("ended"))
+}
+
+#[test]
+fn late_writes_get_no_answer_and_are_carried_out_later() {
+    let (world, marked, ended) = withdrawal("kind = 'late_writes'\nshare = 1.0");
+    assert!((2_000..=12_200).contains(&marked) && ended >= marked + 2_000, "{marked} ms, {ended} ms");
+    assert!(world.late_writes > 2, "{}", world.late_writes);
+    let (_, marked, ended) = withdrawal("kind = 'late_writes'\nshare = 0.0");
+    assert!(marked <= 300 && ended <= 1_500, "{marked} ms, {ended} ms");
+}
+
+/// True if the store's last word to a controller is new.
+fn told(world: &World, host: usize) -> bool {
+    world.hosts[host].core.as_ref().is_some_and(|c| c.links.store_told(world.now / 1_000))
+}
+
+#[test]
+fn a_slow_store_answers_later_and_its_readings_count_from_when_they_were_asked_for() {
+    let (_, marked, ended) = withdrawal("kind = 'store_slow'\nlow_s = 1.2\nhigh_s = 1.4");
+    assert!(marked >= 600 && ended >= marked + 600, "{marked} ms, {ended} ms");
+    // Counted from its answer, the word of a reading would never be old.
+    for (seconds, old) in [(0.6, false), (1.4, true)] {
+        let mut world = day(&format!("kind = 'store_slow'\nlow_s = {seconds}\nhigh_s = {seconds}"));
+        world.run(60_000);
+        let untold = (0..300).filter(|_| {
+            world.run(100);
+            (0..3).any(|host| !told(&world, host))
+        });
+        assert_eq!(untold.count() > 0, old, "{seconds} s");
+    }
+    // Slower than anybody waits: its answers are none, and what was asked for is done.
+    let mut world = day("kind = 'store_slow'\nlow_s = 2\nhigh_s = 4");
+    world.run(90_000);
+    assert!((0..3).all(|host| !told(&world, host) && world.hosts[host].holds(host as u16)), "nobody loses its hold");
+    world.run(60_000);
+    assert!((0..3).all(|host| told(&world, host)));
+    assert!(world.ground.checker.broken.is_empty(), "{:?}", world.ground.checker.broken);
+}
+
+/// What another carries keeps the hold alive, unless the store refuses that too.
+#[test]
+fn a_controller_that_the_store_refuses_by_name_loses_its_hold() {
+    for (carried, holders) in [(false, [true, false, false]), (true, [false, true, false])] {
+        let mut world = day(&format!("kind = 'refused'\ncontroller = 0\ncarried = {carried}"));
+        world.run(90_000);
+        let by_key = world.hosts[1].core.as_ref().and_then(|c| c.mirror.parts.get(&0)).map(|p| p.host.clone());
+        assert_eq!(by_key.as_deref() == Some("h00"), holders[0], "{by_key:?}");
+        world.run(60_000);
+        assert!(world.hosts[0].holds(0), "its part comes back");
+        assert!(world.ground.checker.broken.is_empty(), "{:?}", world.ground.checker.broken);
+    }
+}
+
+#[test]
+fn orders_that_are_held_up_reach_their_machine_later() {
+    let (world, marked, ended) = withdrawal("kind = 'held_orders'\nshare = 1.0\nlow_s = 5\nhigh_s = 5");
+    assert!(world.held > 10 && ended > marked + 2_000, "{} held, {marked} ms, {ended} ms", world.held);
+    assert!(ended < 40_000, "{ended} ms");
+}
+
+/// Each wrong field is refused with its line, its name and what it may be.
+#[test]
+fn a_scenario_says_which_field_is_out_of_which_range() {
+    let head = "name = 'x'\nduration_s = 300\ncontrollers = 3\nzones = ['a', 'b']\n[[machine_type]]\nname = 'box'\ncpus = 16\n\
+                memory_gb = 64\n[[team]]\nname = 'red'\n[[fault]]\n";
+    for (fault, said) in [
+        ("at_s = 9\nkind = 'late_writes'\nshare = 1.01", "x:14: fault[0].share: must be a number from 0 to 1"),
+        ("at_s = 9\nkind = 'held_orders'\nlow_s = 1\nhigh_s = 2\nshare = -0.1", "x:16: fault[0].share: must be a number from 0 to 1"),
+        ("at_s = 9\nkind = 'refused'\ncontroller = 3", "x:14: fault[0].controller: must be a number from 0 to 2"),
+        ("at_s = 9\nkind = 'cut_controllers'\ncontroller = 0\nother = 7", "x:15: fault[0].other: must be a number from 0 to 2"),
+        ("at_s = 9\nkind = 'cut_zone'\nzone = 'c'", "x:14: fault[0].zone: no zone is called c: must be one of a, b"),
+        ("at_s = 9\nkind = 'deaf'\nzone = 'c'", "x:14: fault[0].zone: no zone is called c: must be one of a, b"),
+        ("at_s = 301\nkind = 'store_down'", "x:12: fault[0].at_s: must be a number from 0 to 300"),
+        ("at_s = 290\nkind = 'store_down'\nfor_s = 11", "x:14: fault[0].for_s: must be a number from 0 to 10"),
+        ("at_s = 9\nkind = 'store_slow'\nlow_s = 2\nhigh_s = 1", "x:15: fault[0].high_s: must be a number from 2 to 3600"),
+        ("at_s = 9\nkind = 'late_wrights'", "x:13: fault[0].kind: must be one of crash, roll"),
+    ] {
+        let faults = Scenario::parse("x", &format!("{head}{fault}\n")).err().unwrap_or_default();
+        assert!(faults.len() == 1 && faults[0].starts_with(said), "{fault}: {faults:?}");
+    }
+    assert!(Scenario::parse("x", &format!("{head}at_s = 290\nkind = 'late_writes'\nshare = 1.0\nfor_s = 10\n")).is_ok());
+}
--- a/crates/lab/tests/watch.rs
+++ b/crates/lab/tests/watch.rs
@@ -3,10 +3,10 @@
 
 use std::sync::Arc;
 
+use lemonweir_lab::ground::Load;
 use lemonweir_lab::history::History;
 use lemonweir_lab::sample::{job, site};
 use lemonweir_lab::scenario::{Chances, Scenario, host_name};
-use lemonweir_lab::worker::Load;
 use lemonweir_lab::world::{Planned, World};
 use lemonweir_model::constants::*;
 use lemonweir_model::{JobSpec, Rank, Shape};
--- a/crates/lab/tests/weights.rs
+++ b/crates/lab/tests/weights.rs
@@ -3,10 +3,10 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
+use lemonweir_lab::ground::Load;
 use lemonweir_lab::history::History;
 use lemonweir_lab::sample::{id, job};
 use lemonweir_lab::scenario::Scenario;
-use lemonweir_lab::worker::Load;
 use lemonweir_lab::world::{Planned, World};
 use lemonweir_model::policy::Trade;
 use lemonweir_model::{AttemptId, JobSpec, Rank, Shape};
