Laboratory: ten meetings of two troubles, played over a table of offsets

Cause: the orders that break rules are those in which a second trouble begins just before or after a lease, a hold or a promise of the first runs out.

One test shows what the gap is: a part has two leaders unless the others tell the old one. A class may be cancelled (share of jobs that their users withdraw while they wait or run); the report has the time from a withdrawal to its end.

--- a/crates/lab/src/baseline.rs
+++ b/crates/lab/src/baseline.rs
@@ -354,6 +354,7 @@
             waiting: waiting.spreads(),
             finished: finished.spreads(),
             served: BTreeMap::new(),
+            withdrawals: Spread::default(),
             killed_by_lease: 0,
             money: 0.0,
             useful: 0.0,
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -142,6 +142,8 @@
     // Drawn only where there are some, so that others draw what they drew before.
     let broken = class.broken > 0.0 && rng.random::<f64>() < class.broken;
     let given_up = broken.then(|| at + (rng.random_range(20.0..200.0) * 1e6) as u64);
+    let cancelled = class.cancelled > 0.0 && rng.random::<f64>() < class.cancelled;
+    let given_up = given_up.or_else(|| cancelled.then(|| at + (mean * 1e6 * rng.random_range(0.1..1.1)) as u64));
     let withdraw_us = given_up.or(service.then(|| at + (mean * 1e6) as u64));
     Planned { at_us: at, load: Load { spec: Arc::new(spec), run_us, broken }, withdraw_us }
 }
--- a/crates/lab/src/output.rs
+++ b/crates/lab/src/output.rs
@@ -46,6 +46,9 @@
     for (name, s) in &r.finished {
         row(&mut out, &format!("to its end: {name}"), s);
     }
+    if r.withdrawals.count > 0 {
+        row(&mut out, "from a withdrawal to its end", &r.withdrawals);
+    }
     for (name, (up, of)) in r.served.iter().filter(|(_, (up, of))| up * 2 < *of) {
         let _ = writeln!(out, "FAILED: {name}: {up} of {of} tasks were started");
     }
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -94,6 +94,8 @@
     pub start_within_s: f64,
     /// Share of its jobs that fail on every machine until they are withdrawn.
     pub broken: f64,
+    /// Share of its jobs that their users withdraw while they wait or run.
+    pub cancelled: f64,
 }
 
 /// What goes wrong at a time.
@@ -557,6 +559,7 @@
         save: (t.number("checkpoint_s", 0.0, 1e6, Some(0.0)), t.number("save_s", 0.0, 1e6, Some(0.0))),
         start_within_s: t.number("start_within_s", 0.0, 1e6, Some(0.0)),
         broken: t.number("broken", 0.0, 1.0, Some(0.0)),
+        cancelled: t.number("cancelled", 0.0, 1.0, Some(0.0)),
     }
 }
 
--- a/crates/lab/src/world/users.rs
+++ b/crates/lab/src/world/users.rs
@@ -180,6 +180,9 @@
                 let over = matches!(phase, Some(Phase::Done | Phase::Withdrawn));
                 if over && !user.over {
                     user.over = true;
+                    if let Some(at) = user.withdrew {
+                        self.measures.withdrawal_told(now - at);
+                    }
                     self.ground.checker.asked_last(&id);
                     self.ground.history.note(now, "told over", &id, &format!("{phase:?}"));
                     if phase == Some(Phase::Withdrawn) {
--- /dev/null
+++ b/crates/lab/tests/meetings.rs
@@ -0,0 +1,154 @@
+//! Meetings of two troubles: each scenario of `examples/scenarios/meetings/`, with its
+//! later troubles moved against the first over the times that leases, holds and
+//! promises live, by both lengths of a lease, with several seeds.
+
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use lemonweir_lab::history::History;
+use lemonweir_lab::hunt::broken_terms;
+use lemonweir_lab::load::synthetic;
+use lemonweir_lab::scenario::{Scenario, Trouble};
+use lemonweir_lab::world::World;
+use lemonweir_model::constants::HOLD_TTL_MS;
+use lemonweir_model::settings::Workers;
+
+/// s after the last trouble: the 75 s of the term on forgotten jobs, and some more.
+const TAIL_S: f64 = 100.0;
+/// Report interval, lease and time to cancel, s.
+const TIMES: [(f64, f64, f64); 2] = [(3.0, 14.0, 34.0), (5.0, 26.5, 60.0)];
+/// Threads of one test.
+const THREADS: usize = 3;
+
+fn directory() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/scenarios/meetings")
+}
+
+/// s of the second trouble after the first.
+fn offsets(scenario: &Scenario) -> Vec<f64> {
+    let Workers { report_s, lease_s, cancel_s, .. } = scenario.workers;
+    let (hold, blind) = (HOLD_TTL_MS as f64 / 1e3, scenario.policy.blind_ms as f64 / 1e3);
+    let around = [report_s, hold, lease_s, cancel_s, blind];
+    let mut all = vec![0.1];
+    all.extend(around.into_iter().flat_map(|s| [s - 0.4, s + 0.9]));
+    all.sort_by(f64::total_cmp);
+    all.dedup();
+    all
+}
+
+/// A scenario with these times, its later troubles moved by the second's offset.
+/// The first one lasts into them, but for a process that is back by then.
+fn moved(scenario: &Scenario, (report_s, lease_s, cancel_s): (f64, f64, f64), offset: f64) -> Scenario {
+    let mut moved = scenario.clone();
+    moved.workers = Workers { report_s, lease_s, cancel_s, ..moved.workers };
+    let (first, later) = moved.faults.split_first_mut().expect("a trouble");
+    let by = first.at_s + offset - later.first().map_or(first.at_s, |f| f.at_s);
+    later.iter_mut().for_each(|f| f.at_s += by);
+    if !matches!(first.trouble, Trouble::Crash { .. }) {
+        first.for_s += offset;
+    }
+    moved.duration_s = moved.calm_s() + TAIL_S;
+    moved
+}
+
+fn scenario(name: &str) -> Scenario {
+    let text = std::fs::read_to_string(directory().join(name).with_extension("toml")).expect("readable");
+    Scenario::parse(name, &text).unwrap_or_else(|faults| panic!("{faults:?}"))
+}
+
+fn begun(scenario: Scenario, seed: u64) -> World {
+    let scenario = Arc::new(scenario);
+    let load = synthetic(&scenario, seed);
+    World::new(scenario, load, seed, History::new(None))
+}
+
+fn play(scenario: Scenario, seed: u64) -> Vec<String> {
+    let ms = (scenario.duration_s * 1e3) as u64;
+    let mut world = begun(scenario, seed);
+    world.run(ms);
+    broken_terms(&world)
+}
+
+/// Plays one file over the whole table, `seeds` of each; what was broken.
+fn meet(name: &str, seeds: u64) {
+    let scenario = scenario(name);
+    let mut days = Vec::new();
+    for times in TIMES {
+        for offset in offsets(&moved(&scenario, times, 0.0)) {
+            days.extend((0..seeds).map(|_| (times, offset)));
+        }
+    }
+    let next = AtomicUsize::new(0);
+    let work = || {
+        let mut lines = Vec::new();
+        loop {
+            let n = next.fetch_add(1, Ordering::Relaxed);
+            let Some((times, offset)) = days.get(n) else { return lines };
+            let seed = n as u64 + 1;
+            let faults = play(moved(&scenario, *times, *offset), seed);
+            if !faults.is_empty() {
+                lines.push(format!("seed {seed}, lease {} s, second trouble after {offset:.1} s: {faults:?}", times.1));
+            }
+        }
+    };
+    let lines: Vec<String> = std::thread::scope(|s| {
+        let threads: Vec<_> = (0..THREADS).map(|_| s.spawn(work)).collect();
+        threads.into_iter().flat_map(|t| t.join().expect("played")).collect()
+    });
+    assert!(lines.is_empty(), "{name}: {} of {} days:\n{}", lines.len(), days.len(), lines.join("\n"));
+}
+
+/// What the gap is: the part has another leader, ends that users asked for are written,
+/// and then nobody can write. The others tell the old leader, which sends its workers
+/// on; where it is cut from them too, it takes itself for the leader still and hears
+/// its workers.
+#[test]
+fn in_the_gap_a_part_has_two_leaders_unless_the_others_tell() {
+    for (name, untold) in [("gap", false), ("gap-alone", true)] {
+        let mut world = begun(scenario(name), 1);
+        let over = |world: &World| world.store.list("end/").len();
+        world.run(78_000);
+        let before = over(&world);
+        world.run(5_000);
+        let holder = world.hosts[2].core.as_ref().and_then(|c| c.mirror.parts.get(&0)).map(|p| p.host.clone());
+        assert!(holder.is_some_and(|host| host != "h00"), "{name}");
+        assert_eq!(world.hosts[0].holds(0), untold, "{name}");
+        let nodes: Vec<usize> = world.workers.iter().flatten().map(|w| w.node).collect();
+        assert_eq!(nodes.contains(&0), untold, "{name}: {nodes:?}");
+        assert!(over(&world) > before && world.store.down, "{name}: {before}, {}", over(&world));
+    }
+}
+
+macro_rules! meetings {
+    ($($test:ident $file:literal $seeds:literal)*) => {
+        $(#[test]
+        fn $test() {
+            meet($file, $seeds);
+        })*
+
+        /// No scenario of the directory is left out.
+        #[test]
+        fn every_meeting_is_played() {
+            let files = std::fs::read_dir(directory()).expect("readable").map(|f| f.expect("readable").path());
+            let mut names: Vec<String> = files.filter_map(|f| Some(f.file_stem()?.to_str()?.to_owned())).collect();
+            names.sort();
+            let mut played = vec![$($file),*];
+            played.sort();
+            assert_eq!(names, played);
+        }
+    };
+}
+
+meetings! {
+    the_store_refuses_the_leader_and_then_everybody "gap" 2
+    the_leader_is_alone_and_then_the_store_is_down "gap-alone" 2
+    orders_are_held_up_and_machines_go_on "held-order" 2
+    a_leader_ends_while_machines_are_away "leader-ends-machines-away" 2
+    writes_are_carried_out_after_newer_ones "late-writes" 2
+    a_leader_is_alone_while_jobs_are_cancelled "alone-and-cancelled" 2
+    controllers_hand_over_and_back_and_all_end "hand-over-and-back" 2
+    the_store_is_slow_then_refuses_one_then_all "slow-store" 2
+    old_reports_come_after_newer_ones "old-reports" 2
+    tasks_of_a_job_end_far_apart_across_a_change_of_leader "far-apart-ends" 2
+}
