--- a/crates/lab/tests/meetings.rs
+++ b/crates/lab/tests/meetings.rs
@@ -145,10 +145,10 @@
     the_leader_is_alone_and_then_the_store_is_down "gap-alone" 2
     orders_are_held_up_and_machines_go_on "held-order" 2
     a_leader_ends_while_machines_are_away "leader-ends-machines-away" 2
-    writes_are_carried_out_after_newer_ones "late-writes" 2
+    writes_are_carried_out_after_newer_ones "late-writes" 4
     a_leader_is_alone_while_jobs_are_cancelled "alone-and-cancelled" 2
     controllers_hand_over_and_back_and_all_end "hand-over-and-back" 2
     the_store_is_slow_then_refuses_one_then_all "slow-store" 2
     old_reports_come_after_newer_ones "old-reports" 2
-    tasks_of_a_job_end_far_apart_across_a_change_of_leader "far-apart-ends" 2
+    tasks_of_a_job_end_far_apart_across_a_change_of_leader "far-apart-ends" 4
 }
