--- a/crates/coordination/tests/late_orders.rs
+++ b/crates/coordination/tests/late_orders.rs
@@ -917,3 +917,108 @@
     let over_at = over_at.expect("in the end it is over");
     assert!((20_000..24_000).contains(&over_at), "{over_at} ms");
 }
+
+/// An owner whose start of task 0 is of unknown fate since 2.6 s, and that call's token.
+fn with_a_lost_start() -> (Owner, u64) {
+    let mut owner = fleet(1);
+    tell(&mut owner, 1, vec![want(0, 0)], 20);
+    let start = owner.calls(20, 4).pop().expect("a start");
+    owner.call_done(&start, CommandResult::Unknown, 2_600);
+    (owner, start.commands.token)
+}
+
+fn stopped(n: u32) -> Want {
+    Want { kill: Some(0), ..want(n, 0) }
+}
+
+fn ended(told: &[(AttemptId, Standing)], n: u32) -> bool {
+    told.iter().any(|(id, s)| *id == want(n, 0).id && s.ended())
+}
+
+/// A start that was held back arrives after a second one of the same attempt ran, ended
+/// and would be forgotten: it is refused, or nothing is forgotten before it would be.
+#[test]
+fn nothing_is_forgotten_while_an_order_that_would_start_it_again_may_arrive() {
+    let (mut owner, first) = with_a_lost_start();
+    let again = owner.calls(4_000, 4).pop().expect("it is started again");
+    assert!(again.commands.token > first, "who takes the second refuses the first");
+    owner.call_done(&again, CommandResult::Unknown, 6_500);
+    // The first was executed; the second is still on its way.
+    let exited = TaskReport { phase: TaskPhase::Exited, cause: Some("done".into()), ..running_task(0) };
+    let said = |seq, token| Report { token, tasks: vec![exited.clone()], ..report(0, seq) };
+    assert!(owner.report(&said(3, first), None, 6_600).is_some());
+    assert!(ended(&tell(&mut owner, 2, vec![want(0, 0)], 6_700), 0));
+    tell(&mut owner, 3, Vec::new(), 6_800);
+    // The only placer wants nothing more; the lost start alone keeps it.
+    let reply = owner.report(&said(4, first), None, 9_600).expect("answered");
+    assert_eq!(reply.orders, [], "the second would start it anew");
+    assert!(reply.token > again.commands.token);
+    let reply = owner.report(&said(5, reply.token), None, 10_100).expect("answered");
+    assert!(reply.orders.iter().any(|o| o.verb == Verb::Forget), "from now on it is refused: {reply:?}");
+}
+
+/// A second call that surely never left tells nothing of the first.
+#[test]
+fn a_call_that_was_not_sent_does_not_take_back_a_lost_one() {
+    let (mut owner, _) = with_a_lost_start();
+    let again = owner.calls(4_000, 4).pop().expect("it is started again");
+    owner.call_done(&again, CommandResult::NotSent, 4_100);
+    assert!(!ended(&tell(&mut owner, 2, vec![stopped(0)], 4_200), 0), "the first may arrive");
+    let token = owner.report(&report(0, 3), None, 4_300).expect("answered").token;
+    assert!(!ended(&tell(&mut owner, 3, vec![stopped(0)], 4_400), 0), "and still");
+    assert!(owner.report(&Report { token, ..report(0, 4) }, None, 4_900).is_some());
+    assert!(ended(&tell(&mut owner, 4, vec![stopped(0)], 5_000), 0), "now it is refused");
+}
+
+/// A start went out in an answer that is held up for up to 4 s: until the worker's next
+/// report, which it sends after it has it or has given it up, no call may show that the
+/// task is not there.
+#[test]
+fn a_start_in_an_answer_is_open_until_the_next_report() {
+    let (mut owner, _) = with_a_lost_start();
+    let reply = owner.report(&report(0, 3), None, 2_700).expect("answered");
+    assert!(reply.orders.iter().any(|o| o.verb == Verb::Launch), "{reply:?}");
+    tell(&mut owner, 2, vec![stopped(0), want(1, 0)], 3_000);
+    for now in (3_000..6_700).step_by(100) {
+        assert!(owner.calls(now, 4).is_empty(), "its answer would show task 0 absent");
+    }
+    assert!(!ended(&tell(&mut owner, 3, vec![stopped(0), want(1, 0)], 6_700), 0));
+    owner.report(&Report { token: reply.token, ..report(0, 4) }, None, 6_800).expect("answered");
+    assert!(ended(&tell(&mut owner, 4, vec![stopped(0), want(1, 0)], 6_900), 0));
+}
+
+/// What may be another life proves no absence, though nothing was started there by us.
+#[test]
+fn a_machine_under_suspicion_proves_no_absence() {
+    let mut owner = fleet(1);
+    let token = owner.report(&Report { token: 0, ..report(0, 1) }, None, 3_000).expect("answered").token;
+    assert!(!ended(&tell(&mut owner, 1, vec![stopped(0)], 3_100), 0), "an earlier owner may have started it");
+    owner.report(&Report { token, ..report(0, 2) }, None, 3_500).expect("answered");
+    assert!(ended(&tell(&mut owner, 2, vec![stopped(0)], 3_600), 0));
+}
+
+/// A machine reports and never shows that it hears this owner: what earlier owners kept
+/// alive is over a while after the taking, what this one may have kept alive a lease
+/// after its last answer.
+#[test]
+fn a_machine_that_never_shows_our_token_may_live_by_our_answers() {
+    let mut owner = Owner::new(0, TOKEN, 1, TIMING, lemonweir_policy::embedded().expect("policy"), 0);
+    owner.set_types([kind()].iter());
+    tell(&mut owner, 1, vec![want(0, 0)], 10);
+    let said = Report { token: (TOKEN - 1) << FENCE_BITS, tasks: vec![running_task(0)], ..report(0, 70) };
+    assert!(owner.report(&said, None, 70_000).is_some());
+    owner.tick(80_000, 80_000);
+    assert!(TIMING.inherited_ms() < 80_000);
+    assert!(!ended(&tell(&mut owner, 2, vec![want(0, 0)], 80_000), 0), "its lease may run until 84 s");
+    owner.tick(85_000, 85_000);
+    assert!(ended(&tell(&mut owner, 3, vec![want(0, 0)], 85_000), 0));
+}
+
+/// A worker that has seen a later owner would drop the answer, and be held here by it.
+#[test]
+fn a_worker_that_has_seen_a_later_owner_is_not_answered() {
+    let mut owner = fleet(1);
+    let later = Report { token: (TOKEN + 1) << FENCE_BITS, ..report(0, 9) };
+    assert!(owner.report(&later, None, 3_000).is_none());
+    assert!(owner.report(&report(0, 10), None, 3_100).is_some(), "and the report told nothing");
+}
