--- a/crates/coordination/tests/late_orders.rs
+++ b/crates/coordination/tests/late_orders.rs
@@ -845,7 +845,7 @@
     view.attempts.into_iter().map(|a| (a.id, a.standing)).collect()
 }
 
-/// History 637 of seed 2: a machine came back under an owner that had just taken the
+/// Drawn by an earlier form of the histories above: a machine came back under an owner that had just taken the
 /// part. Its second report showed the token that the earlier life had shown too, so it
 /// was held for a late one; the owner went on with the earlier life's session, and a
 /// start that named it was executed when the new life had come to that session, long
@@ -896,7 +896,7 @@
     assert_eq!(told, [(want(0, 0).id, Standing::Running)]);
 }
 
-/// History 2614 of seed 2: a machine came back unheard, its new life took a start whose
+/// Drawn by an earlier form of the histories above: a machine came back unheard, its new life took a start whose
 /// answer was lost, and the lease of the earlier life proved it over.
 #[test]
 fn a_start_of_unknown_fate_is_over_a_lease_after_its_call_at_the_earliest() {
