Laboratory: lost answers, copies for the next leader, mute machines, close looks, cancellations at a chosen moment

Change: troubles late_writes with at_once, late_copies with for_next, mute, close_looks, cancel_at_end, cancel_now with hang_s, odd_requests; classes bound to one zone; fourteen meetings as scenarios over the table of offsets. The checker names jobs that wait 90 s beside room that fits, any start after a confirmed cancellation, and unfit jobs that are accepted. Troubles of a scenario have a module of their own and are read by name instead of by number.

--- a/crates/lab/src/checker.rs
+++ b/crates/lab/src/checker.rs
@@ -39,6 +39,8 @@
     used: BTreeMap<String, Room>,
     limits: BTreeMap<String, Room>,
     done: HashMap<JobId, BTreeSet<u32>>,
+    /// When a task of a job last started.
+    last_start: HashMap<JobId, u64>,
     withdrawn: BTreeMap<JobId, u64>,
     over: BTreeMap<JobId, Phase>,
     /// Ends that a user was told, and when.
@@ -67,6 +69,30 @@
         self.specs.insert(spec.id.clone(), spec.clone());
     }
 
+    /// A job was refused: it must stay unknown.
+    pub fn refused(&mut self, job: &JobId) {
+        self.specs.remove(job);
+    }
+
+    /// When a task of a job last started, µs; 0: never.
+    pub fn last_start(&self, job: &JobId) -> u64 {
+        self.last_start.get(job).copied().unwrap_or(0)
+    }
+
+    /// True if so many more tasks of a job stay within its team's limit.
+    pub fn within_limit(&self, spec: &JobSpec, tasks: u64) -> bool {
+        let used = self.used.get(&spec.team).copied().unwrap_or_default().plus(&spec.need().times(tasks));
+        self.limits.get(&spec.team).is_none_or(|limit| used.cpus <= limit.cpus && used.gpus <= limit.gpus)
+    }
+
+    /// True if no more tasks of a job may be in a zone.
+    pub fn zone_is_full(&self, spec: &JobSpec, zone: &str) -> bool {
+        let Some(zones) = self.zones.get(&spec.id) else { return false };
+        let here = u64::from(zones.get(zone).copied().unwrap_or(0));
+        let elsewhere = zones.iter().any(|(other, tasks)| other != zone && *tasks > 0);
+        spec.spread && here >= spec.tasks.div_ceil(2) || spec.one_zone && elsewhere
+    }
+
     fn tasks_on(&self, job: &JobId) -> u32 {
         self.zones.get(job).map_or(0, |z| z.values().sum())
     }
@@ -138,12 +164,14 @@
     /// A task has its image: from now on it is on its machine.
     pub fn started(&mut self, job: &JobId, task: u32, place: Place<'_>, now: u64) {
         self.starts += 1;
+        self.last_start.insert(job.clone(), now);
         let key = (job.clone(), task);
         if self.on.get(&key).is_some_and(|places| !places.is_empty()) {
             self.fault(now, format!("ran_twice: {job}/{task} starts on {}, is on {:?}", place.machine, self.on[&key]));
         }
-        if self.withdrawn.get(job).is_some_and(|&at| now > at + self.cancel_us) {
-            self.fault(now, format!("ran_cancelled: {job}/{task} starts"));
+        // Stricter than the page, which allows it for `cancel_s`.
+        if self.withdrawn.contains_key(job) {
+            self.fault(now, format!("ran_cancelled: {job}/{task} starts after its cancellation was confirmed"));
         }
         let Some(spec) = self.specs.get(job).cloned() else { return self.fault(now, format!("unknown job {job}")) };
         let zones = self.zones.entry(job.clone()).or_default();
--- a/crates/lab/src/ground.rs
+++ b/crates/lab/src/ground.rs
@@ -71,6 +71,8 @@
     pub history: History,
     /// Calls to be carried out.
     pub calls: Vec<Call>,
+    /// Jobs whose last task has just completed.
+    pub completed: Vec<JobId>,
     /// First start of each task that is worth a figure, µs.
     pub up: HashMap<(JobId, u32), u64>,
     /// When a job began: its gang ran whole, or its first task was up, µs.
@@ -85,6 +87,7 @@
     gangs: HashMap<(JobId, u32), Gang>,
     pub(crate) saved: HashMap<(JobId, u32), u64>,
     pub(crate) done: HashSet<(JobId, u32)>,
+    done_tasks: HashMap<JobId, u64>,
 }
 
 /// The progress of a gang is one for all of its tasks.
@@ -98,6 +101,7 @@
             checker,
             history,
             calls: Vec::new(),
+            completed: Vec::new(),
             up: HashMap::new(),
             begun: HashMap::new(),
             launched: HashMap::new(),
@@ -107,6 +111,7 @@
             gangs: HashMap::new(),
             saved: HashMap::new(),
             done: HashSet::new(),
+            done_tasks: HashMap::new(),
         }
     }
 
@@ -126,17 +131,31 @@
         let (need, tasks) = (load.spec.need(), load.spec.tasks as u32);
         self.useful += u128::from(worked_us) * u128::from(need.cpus);
         if load.spec.shape == Shape::Gang && tasks > 1 {
-            self.done.extend((0..tasks).map(|t| (id.job.clone(), t)));
-            (0..tasks).for_each(|t| self.checker.task_done(&id.job, t));
+            (0..tasks).for_each(|task| self.task_done(&id.job, task, tasks));
             if let Some(gang) = self.gangs.get_mut(&(id.job.clone(), id.attempt)) {
                 gang.over = true;
             }
         } else {
-            self.done.insert((id.job.clone(), id.task));
-            self.checker.task_done(&id.job, id.task);
+            self.task_done(&id.job, id.task, tasks);
         }
     }
 
+    fn task_done(&mut self, job: &JobId, task: u32, tasks: u32) {
+        self.checker.task_done(job, task);
+        if self.done.insert((job.clone(), task)) {
+            let done = self.done_tasks.entry(job.clone()).or_default();
+            *done += 1;
+            if *done == u64::from(tasks) {
+                self.completed.push(job.clone());
+            }
+        }
+    }
+
+    /// Tasks of a job that have completed.
+    pub fn done_tasks(&self, job: &JobId) -> u64 {
+        self.done_tasks.get(job).copied().unwrap_or(0)
+    }
+
     /// A gang's task is there with its image; the last one starts all.
     pub(crate) fn gather(&mut self, id: &AttemptId, machine: usize, speed: f64, now: u64) {
         let Some(load) = self.jobs.get(&id.job) else { return };
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -127,7 +127,7 @@
         gpus: class.need.1,
         ram_gb: class.need.2,
         types: None,
-        zone: None,
+        zone: class.zone.clone(),
         one_zone: class.one_zone,
         spread: class.spread,
         spot: class.spot,
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -9,10 +9,11 @@
 use rand_distr::{Distribution, Exp, LogNormal, Pareto};
 use toml::de::{DeTable, DeValue};
 
-use crate::fields::{Faults, Section, as_number};
+mod trouble;
+
+pub use trouble::{Fault, LATE_WRITES, Link, Seconds, Trouble};
 
-/// How much later a write is carried out that got no answer.
-pub const LATE_WRITES: Seconds = Seconds { low: 2.0, high: 12.0 };
+use crate::fields::{Faults, Section, as_number};
 
 /// How a number is drawn.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -82,6 +83,8 @@
     pub per_min: f64,
     /// Jobs at the start.
     pub at_start: u32,
+    /// The only zone where its tasks may be; none: any.
+    pub zone: Option<String>,
     /// All in one zone.
     pub one_zone: bool,
     /// At most half of the tasks in a zone.
@@ -98,167 +101,6 @@
     pub cancelled: f64,
 }
 
-/// What goes wrong at a time.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Trouble {
-    /// A controller ends and comes back.
-    Crash {
-        /// Which one; none: all of them.
-        host: Option<usize>,
-    },
-    /// All controllers are restarted, one after the other.
-    Roll,
-    /// The state service is down.
-    StoreDown,
-    /// A link fails while others are up.
-    Cut(Link),
-    /// The cloud's interface is down.
-    CloudDown,
-    /// A zone is cut off from everything; inside it goes on.
-    CutZone {
-        /// Its name.
-        zone: String,
-    },
-    /// A controller stands still while its clocks run on.
-    Freeze {
-        /// Which one.
-        host: usize,
-    },
-    /// Machines stop for good with all that is on them.
-    Die,
-    /// Machines lose the network.
-    Silent,
-    /// Machines hang.
-    Hang,
-    /// Machines fail what they start.
-    Faulty,
-    /// Machines rented meanwhile take so many times as long to come up; the share
-    /// of the fault never does.
-    Boots {
-        /// How many times as long.
-        factor: f64,
-        /// The only zone where it is so.
-        zone: Option<String>,
-    },
-    /// Users ask so many times as often, a third of them for jobs of nobody.
-    Polls {
-        /// How many times as often.
-        factor: f64,
-    },
-    /// Machines' reports arrive, but answers or commands don't reach them.
-    Deaf {
-        /// All machines of this zone; none: the share of the fault.
-        zone: Option<String>,
-        /// Only this controller's are lost.
-        host: Option<usize>,
-        /// Answers are lost.
-        answers: bool,
-        /// Commands are lost.
-        commands: bool,
-    },
-    /// Each report of some machines arrives a second time, so many s later.
-    LateCopies {
-        /// How much later.
-        seconds: Seconds,
-    },
-    /// The share of all writes gets no answer and is carried out later.
-    LateWrites,
-    /// The state service carries out and answers so much later.
-    StoreSlow {
-        /// How much later.
-        seconds: Seconds,
-    },
-    /// The share of calls to machines and of answers to their reports arrives so much
-    /// later, or what the machine says to a call is lost.
-    HeldOrders {
-        /// How much later.
-        seconds: Seconds,
-    },
-    /// A controller loses the state service and all others, not its workers.
-    Alone {
-        /// Which one.
-        host: usize,
-    },
-    /// Machines are back at once, empty, and count from the start.
-    Reborn,
-    /// Spot machines are taken back, with this notice.
-    TakeSpot {
-        /// Seconds of notice; 0: none.
-        notice_s: f64,
-    },
-}
-
-/// How much later something comes, s.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Seconds {
-    /// At least.
-    pub low: f64,
-    /// At most.
-    pub high: f64,
-}
-
-impl Seconds {
-    fn read(t: &Section<'_>) -> Self {
-        let low = t.number("low_s", 0.0, 3_600.0, None);
-        Self { low, high: t.number("high_s", low, 3_600.0, None) }
-    }
-
-    /// The same in µs.
-    pub fn us(&self) -> std::ops::RangeInclusive<u64> {
-        (self.low * 1e6) as u64..=(self.high * 1e6) as u64
-    }
-}
-
-/// A trouble with its time.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Fault {
-    /// What.
-    pub trouble: Trouble,
-    /// When, s.
-    pub at_s: f64,
-    /// For how long, s.
-    pub for_s: f64,
-    /// Share of the machines that it strikes.
-    pub share: f64,
-    /// A link comes and goes at this interval, s; 0: it stays cut.
-    pub flap_s: f64,
-}
-
-impl Fault {
-    /// When nothing more comes of it, s: late copies have arrived, a roll is through.
-    fn over_s(&self, hosts: u16) -> f64 {
-        let more = match self.trouble {
-            Trouble::Roll => self.for_s * f64::from(hosts),
-            Trouble::LateCopies { seconds } | Trouble::StoreSlow { seconds } | Trouble::HeldOrders { seconds } => seconds.high,
-            Trouble::LateWrites => LATE_WRITES.high,
-            Trouble::TakeSpot { notice_s } => 1.5 * notice_s,
-            _ => 0.0,
-        };
-        self.at_s + self.for_s + more
-    }
-}
-
-/// A link that can fail by itself; controllers by their numbers.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Link {
-    /// A controller and the state service, which refuses it.
-    Store(usize),
-    /// The same; it refuses what others carry for that controller too.
-    Barred(usize),
-    /// A controller and the cloud.
-    Cloud(usize),
-    /// A controller and all workers.
-    Workers(usize),
-    /// A controller and the workers of a zone.
-    Zone(usize, String),
-    /// Two controllers.
-    Hosts(usize, usize),
-    /// A controller can't reach another, which can reach it.
-    OneWay(usize, usize),
-    /// A controller and the users.
-    Users(usize),
-}
-
 /// How likely faults of single messages are, in thousandths.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Chances {
@@ -489,7 +331,7 @@
         top.fault("team", "one at least must be given");
     }
     let classes = top.tables("class").iter().map(|t| class(t, &scenario)).collect();
-    let faults = top.tables("fault").iter().filter_map(|t| fault(t, &scenario)).collect();
+    let faults = top.tables("fault").iter().filter_map(|t| trouble::fault(t, &scenario)).collect();
     Scenario { classes, faults, ..scenario }
 }
 
@@ -553,6 +395,7 @@
         images: (t.whole("images", 1, 100_000, Some(1)) as u32, t.number("image_gb", 0.0, 10_000.0, Some(0.0))),
         per_min: t.number("per_min", 0.0, 1e6, Some(0.0)),
         at_start: t.whole("at_start", 0, 1_000_000, Some(0)) as u32,
+        zone: t.has("zone").then(|| trouble::known_zone(t, scenario)),
         one_zone: t.flag("one_zone", false),
         spread: t.flag("spread", false),
         spot: t.flag("spot", false),
@@ -586,97 +429,3 @@
         _ => Dist::Fixed(0.0),
     }
 }
-
-fn known_zone(t: &Section<'_>, scenario: &Scenario) -> String {
-    let zone = t.text("zone", None);
-    if !scenario.zones.contains(&zone) {
-        t.fault("zone", &format!("no zone is called {zone}: must be one of {}", scenario.zones.join(", ")));
-    }
-    zone
-}
-
-fn fault(t: &Section<'_>, scenario: &Scenario) -> Option<Fault> {
-    let most = u64::from(scenario.parts) - 1;
-    let host = |name: &str| t.whole(name, 0, most, None) as usize;
-    let words = [
-        ("crash", 0),
-        ("roll", 1),
-        ("store_down", 2),
-        ("refused", 3),
-        ("cloud_down", 4),
-        ("cut_controllers", 5),
-        ("silent", 6),
-        ("hang", 7),
-        ("faulty", 8),
-        ("take_spot", 9),
-        ("cut_zone", 10),
-        ("cut_workers", 11),
-        ("freeze", 12),
-        ("die", 13),
-        ("cut_cloud", 14),
-        ("cut_one_way", 15),
-        ("cut_users", 16),
-        ("boots", 17),
-        ("polls", 18),
-        ("deaf", 19),
-        ("late_copies", 20),
-        ("alone", 21),
-        ("reborn", 22),
-        ("late_writes", 23),
-        ("store_slow", 24),
-        ("held_orders", 25),
-    ];
-    let at_s = t.number("at_s", 0.0, scenario.duration_s, None);
-    let for_s = t.number("for_s", 0.0, scenario.duration_s - at_s, Some(5.0));
-    let trouble = match t.word("kind", &words, None)? {
-        0 => Trouble::Crash { host: t.has("controller").then(|| host("controller")) },
-        1 => Trouble::Roll,
-        2 => Trouble::StoreDown,
-        3 if t.flag("carried", false) => Trouble::Cut(Link::Barred(host("controller"))),
-        3 => Trouble::Cut(Link::Store(host("controller"))),
-        4 => Trouble::CloudDown,
-        5 => {
-            let (a, b) = (host("controller"), host("other"));
-            Trouble::Cut(Link::Hosts(a.min(b), a.max(b)))
-        }
-        6 => Trouble::Silent,
-        7 => Trouble::Hang,
-        8 => Trouble::Faulty,
-        10 => Trouble::CutZone { zone: known_zone(t, scenario) },
-        11 if t.has("zone") => Trouble::Cut(Link::Zone(host("controller"), known_zone(t, scenario))),
-        11 => Trouble::Cut(Link::Workers(host("controller"))),
-        12 => Trouble::Freeze { host: host("controller") },
-        13 => Trouble::Die,
-        14 => Trouble::Cut(Link::Cloud(host("controller"))),
-        15 => Trouble::Cut(Link::OneWay(host("controller"), host("other"))),
-        16 => Trouble::Cut(Link::Users(host("controller"))),
-        17 => {
-            Trouble::Boots { factor: t.number("factor", 0.001, 1_000.0, Some(1.0)), zone: t.has("zone").then(|| known_zone(t, scenario)) }
-        }
-        18 => Trouble::Polls { factor: t.number("factor", 1.0, 1_000.0, None) },
-        19 => {
-            let only = t.has("only").then(|| t.word("only", &[("answers", true), ("commands", false)], None)).flatten();
-            Trouble::Deaf {
-                zone: t.has("zone").then(|| known_zone(t, scenario)),
-                host: t.has("controller").then(|| host("controller")),
-                answers: only != Some(false),
-                commands: only != Some(true),
-            }
-        }
-        20 => Trouble::LateCopies { seconds: Seconds::read(t) },
-        21 => Trouble::Alone { host: host("controller") },
-        22 => Trouble::Reborn,
-        23 => Trouble::LateWrites,
-        24 => Trouble::StoreSlow { seconds: Seconds::read(t) },
-        25 => Trouble::HeldOrders { seconds: Seconds::read(t) },
-        _ => Trouble::TakeSpot { notice_s: t.number("notice_s", 0.0, 3_600.0, Some(0.0)) },
-    };
-    let usual_share = if matches!(trouble, Trouble::Boots { .. }) { 0.0 } else { 0.1 };
-    Some(Fault {
-        trouble,
-        at_s,
-        for_s,
-        share: t.number("share", 0.0, 1.0, Some(usual_share)),
-        flap_s: t.number("flap_s", 0.0, 1e6, Some(0.0)),
-    })
-}
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -6,10 +6,12 @@
 //! same scenario, load and seed give the same history.
 
 mod controllers;
+mod requests;
 mod sending;
 mod services;
 mod troubles;
 mod users;
+mod waiting;
 mod ways;
 mod workers;
 
@@ -31,6 +33,7 @@
 use lemonweir_protocol::users::{Phase, never_runs, team_limit};
 use lemonweir_protocol::worker::{Report, ReportReply};
 use lemonweir_storage::records::*;
+use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -104,6 +107,8 @@
     Flap(Link, bool),
     FaultOver(usize, Vec<usize>),
     TakeMachine(usize),
+    /// Users send odd requests while this trouble lasts.
+    OddRequests(usize),
     Look,
 }
 
@@ -199,6 +204,11 @@
     queue: BinaryHeap<Reverse<Timed>>,
     seq: u64,
     users: HashMap<JobId, UserJob>,
+    /// Copies of reports that are kept for the next leader, with their machines.
+    kept_reports: Vec<Report>,
+    /// Jobs that fit no machine.
+    unfit: BTreeSet<JobId>,
+    waiting: waiting::WaitingJobs,
     plan: HashMap<JobId, Planned>,
 }
 
@@ -230,6 +240,9 @@
             queue: BinaryHeap::new(),
             seq: 0,
             users: HashMap::new(),
+            kept_reports: Vec::new(),
+            unfit: BTreeSet::new(),
+            waiting: waiting::WaitingJobs::default(),
             plan: HashMap::new(),
             scenario,
         };
@@ -446,6 +459,7 @@
             Event::Flap(link, false) => drop(self.down.remove(&link)),
             Event::FaultOver(i, struck) => self.fault_over(i, &struck),
             Event::TakeMachine(number) => self.take_machine(number),
+            Event::OddRequests(fault) => self.odd_requests(fault),
             Event::Look => {
                 self.store.expire(now);
                 self.ground.checker.check_time(now);
@@ -453,6 +467,7 @@
                     self.troubled_at = now;
                 }
                 self.ground.checker.check_answers(self.troubled_at, now);
+                self.look_at_waiting_jobs();
                 self.measures.sample(now, &self.workers, &self.cloud, &self.hosts);
                 self.at(LOOK_US, Event::Look);
             }
--- a/crates/lab/src/world/services.rs
+++ b/crates/lab/src/world/services.rs
@@ -101,8 +101,9 @@
                     let first = self.rng.random_range(0..=whole);
                     (before, after) = (before + first, after.map(|us| us + whole - first));
                 }
-                Trouble::LateWrites if request.writes() > 0 && self.rng.random::<f64>() < scenario.faults[i].share => {
-                    (before, after) = (before + self.rng.random_range(LATE_WRITES.us()), None);
+                Trouble::LateWrites { at_once } if request.writes() > 0 && self.rng.random::<f64>() < scenario.faults[i].share => {
+                    let later = if at_once { 0 } else { self.rng.random_range(LATE_WRITES.us()) };
+                    (before, after) = (before + later, None);
                     self.late_writes += 1;
                 }
                 _ => {}
@@ -175,6 +176,7 @@
         };
         if let (For::Keeper(Some(Claim::Take { part, .. })), TxnOutcome::Done(token)) = (&whose, &outcome) {
             let lot = Lot { part: *part, token: *token };
+            self.new_leader();
             return Input::Adopt(lot, self.store.list(&run_prefix(*part)), self.store.list(&images_prefix(*part)));
         }
         Input::Txn(whose, txn, Some(outcome), versions)
--- a/crates/lab/src/world/troubles.rs
+++ b/crates/lab/src/world/troubles.rs
@@ -2,6 +2,11 @@
 
 use super::*;
 
+/// Share of the reports of which a copy is kept for the next leader, in thousandths.
+const KEPT_REPORTS: u32 = 250;
+/// Copies of one machine's reports that are kept at most.
+const KEPT_OF_MACHINE: usize = 3;
+
 impl World {
     pub(super) fn fault(&mut self, i: usize) {
         let scenario = self.scenario.clone();
@@ -42,9 +47,18 @@
                 (h.frozen_until, h.busy_until) = (until, h.busy_until.max(until));
             }
             // Also machines that are rented into the zone meanwhile.
-            Trouble::Deaf { zone: Some(_), .. } | Trouble::LateWrites | Trouble::StoreSlow { .. } | Trouble::HeldOrders { .. } => {
-                drop(self.struck.insert(i, BTreeSet::new()))
+            Trouble::Deaf { zone: Some(_), .. }
+            | Trouble::Mute { zone: Some(_) }
+            | Trouble::LateWrites { .. }
+            | Trouble::StoreSlow { .. }
+            | Trouble::HeldOrders { .. }
+            | Trouble::CloseLooks
+            | Trouble::CancelAtEnd => drop(self.struck.insert(i, BTreeSet::new())),
+            Trouble::OddRequests => {
+                self.struck.insert(i, BTreeSet::new());
+                self.odd_requests(i);
             }
+            Trouble::CancelNow { count, hang_s } => self.cancel_now(*count, (hang_s * 1e6) as u64),
             Trouble::Silent
             | Trouble::Hang
             | Trouble::Faulty
@@ -52,12 +66,13 @@
             | Trouble::Reborn
             | Trouble::LateCopies { .. }
             | Trouble::Deaf { .. }
+            | Trouble::Mute { .. }
             | Trouble::TakeSpot { .. } => {
                 let spot_only = matches!(fault.trouble, Trouble::TakeSpot { .. });
                 let up: Vec<usize> =
                     self.workers.iter().flatten().filter(|w| w.up_at <= self.now && (w.spot || !spot_only)).map(|w| w.number).collect();
                 struck = up.into_iter().filter(|_| self.rng.random::<f64>() < fault.share).collect();
-                if matches!(fault.trouble, Trouble::LateCopies { .. } | Trouble::Deaf { .. }) {
+                if matches!(fault.trouble, Trouble::LateCopies { .. } | Trouble::Deaf { .. } | Trouble::Mute { .. }) {
                     self.struck.insert(i, struck.iter().copied().collect());
                 }
                 for &number in &struck {
@@ -103,7 +118,11 @@
             }
             Trouble::Deaf { .. }
             | Trouble::LateCopies { .. }
-            | Trouble::LateWrites
+            | Trouble::Mute { .. }
+            | Trouble::CloseLooks
+            | Trouble::CancelAtEnd
+            | Trouble::OddRequests
+            | Trouble::LateWrites { .. }
             | Trouble::StoreSlow { .. }
             | Trouble::HeldOrders { .. } => drop(self.struck.remove(&i)),
             Trouble::CloudDown => self.cloud.down = false,
@@ -122,7 +141,7 @@
 
     fn struck_by(&self, number: usize) -> impl Iterator<Item = &Trouble> {
         let zone = self.workers.get(number).and_then(Option::as_ref).map(|w| &w.zone);
-        let here = move |trouble: &Trouble| matches!(trouble, Trouble::Deaf { zone: Some(z), .. } if Some(z) == zone);
+        let here = move |trouble: &Trouble| matches!(trouble, Trouble::Deaf { zone: Some(z), .. } | Trouble::Mute { zone: Some(z) } if Some(z) == zone);
         let faults = self.struck.iter().map(|(i, struck)| (&self.scenario.faults[*i].trouble, struck));
         faults.filter(move |(trouble, struck)| struck.contains(&number) || here(trouble)).map(|(trouble, _)| trouble)
     }
@@ -153,13 +172,46 @@
         })
     }
 
+    /// True if a machine reaches no controller by itself.
+    pub(super) fn mute(&self, number: usize) -> bool {
+        self.struck_by(number).any(|trouble| matches!(trouble, Trouble::Mute { .. }))
+    }
+
+    /// A copy of a report is kept for the next leader: an old one stays.
+    fn keep_report(&mut self, report: &Report) {
+        let kept_of_machine = self.kept_reports.iter().filter(|kept| kept.machine == report.machine).count();
+        if kept_of_machine < KEPT_OF_MACHINE && self.chance(KEPT_REPORTS) {
+            self.kept_reports.push(report.clone());
+        }
+    }
+
+    /// A shard has a new leader: kept copies of reports reach every controller.
+    pub(super) fn new_leader(&mut self) {
+        let kept_for_next = |trouble: &Trouble| match trouble {
+            Trouble::LateCopies { seconds, for_next: true } => Some(seconds.us()),
+            _ => None,
+        };
+        let faults = self.scenario.faults.iter().map(|fault| &fault.trouble);
+        let Some(range) = faults.filter_map(kept_for_next).next() else { return };
+        for report in std::mem::take(&mut self.kept_reports) {
+            for host in 0..self.hosts.len() {
+                let (at, incarnation) = (self.now + self.rng.random_range(range.clone()), self.hosts[host].life);
+                self.copies += 1;
+                self.push(at, Event::To(host, incarnation, Box::new(Input::Report(0, report.clone(), at))));
+            }
+        }
+    }
+
     /// A report arrives again, much later, by then as nobody's: what is
     /// answered to it goes nowhere.
     pub(super) fn copy_report(&mut self, number: usize, report: &Report, host: usize) {
         let late = |trouble: &Trouble| match trouble {
-            Trouble::LateCopies { seconds } => Some(seconds.us()),
+            Trouble::LateCopies { seconds, for_next: false } => Some(seconds.us()),
             _ => None,
         };
+        if self.struck_by(number).any(|trouble| matches!(trouble, Trouble::LateCopies { for_next: true, .. })) {
+            self.keep_report(report);
+        }
         for range in self.struck_by(number).filter_map(late).collect::<Vec<_>>() {
             let later = self.rng.random_range(range);
             self.at(later, Event::Copy(number, host, Box::new(report.clone())));
--- a/crates/lab/src/world/users.rs
+++ b/crates/lab/src/world/users.rs
@@ -12,8 +12,12 @@
         let wait = h.writes.wait(self.now).max(h.requests.wait(self.now));
         let never = |catalog| never_runs(&spec, &self.scenario.teams, &self.scenario.zones, catalog).is_some();
         if known {
-            self.reply(host, id, Some(Phase::Queued), 200);
-        } else if core.catalog.as_ref().is_some_and(never) {
+            return match core.answer(&id, self.now / MS) {
+                Answer::Unfinished(phase, ..) => self.reply(host, id, Some(phase), 200),
+                answer => self.answer_late(host, id, false, answer),
+            };
+        }
+        if core.catalog.as_ref().is_some_and(never) {
             self.reply(host, id, None, 422);
         } else if wait > SUBMIT_WAIT_MS * MS || !core.ready(self.now / MS) {
             self.reply(host, id, None, 503);
@@ -129,7 +133,9 @@
                 self.ground.jobs.insert(id.clone(), load);
             }
             self.ground.history.note(now, "submit", &id, &"");
-            self.measures.submitted();
+            if !self.unfit.contains(&id) {
+                self.measures.submitted();
+            }
         } else if now > user.first_try + PATIENCE_US {
             user.over = true;
             self.measures.refused();
@@ -154,6 +160,10 @@
         let Some(user) = self.users.get_mut(&id) else {
             return self.ground.checker.told(&id, phase, false, asked, now);
         };
+        if status < 300 && self.unfit.contains(&id) {
+            return self.ground.checker.broken.push(format!("{} ms: accepted_unfit: {id} fits no machine", now / MS));
+        }
+        let accepted = user.accepted.is_some_and(|at| at <= asked);
         if poll > 0
             && !user.over
             && (user.accepted.is_none() && status < 300 || matches!(status, 200 | 404) && now <= user.asked + ANSWER_US)
@@ -167,16 +177,22 @@
                 let spec = self.ground.jobs.get(&id).map(|l| l.spec.clone());
                 self.measures.accepted(&id, user.first_try, now, spec.as_deref());
                 if poll > 0 {
-                    self.poll_in(id, poll);
+                    self.poll_in(id.clone(), poll);
                 }
+                self.accepted_closely(&id);
             }
+            422 if user.over => {}
             422 => {
                 user.over = true;
-                self.measures.refused();
+                self.ground.checker.refused(&id);
+                if !self.unfit.contains(&id) {
+                    self.measures.refused();
+                }
+                self.look_closely(&id);
             }
             503 if user.accepted.is_none() => self.submit_in(id, RETRY_AFTER_S * 1_000 * MS),
-            200 | 404 => {
-                self.ground.checker.told(&id, phase, user.accepted.is_some(), asked, now);
+            200 | 201 | 404 => {
+                self.ground.checker.told(&id, phase, accepted, asked, now);
                 let over = matches!(phase, Some(Phase::Done | Phase::Withdrawn));
                 if over && !user.over {
                     user.over = true;
@@ -188,6 +204,7 @@
                     if phase == Some(Phase::Withdrawn) {
                         self.ground.checker.withdrawn(&id, now);
                     }
+                    self.look_closely(&id);
                 } else if poll > 0 && !over {
                     self.poll_in(id, poll);
                 }
--- a/crates/lab/src/world/workers.rs
+++ b/crates/lab/src/world/workers.rs
@@ -17,6 +17,8 @@
         for call in std::mem::take(&mut self.ground.calls) {
             self.at(0, Event::Call(call));
         }
+        let completed = std::mem::take(&mut self.ground.completed);
+        self.jobs_completed(completed);
     }
 
     /// Lets a machine and whom it reaches go on.
@@ -55,6 +57,11 @@
             self.with_worker(number, |w, _| w.turn_away(now, next, 1_000 * MS));
             return;
         }
+        if self.mute(number) {
+            let next = (host + 1) % self.hosts.len();
+            self.with_worker(number, |w, _| w.turn_away(now, next, 1_000 * MS));
+            return;
+        }
         if self.far(host, number) {
             // No response within 4 s, then the next node 1 s later.
             let next = (host + 1) % self.hosts.len();
--- a/crates/lab/tests/meetings.rs
+++ b/crates/lab/tests/meetings.rs
@@ -151,4 +151,18 @@
     the_store_is_slow_then_refuses_one_then_all "slow-store" 2
     old_reports_come_after_newer_ones "old-reports" 2
     tasks_of_a_job_end_far_apart_across_a_change_of_leader "far-apart-ends" 4
+    users_look_closely_at_all_controllers "close-looks" 2
+    only_the_answers_of_transactions_are_lost "lost-answers" 2
+    jobs_at_their_teams_limits_are_cancelled_on_machines_that_hang "limits-cancel-hang" 2
+    jobs_are_cancelled_during_a_failover "cancel-in-failover" 2
+    new_machines_work_at_once_while_writes_are_late "fast-boots" 2
+    kept_reports_reach_a_new_leader "kept-reports" 2
+    one_task_jobs_come_four_a_second "small-jobs" 1
+    workers_reach_no_controller "mute" 2
+    jobs_bound_to_a_zone_lose_machines "one-zone" 2
+    leaders_change_ten_times "ten-failovers" 2
+    requests_meet_the_end_of_a_job "cancel-at-end" 2
+    all_controllers_are_away_for_longer_than_a_lease "all-away" 2
+    a_zone_is_cut_off_for_longer_than_a_lease "zone-cut" 2
+    jobs_are_cancelled_as_the_store_refuses_the_leader "cancel-at-refusal" 2
 }
