--- a/crates/coordination/src/boots.rs
+++ b/crates/coordination/src/boot_time.rs
@@ -15,11 +15,11 @@
 
 /// What one owner has seen.
 #[derive(Debug, Default)]
-pub(crate) struct Boots {
+pub(crate) struct BootTimes {
     seen: BTreeMap<Class, VecDeque<u64>>,
 }
 
-impl Boots {
+impl BootTimes {
     /// A machine's first report came this long after its request.
     pub(crate) fn came_up(&mut self, kind: &str, zone: &str, spot: bool, took_ms: u64) {
         let seen = self.seen.entry((kind.to_owned(), zone.to_owned(), spot)).or_default();
@@ -56,8 +56,8 @@
 mod tests {
     use super::*;
 
-    fn boots(times: &[u64]) -> Boots {
-        let mut boots = Boots::default();
+    fn boots(times: &[u64]) -> BootTimes {
+        let mut boots = BootTimes::default();
         times.iter().for_each(|ms| boots.came_up("box", "north", true, *ms));
         boots
     }
--- a/crates/coordination/src/evidence.rs
+++ b/crates/coordination/src/evidence.rs
@@ -14,8 +14,8 @@
 
 use tracing::info;
 
-use crate::hearing::Numbers;
 use crate::machine::{Machine, Timing};
+use crate::sessions::SequenceNumber;
 use lemonweir_model::MachineId;
 use lemonweir_model::constants::*;
 use lemonweir_protocol::peer::Hidden;
@@ -26,7 +26,7 @@
     /// ms for which a report counts.
     keep_ms: u64,
     /// When each came last, with its numbers.
-    by_part: BTreeMap<u16, HashMap<MachineId, (u64, Numbers)>>,
+    by_part: BTreeMap<u16, HashMap<MachineId, (u64, SequenceNumber)>>,
 }
 
 impl Strays {
@@ -38,7 +38,7 @@
     /// A machine came: whether it had come a moment ago, so that it could not reach
     /// the holder, and whether this is news. Guards against a machine that seems to
     /// come since copies of its reports do.
-    pub(crate) fn came(&mut self, part: u16, machine: &MachineId, numbers: Numbers, now: u64) -> (bool, bool) {
+    pub(crate) fn came(&mut self, part: u16, machine: &MachineId, numbers: SequenceNumber, now: u64) -> (bool, bool) {
         let here = self.by_part.entry(part).or_default();
         let before = here.get(machine).filter(|(at, _)| now < at + self.keep_ms);
         let (again, news) = (before.is_some(), before.is_none_or(|(_, newest)| numbers > *newest));
@@ -139,7 +139,7 @@
 
     /// When its lease has surely run out, if no other owner takes the part.
     fn over_at(&self, m: &Machine) -> u64 {
-        let answered = m.hearing.deaf_since().or(m.hearing.leased_at());
+        let answered = m.worker_session.deaf_since().or(m.worker_session.leased_at());
         answered.map_or(self.started + self.timing.inherited_ms(), |at| at + self.timing.dead_after_ms())
     }
 
@@ -159,7 +159,7 @@
             zone.ran += 1;
             let late = silence > late_ms;
             zone.late += usize::from(late);
-            if late || m.hearing.deaf_since().is_some() {
+            if late || m.worker_session.deaf_since().is_some() {
                 zone.lost += 1;
                 zone.over_at = zone.over_at.max(over_at);
             }
@@ -211,13 +211,13 @@
         let zone = self.zones.get(&m.zone).unwrap_or(&fallback);
         let ordinary_ms = self.timing.dead_after_ms() + 2 * self.silent_ms;
         if m.hearsay() {
-            let first = m.hearing.only_heard_of().map_or(now, |(first, _)| first);
+            let first = m.worker_session.only_heard_of().map_or(now, |(first, _)| first);
             return if now > first + ordinary_ms { Judgement::GiveBack } else { Judgement::Hearsay };
         }
         let Some(silence) = Self::silence(m, zone, now) else { return Judgement::Booting };
         // Its reports show that it was not taken. Work for it has ended with its
         // lease; until then it is waited for as for one that is silent.
-        if let Some(since) = m.hearing.deaf_since() {
+        if let Some(since) = m.worker_session.deaf_since() {
             let patience = if zone.hidden.is_some() { self.wait_ms(m, zone, rebuild_ms) } else { ordinary_ms };
             return match now.saturating_sub(since.max(zone.floor)) {
                 ms if ms > patience => Judgement::GiveBack,
@@ -232,7 +232,7 @@
         // A spot machine that is silent was mostly taken without notice. An
         // ordinary one mostly lost its network: its tasks go on until their
         // lease ends, and it may come back with its images.
-        let heard_of = m.hearing.only_heard_of().is_some_and(|(_, last)| now <= last + self.silent_ms);
+        let heard_of = m.worker_session.only_heard_of().is_some_and(|(_, last)| now <= last + self.silent_ms);
         let (patience, state) = match zone.hidden {
             Some(_) => (self.wait_ms(m, zone, rebuild_ms), Judgement::Hidden),
             None if m.spot && !heard_of => (self.silent_ms, Judgement::Silent),
--- a/crates/coordination/src/blame.rs
+++ b/crates/coordination/src/fault_attribution.rs
@@ -33,7 +33,7 @@
 type Failures<T> = VecDeque<(T, u64)>;
 
 #[derive(Debug, Default)]
-struct OfJob {
+struct JobFailures {
     /// The newest run that went well: when it began, and where.
     ran: Option<(u64, MachineId)>,
     failed: Failures<MachineId>,
@@ -43,7 +43,7 @@
 }
 
 #[derive(Debug, Default)]
-struct OfMachine {
+struct MachineFailures {
     /// The newest runs of two jobs, the newer first: one of them is by another
     /// job than whichever is asked about.
     ran: Vec<(u64, JobId)>,
@@ -61,11 +61,11 @@
 
 /// The evidence that one side of a part has seen.
 #[derive(Debug, Default)]
-pub struct Blame {
-    jobs: HashMap<JobId, OfJob>,
+pub struct FaultAttribution {
+    jobs: HashMap<JobId, JobFailures>,
     /// Jobs in the order in which they were first seen.
     order: VecDeque<JobId>,
-    machines: BTreeMap<MachineId, OfMachine>,
+    machines: BTreeMap<MachineId, MachineFailures>,
 }
 
 /// Notes a failure; one repeated counts at its last time. Returns the place of
@@ -79,8 +79,8 @@
     gone
 }
 
-impl Blame {
-    fn job(&mut self, job: &JobId) -> &mut OfJob {
+impl FaultAttribution {
+    fn job(&mut self, job: &JobId) -> &mut JobFailures {
         if !self.jobs.contains_key(job) {
             self.order.push_back(job.clone());
             if self.order.len() > BLAME_JOBS
@@ -170,7 +170,7 @@
 
     /// Machines on which something ran well of late and nothing failed since.
     pub fn trusted(&self, now: u64) -> BTreeSet<MachineId> {
-        let good = |m: &&OfMachine| m.failed.is_empty() && m.ran.first().is_some_and(|(at, _)| now <= at + VOUCHED_MS);
+        let good = |m: &&MachineFailures| m.failed.is_empty() && m.ran.first().is_some_and(|(at, _)| now <= at + VOUCHED_MS);
         self.machines.iter().filter(|(_, m)| good(m)).map(|(id, _)| id.clone()).collect()
     }
 
@@ -194,7 +194,7 @@
 
     #[test]
     fn a_job_with_a_mistake_condemns_nobody() {
-        let mut blame = Blame::default();
+        let mut blame = FaultAttribution::default();
         for n in 0..10 {
             blame.ran(&job(n), &machine(n), 1_000);
         }
@@ -208,7 +208,7 @@
 
     #[test]
     fn a_faulty_machine_is_found_and_its_jobs_are_not_blamed() {
-        let mut blame = Blame::default();
+        let mut blame = FaultAttribution::default();
         blame.ran(&job(0), &machine(0), 1_000);
         blame.failed(&job(1), &machine(0), 5_000);
         blame.failed(&job(2), &machine(0), 6_000);
@@ -226,7 +226,7 @@
 
     #[test]
     fn one_success_clears_a_suspect() {
-        let mut blame = Blame::default();
+        let mut blame = FaultAttribution::default();
         for n in 0..SUSPECT_ANYWHERE {
             assert_eq!(blame.suspect(&job(1)), None, "after {n}");
             blame.failed(&job(1), &machine(n), 1_000);
@@ -238,7 +238,7 @@
 
     #[test]
     fn memory_is_bounded_by_jobs_and_pairs() {
-        let mut blame = Blame::default();
+        let mut blame = FaultAttribution::default();
         for n in 0..3 * BLAME_JOBS {
             blame.failed(&job(n), &machine(n % 7), n as u64);
         }
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -5,14 +5,13 @@
 //! Each part has an owner's side ([`owner`]) and a placer's side ([`placer`]).
 
 pub mod answers;
-pub mod blame;
-mod boots;
+mod boot_time;
 pub mod budget;
 pub mod changes;
 mod config;
 mod evidence;
+pub mod fault_attribution;
 pub mod fleet;
-mod hearing;
 mod job;
 pub mod ledger;
 pub mod links;
@@ -25,6 +24,7 @@
 mod promise;
 mod pump;
 pub mod questions;
+mod sessions;
 pub mod sockets;
 pub mod watch;
 pub mod weights;
@@ -423,7 +423,7 @@
         if self.parts.contains_key(&part) {
             return self.answer_report(report, part, None, now);
         }
-        let (again, news) = self.links.strays.came(part, &report.machine, (report.session, report.seq), now);
+        let (again, news) = self.links.strays.came(part, &report.machine, sessions::SequenceNumber::of(report), now);
         self.links.came(&report.zone, known && news, now);
         let members = &self.config.members;
         let holder = self.mirror.parts.get(&part).filter(|h| h.host != members[usize::from(self.config.me)].host);
--- a/crates/coordination/src/links/gauge.rs
+++ b/crates/coordination/src/links/failure_detector.rs
@@ -5,7 +5,7 @@
 
 /// The link in one direction with its answers.
 #[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Gauge {
+pub(crate) struct FailureDetector {
     /// When the last answer came, ms.
     pub(crate) answered: Option<u64>,
     fails: u32,
@@ -13,7 +13,7 @@
     since: u64,
 }
 
-impl Gauge {
+impl FailureDetector {
     /// An answer came; true if that changes how the link stands.
     pub(crate) fn answer(&mut self, now: u64) -> bool {
         self.answered = Some(now);
@@ -62,7 +62,7 @@
 
     #[test]
     fn one_lost_answer_is_late_two_are_down_and_one_answer_ends_it() {
-        let mut g = Gauge::default();
+        let mut g = FailureDetector::default();
         assert_eq!(g.standing(), Standing::Unknown);
         assert!(g.answer(1_000));
         assert!(g.miss(5_000));
@@ -77,7 +77,7 @@
 
     #[test]
     fn many_that_fail_at_once_right_after_an_answer_are_not_down() {
-        let mut g = Gauge::default();
+        let mut g = FailureDetector::default();
         g.answer(1_000);
         for _ in 0..9 {
             g.miss(1_000 + LINK_DOWN_MS - 1);
--- a/crates/coordination/src/links/mod.rs
+++ b/crates/coordination/src/links/mod.rs
@@ -6,9 +6,9 @@
 //! Whatever asks whether something can be reached asks here; `docs/links.md` has
 //! the reckoning.
 
-mod carriage;
-mod gauge;
+mod failure_detector;
 mod outward;
+mod relay;
 mod times;
 
 use std::collections::{BTreeMap, VecDeque};
@@ -17,18 +17,18 @@
 
 use crate::evidence::Strays;
 use crate::machine::Timing;
-use carriage::Carriage;
-use gauge::Gauge;
+use failure_detector::FailureDetector;
 use lemonweir_model::MachineId;
 use lemonweir_model::constants::*;
 use lemonweir_protocol::links::{EventRow, LINKS_VERSION, LinkRow, Service, Standing, Word};
 use outward::{Candidate, Outward};
+use relay::Carriage;
 use times::Times;
 
 /// Another controller.
 #[derive(Debug, Default)]
 struct Peer {
-    out: Gauge,
+    out: FailureDetector,
     times: Times,
     /// When a message last came from it.
     heard: Option<u64>,
--- a/crates/coordination/src/links/outward.rs
+++ b/crates/coordination/src/links/outward.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 
-use super::gauge::Gauge;
+use super::failure_detector::FailureDetector;
 use lemonweir_model::constants::*;
 
 /// A controller that could carry, and when the service last answered it by
@@ -13,9 +13,9 @@
 /// The way to one service.
 #[derive(Debug, Default)]
 pub(crate) struct Outward {
-    pub(crate) small: Gauge,
+    pub(crate) small: FailureDetector,
     /// Requests of [`LARGE_BYTES`] and more.
-    pub(crate) large: Gauge,
+    pub(crate) large: FailureDetector,
     carrier: Option<u16>,
     /// Carriers that failed, and until when they rest.
     resting: BTreeMap<u16, u64>,
--- a/crates/coordination/src/links/carriage.rs
+++ b/crates/coordination/src/links/relay.rs
@@ -16,7 +16,7 @@
 
 /// A worker whose reports are carried.
 #[derive(Debug)]
-struct Rider {
+struct RelayedRequest {
     /// It was sent to its owner when it was last here.
     tried: bool,
     /// When it last came from its owner in vain, ms.
@@ -30,7 +30,7 @@
 /// All that are carried.
 #[derive(Debug, Default)]
 pub(crate) struct Carriage {
-    riders: HashMap<MachineId, Rider>,
+    riders: HashMap<MachineId, RelayedRequest>,
     /// When the next worker of a part's zone is sent to look.
     scouts: BTreeMap<(u16, String), u64>,
     swept: u64,
@@ -48,7 +48,7 @@
             return Stray::Send;
         }
         let Some(rider) = self.riders.get_mut(r.machine) else {
-            self.riders.insert(r.machine.clone(), Rider { tried: false, since: now, carried_ms: CARRIED_MS, seen: now });
+            self.riders.insert(r.machine.clone(), RelayedRequest { tried: false, since: now, carried_ms: CARRIED_MS, seen: now });
             return Stray::Carry;
         };
         rider.seen = now;
--- a/crates/coordination/src/machine.rs
+++ b/crates/coordination/src/machine.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
-use crate::hearing::Hearing;
+use crate::sessions::WorkerSession;
 use lemonweir_model::constants::*;
 use lemonweir_model::{AttemptId, Room};
 use lemonweir_protocol::peer::Cause;
@@ -100,7 +100,7 @@
     pub(super) spot: bool,
     pub(super) room: Room,
     /// What may be believed of it, and what has reached it.
-    pub(super) hearing: Hearing,
+    pub(super) worker_session: WorkerSession,
     /// Token of the newest order whose fate is unknown.
     pub(super) ambiguous: Option<u64>,
     /// When the last call of unknown fate that starts something was given up, ms, until
@@ -153,7 +153,7 @@
             zone: zone.to_owned(),
             spot,
             room,
-            hearing: Hearing::new(base, now),
+            worker_session: WorkerSession::new(base, now),
             ambiguous: None,
             lost_start: None,
             answered_with_starts: None,
@@ -183,13 +183,13 @@
 
     pub(super) fn open(&self) -> bool {
         !(self.notice || self.silent || self.overdue || self.closing || self.release_wanted)
-            && self.hearing.hears()
+            && self.worker_session.hears()
             && self.aside.as_ref().is_none_or(Aside::open)
     }
 
     /// Nobody but a report or two that may be old tells of it.
     pub(super) fn hearsay(&self) -> bool {
-        self.heard.is_none() && self.ran.is_none() && !self.announced && self.hearing.only_heard_of().is_some()
+        self.heard.is_none() && self.ran.is_none() && !self.announced && self.worker_session.only_heard_of().is_some()
     }
 
     /// No order that could start something is of unknown fate.
@@ -232,6 +232,6 @@
     /// its successor keeps the machine's tasks alive: only a `word` from the
     /// store that began after the lease's end shows that nobody else answered.
     pub(super) fn dead(&self, word: u64, timing: &Timing) -> bool {
-        self.hearing.leased_at().is_some_and(|at| word > at + timing.dead_after_ms())
+        self.worker_session.leased_at().is_some_and(|at| word > at + timing.dead_after_ms())
     }
 }
--- a/crates/coordination/src/owner/eviction.rs
+++ b/crates/coordination/src/owner/eviction.rs
@@ -9,7 +9,9 @@
     pub(super) fn push_out(&mut self, id: &AttemptId, now: u64) -> bool {
         let Some(held) = self.held.get(id) else { return false };
         let want = held.want.clone();
-        let Some(m) = self.machines.get(&want.machine).filter(|m| m.open() && m.hearing.session() > m.dead_session) else { return false };
+        let Some(m) = self.machines.get(&want.machine).filter(|m| m.open() && m.worker_session.session() > m.dead_session) else {
+            return false;
+        };
         if self.crowded(m) {
             return false;
         }
--- a/crates/coordination/src/owner/mod.rs
+++ b/crates/coordination/src/owner/mod.rs
@@ -25,13 +25,13 @@
 
 use tracing::{info, warn};
 
-use crate::blame::{Blame, Verdict};
-use crate::boots::Boots;
+use crate::boot_time::BootTimes;
 use crate::changes::ChangeLog;
 use crate::evidence::{Judgement, Sight};
-use crate::hearing::{Came, Word};
+use crate::fault_attribution::{FaultAttribution, Verdict};
 pub use crate::machine::Timing;
 use crate::machine::{Aside, Machine, Seen};
+use crate::sessions::{Freshness, Origin, SequenceNumber};
 use lemonweir_model::constants::*;
 use lemonweir_model::policy::Policy;
 use lemonweir_model::{AttemptId, MachineId, Rank, Room};
@@ -166,7 +166,7 @@
     Part,
     /// Older than one already taken.
     #[error("late message")]
-    Late,
+    Stale,
     /// From a controller that has lost its part without knowing.
     #[error("the sender's part has another holder")]
     Superseded(Superseded),
@@ -217,9 +217,9 @@
     listed_at: u64,
     sight: Sight,
     /// Whose fault failures were.
-    blame: Blame,
+    faults: FaultAttribution,
     /// How long machines take to come up.
-    boots: Boots,
+    boots: BootTimes,
     /// The proof from time of what earlier owners kept alive has been used.
     inherited_judged: bool,
     /// Empty machines whose time is over.
@@ -276,8 +276,8 @@
             strays: BTreeMap::new(),
             listed_at: 0,
             sight: Sight::new(timing, policy.silent_ms, now),
-            blame: Blame::default(),
-            boots: Boots::default(),
+            faults: FaultAttribution::default(),
+            boots: BootTimes::default(),
             inherited_judged: false,
             policy,
             to_close: BTreeSet::new(),
@@ -377,17 +377,17 @@
     /// which showed us as the owner began then, in time of day.
     pub(crate) fn promise(&mut self, machine: &MachineId, wall_ms: u64, now: u64) {
         if let Some(m) = self.machines.get_mut(machine) {
-            m.hearing.promise(wall_ms, now);
+            m.worker_session.promise(wall_ms, now);
         }
     }
 
     /// True if a report tells how its machine is now: only that shows that its zone's
     /// workers come here.
     pub(crate) fn is_news(&self, report: &Report) -> bool {
-        let word = |m: &Machine| m.hearing.weigh((report.session, report.seq), report.token, Came::Report(None));
+        let freshness = |m: &Machine| m.worker_session.weigh(SequenceNumber::of(report), report.token, Origin::Report(None));
         self.machines
             .get(&report.machine)
-            .map_or(report.token >> FENCE_BITS == self.token, |m| matches!(word(m), Word::News | Word::Reborn))
+            .map_or(report.token >> FENCE_BITS == self.token, |m| matches!(freshness(m), Freshness::Current | Freshness::Restarted))
     }
 
     /// A report came in, `by` another controller or by itself; `None` means that
@@ -401,13 +401,13 @@
             // here while its lease runs out.
             return None;
         }
-        let newer = self.take_report(report, Came::Report(by), now);
+        let newer = self.take_report(report, Origin::Report(by), now);
         let m = self.machines.get_mut(&report.machine)?;
         // One that shows none of our tokens may be the first of a new life.
-        if report.session <= m.dead_session && m.hearing.ours(report.token) {
+        if report.session <= m.dead_session && m.worker_session.ours(report.token) {
             return None;
         }
-        m.hearing.answered((report.session, report.seq), report.token, by, now);
+        m.worker_session.answered(SequenceNumber::of(report), report.token, by, now);
         if newer || m.heard.is_none() {
             // Orders go the way that the newest report came.
             m.carried = by.map(|carrier| (carrier, m.carried.map_or(now, |(_, since)| since)));
@@ -415,7 +415,7 @@
         // A late report may still be waited for, if the answer to a call came
         // before it, and so may one of a worker that has not shown our token:
         // both answers prolong the lease, so both carry the stops.
-        let by = match (newer && m.hearing.fresh(), m.ambiguous.is_some() && !m.calling) {
+        let by = match (newer && m.worker_session.fresh(), m.ambiguous.is_some() && !m.calling) {
             (true, true) => Carrier::AnswerWithStarts,
             (true, false) => Carrier::Answer,
             (false, _) => Carrier::LateAnswer,
@@ -425,13 +425,13 @@
         if orders.iter().any(|o| o.verb == Verb::Launch) {
             m.answered_with_starts = Some(report.seq);
         }
-        Some(ReportReply { token: m.hearing.answer_token(), orders })
+        Some(ReportReply { token: m.worker_session.answer_token(), orders })
     }
 
     /// Takes a report of any origin; true if it tells how its machine is now.
-    fn take_report(&mut self, report: &Report, came: Came, now: u64) -> bool {
+    fn take_report(&mut self, report: &Report, origin: Origin, now: u64) -> bool {
         let room = self.rooms.get(&report.kind).copied().unwrap_or_default();
-        let (base, numbers) = (self.base(), (report.session, report.seq));
+        let (base, numbers) = (self.base(), SequenceNumber::of(report));
         let (missing, earlier) = (&self.missing, &self.earlier);
         let m = self.machines.entry(report.machine.clone()).or_insert_with(|| {
             let mut m = Machine::new(&report.kind, &report.zone, report.spot, room, base, now);
@@ -440,26 +440,26 @@
             m
         });
         self.missing.remove(&report.machine);
-        let word = m.hearing.weigh(numbers, report.token, came);
-        match word {
-            Word::News if report.session <= m.dead_session => return false,
-            Word::News => {}
-            Word::Reborn => {
+        let freshness = m.worker_session.weigh(numbers, report.token, origin);
+        match freshness {
+            Freshness::Current if report.session <= m.dead_session => return false,
+            Freshness::Current => {}
+            Freshness::Restarted => {
                 info!(machine = %report.machine, part = self.part, "machine counts from the start again");
-                m.hearing.reborn(came, now);
+                m.worker_session.reborn(origin, now);
                 m.images.clear();
                 (m.dead_session, m.answered_with_starts, m.notice) = (0, None, false);
             }
             // Guards against copies of reports, which come up to several leases late:
             // a machine that was given back is no machine, and what one says was so
             // once. What it calls for at most is a question, which has no orders.
-            Word::Late | Word::Hint => {
+            Freshness::Stale | Freshness::Unverified => {
                 let mut ask = false;
-                if let Came::Report(way) = came {
-                    m.hearing.overtaken(numbers, report.token, way, &self.timing, now);
-                    ask = m.hearing.suspect(numbers, report.token, &self.timing, now);
+                if let Origin::Report(way) = origin {
+                    m.worker_session.overtaken(numbers, report.token, way, &self.timing, now);
+                    ask = m.worker_session.suspect(numbers, report.token, &self.timing, now);
                 }
-                if m.hearing.heard_of(numbers, now) {
+                if m.worker_session.heard_of(numbers, now) {
                     m.addr = report.address.parse().ok();
                     ask = true;
                 }
@@ -475,7 +475,7 @@
                 m.images = images;
             }
             if !m.announced {
-                info!(machine = %report.machine, part = self.part, "machine came up unannounced");
+                info!(machine = %report.machine, part = self.part, "machine origin up unannounced");
             }
             let after_ms = now.saturating_sub(m.booked);
             info!(machine = %report.machine, part = self.part, after_ms, "machine is up");
@@ -488,17 +488,17 @@
                 warn!(machine = %report.machine, kind = report.kind, "machine of a type that is not in the catalog; nothing is placed there");
             }
         }
-        if word == Word::News && report.session > m.hearing.session() {
+        if freshness == Freshness::Current && report.session > m.worker_session.session() {
             // Orders for an earlier session are refused by the worker.
             (m.ambiguous, m.lost_start) = (None, None);
             m.answered_with_starts = None;
-            if m.hearing.session() > 0 {
+            if m.worker_session.session() > 0 {
                 info!(machine = %report.machine, session = report.session, "new session");
             }
         }
-        let heard = m.hearing.hears();
-        m.hearing.take(numbers, report.token, came, &self.timing, now);
-        if m.hearing.hears() != heard {
+        let heard = m.worker_session.hears();
+        m.worker_session.take(numbers, report.token, origin, &self.timing, now);
+        if m.worker_session.hears() != heard {
             info!(machine = %report.machine, part = self.part, hears = !heard, "whether answers reach the machine");
         }
         m.addr = report.address.parse().ok();
@@ -511,10 +511,10 @@
             m.notice = true;
             info!(machine = %report.machine, seconds = report.notice_s, "the cloud takes this machine");
         }
-        if m.ambiguous.is_some_and(|t| m.hearing.shown() > t) {
+        if m.ambiguous.is_some_and(|t| m.worker_session.shown() > t) {
             (m.ambiguous, m.lost_start) = (None, None);
         }
-        if matches!(came, Came::Report(_)) && m.answered_with_starts.is_some_and(|seq| report.seq > seq) {
+        if matches!(origin, Origin::Report(_)) && m.answered_with_starts.is_some_and(|seq| report.seq > seq) {
             m.answered_with_starts = None;
         }
         m.tasks.clear();
--- a/crates/coordination/src/owner/orders.rs
+++ b/crates/coordination/src/owner/orders.rs
@@ -50,7 +50,7 @@
         }
         // Guards also against work for a machine whose lease runs out: what hears no
         // answer is not kept alive by calls.
-        if by.starts() && m.hearing.may_start(self.word) && !self.starts_held {
+        if by.starts() && m.worker_session.may_start(self.word) && !self.starts_held {
             for (id, h) in self.here(machine) {
                 if h.awaits_start(id, m) {
                     orders.push(order(Verb::Launch, id, None));
@@ -58,7 +58,7 @@
                 }
             }
         }
-        let session = m.hearing.session();
+        let session = m.worker_session.session();
         for id in started {
             if let Some(h) = self.held.get_mut(&id) {
                 h.stage = Stage::Accepted { sent: Some(session), seen: false };
@@ -87,9 +87,9 @@
             let Some(m) = self.machines.get(&id) else { continue };
             // A silent machine would hold a call's place until it times out;
             // what it is owed is in the answer to its next report.
-            let heard = m.heard.is_some() && m.hearing.session() > m.dead_session;
+            let heard = m.heard.is_some() && m.worker_session.session() > m.dead_session;
             // One that was only heard of is asked how it is.
-            let known = heard || m.heard.is_none() && m.hearing.only_heard_of().is_some();
+            let known = heard || m.heard.is_none() && m.worker_session.only_heard_of().is_some();
             if m.silent || !known || m.releasing || m.answered_with_starts.is_some() {
                 // The next report brings it back.
                 continue;
@@ -99,8 +99,8 @@
                 continue;
             }
             // A token that can't rise could not fence a call of unknown fate.
-            let deaf = !m.hearing.hears();
-            if now < m.call_after || !m.hearing.fences() || deaf && self.deaf_calls >= DEAF_CALLS {
+            let deaf = !m.worker_session.hears();
+            if now < m.call_after || !m.worker_session.fences() || deaf && self.deaf_calls >= DEAF_CALLS {
                 // What was only heard of is asked once for each word of it.
                 if heard {
                     self.attention.insert(id);
@@ -108,7 +108,7 @@
                 continue;
             }
             let Some(addr) = m.addr else { continue };
-            let fresh = m.hearing.fresh();
+            let fresh = m.worker_session.fresh();
             let orders = if fresh { self.orders(&id, now, Carrier::Call) } else { Vec::new() };
             if fresh && orders.is_empty() {
                 if self.stops_pending(&id) || self.starts_pending(&id) {
@@ -125,7 +125,7 @@
             calls.push(CommandCall {
                 machine: id.clone(),
                 addr,
-                commands: Commands { token: m.hearing.call(), session: m.hearing.session_to_ask(), orders },
+                commands: Commands { token: m.worker_session.call(), session: m.worker_session.session_to_ask(), orders },
                 through: m.carried.map(|(by, _)| by),
             });
         }
@@ -136,8 +136,8 @@
     /// the store.
     fn starts_pending(&self, machine: &MachineId) -> bool {
         self.machines.get(machine).is_some_and(|m| {
-            let held = self.starts_held || !m.hearing.may_start(self.word);
-            m.hearing.hears() && held && self.here(machine).any(|(id, h)| h.awaits_start(id, m))
+            let held = self.starts_held || !m.worker_session.may_start(self.word);
+            m.worker_session.hears() && held && self.here(machine).any(|(id, h)| h.awaits_start(id, m))
         })
     }
 
@@ -177,11 +177,11 @@
         }
         match result {
             CommandResult::Executed(report) => {
-                self.take_report(&report, Came::Answer, now);
+                self.take_report(&report, Origin::Answer, now);
             }
             CommandResult::Refused(report) => {
                 self.unsend(call);
-                self.take_report(&report, Came::Answer, now);
+                self.take_report(&report, Origin::Answer, now);
             }
             CommandResult::NotSent => self.unsend(call),
             // What had no orders can bring none late.
@@ -195,7 +195,7 @@
                     m.lost_start = Some(now);
                 }
                 m.ambiguous = Some(m.ambiguous.map_or(sent, |t| t.max(sent)));
-                m.hearing.fence_off(sent, now);
+                m.worker_session.fence_off(sent, now);
             }
         }
         self.judge(&call.machine, now);
--- a/crates/coordination/src/owner/proof.rs
+++ b/crates/coordination/src/owner/proof.rs
@@ -87,28 +87,28 @@
         // earlier owners, whose answers have all run out after a while. So have
         // ours to what may have been its reports.
         if m.heard.is_none() {
-            return when(inherited && (m.hearing.leased_at().is_none() || m.dead(self.word, &self.timing)));
+            return when(inherited && (m.worker_session.leased_at().is_none() || m.dead(self.word, &self.timing)));
         }
         if let Some(seen) = m.tasks.get(id) {
             return match seen.cause {
                 Some(cause) => Stage::Ended(Standing::Exited(cause)),
-                None => Stage::Accepted { sent: Some(m.hearing.session()), seen: true },
+                None => Stage::Accepted { sent: Some(m.worker_session.session()), seen: true },
             };
         }
         // Absence proves something only once the worker has shown our token:
         // before that, an order of an earlier owner may still arrive.
-        if !m.hearing.fresh() {
+        if !m.worker_session.fresh() {
             return held.stage;
         }
         match held.stage {
             Stage::Unjudged if held.ending().is_some() => Stage::Ended(Standing::Gone),
             Stage::Unjudged => {
-                let fits = m.open() && m.hearing.session() > m.dead_session && self.free(&held.want.machine).covers(&held.want.need);
+                let fits = m.open() && m.worker_session.session() > m.dead_session && self.free(&held.want.machine).covers(&held.want.need);
                 if fits { Stage::Accepted { sent: None, seen: false } } else { Stage::Ended(Standing::Refused) }
             }
             Stage::Waiting(_) if held.ending().is_some() => Stage::Ended(Standing::Gone),
             Stage::Waiting(since) => {
-                if !m.open() || m.hearing.session() <= m.dead_session || now > since + EVICT_WAIT_MS {
+                if !m.open() || m.worker_session.session() <= m.dead_session || now > since + EVICT_WAIT_MS {
                     return Stage::Ended(Standing::Refused);
                 }
                 // Its own claim is part of what is taken.
@@ -118,8 +118,8 @@
             Stage::Accepted { sent: None, .. } if held.ending().is_some() => Stage::Ended(Standing::Gone),
             Stage::Accepted { sent: None, .. } if m.dead(self.word, &self.timing) => Stage::Ended(Standing::Gone),
             // It would wait for a machine that hears nothing; nothing was sent.
-            Stage::Accepted { sent: None, .. } if m.hearing.deaf_since().is_some() => Stage::Ended(Standing::Gone),
-            Stage::Accepted { sent: Some(session), .. } if session < m.hearing.session() => Stage::Ended(Standing::Gone),
+            Stage::Accepted { sent: None, .. } if m.worker_session.deaf_since().is_some() => Stage::Ended(Standing::Gone),
+            Stage::Accepted { sent: Some(session), .. } if session < m.worker_session.session() => Stage::Ended(Standing::Gone),
             // Guards against a start that a new life took which nobody has heard yet: its
             // lease began after our last answer, though before the call.
             Stage::Accepted { sent: Some(session), seen } if session <= m.dead_session => when(seen || m.lost_start.is_none()),
@@ -135,14 +135,14 @@
     /// Notes what an attempt's end says of its job and its machine.
     pub(super) fn note_end(&mut self, machine: &MachineId, id: &AttemptId, standing: Standing, now: u64) {
         let touched = match standing {
-            Standing::Exited(Cause::Error) => self.blame.failed(&id.job, machine, now).machines,
+            Standing::Exited(Cause::Error) => self.faults.failed(&id.job, machine, now).machines,
             Standing::Exited(Cause::Done) => {
                 let since = self.held.get(id).and_then(|h| h.ran).unwrap_or(now);
-                self.blame.ran(&id.job, machine, since).machines
+                self.faults.ran(&id.job, machine, since).machines
             }
             _ => BTreeSet::from([machine.clone()]),
         };
-        let own_fault = standing == Standing::Exited(Cause::Error) && self.blame.suspect(&id.job).is_none();
+        let own_fault = standing == Standing::Exited(Cause::Error) && self.faults.suspect(&id.job).is_none();
         if let Some(aside) = self.machines.get_mut(machine).and_then(|m| m.aside.as_mut())
             && aside.trial.as_ref() == Some(id)
         {
@@ -162,14 +162,14 @@
             return;
         }
         held.well = true;
-        let touched = self.blame.ran(&id.job, machine, since).machines;
+        let touched = self.faults.ran(&id.job, machine, since).machines;
         self.weigh(touched, now);
     }
 
     /// Sets machines aside, or takes them up again, as the evidence says.
     fn weigh(&mut self, machines: BTreeSet<MachineId>, now: u64) {
         for id in machines {
-            let verdict = self.blame.verdict(&id);
+            let verdict = self.faults.verdict(&id);
             let Some(m) = self.machines.get_mut(&id) else { continue };
             match (&mut m.aside, verdict) {
                 (None, Verdict::Sound) => continue,
@@ -179,7 +179,7 @@
                 }
                 (Some(aside), verdict) => aside.faulty = verdict == Verdict::Faulty,
                 (None, verdict) => {
-                    let jobs = self.blame.against(&id);
+                    let jobs = self.faults.against(&id);
                     warn!(machine = %id, part = self.part, ?verdict, ?jobs, "machine fails its tasks; set aside");
                     m.aside = Some(Aside::new(verdict == Verdict::Faulty, now));
                 }
--- a/crates/coordination/src/owner/telling.rs
+++ b/crates/coordination/src/owner/telling.rs
@@ -19,7 +19,7 @@
         // Guards against a held-back message that asks again for an attempt
         // whose end was already answered.
         if sync.from_token == asker.token && sync.seq <= asker.seq {
-            return Err(SyncRefusal::Late);
+            return Err(SyncRefusal::Stale);
         }
         if sync.from_token > asker.token {
             // Guards against going on from what an earlier placer of that part
@@ -155,7 +155,7 @@
             kind: m.kind.clone(),
             zone: m.zone.clone(),
             spot: m.spot,
-            up: m.heard.is_some() && m.hearing.fresh() && m.hearing.session() > m.dead_session,
+            up: m.heard.is_some() && m.worker_session.fresh() && m.worker_session.session() > m.dead_session,
             open: m.open(),
             // A machine that fails what it starts may go on with what runs.
             leaving: m.notice,
--- a/crates/coordination/src/owner/upkeep.rs
+++ b/crates/coordination/src/owner/upkeep.rs
@@ -82,7 +82,7 @@
         }
         for m in self.machines.values_mut() {
             m.idle_since = m.idle_since.map(|_| now);
-            m.hearing.stood_still();
+            m.worker_session.stood_still();
         }
     }
 
@@ -141,11 +141,11 @@
             }
             // Whoever kept it alive: none of its answers can do so any longer.
             if m.dead(word, &self.timing) {
-                if (m.hearing.fresh() || inherited_over) && m.dead_session < m.hearing.session() {
+                if (m.worker_session.fresh() || inherited_over) && m.dead_session < m.worker_session.session() {
                     dead.push(id.clone());
                 } else if m.heard.is_none() && inherited_over {
                     // Nor does what may have been its reports, which were answered.
-                    m.hearing.over();
+                    m.worker_session.over();
                     dead.push(id.clone());
                 }
             }
@@ -169,7 +169,7 @@
         for id in dead {
             if let Some(m) = self.machines.get_mut(&id) {
                 info!(machine = %id, part = self.part, "lease has run out");
-                m.dead_session = m.hearing.session();
+                m.dead_session = m.worker_session.session();
                 m.tasks.clear();
                 m.answered_with_starts = None;
             }
@@ -304,7 +304,7 @@
                 // no machine, and its place among the calls to deaf ones would be lost.
                 let calling = self.machines.remove(id).is_some_and(|m| m.deaf_call);
                 self.deaf_calls -= usize::from(calling);
-                self.blame.forget(id);
+                self.faults.forget(id);
                 self.gone.insert(id.clone());
                 info!(machine = %id, part = self.part, "machine is gone");
                 self.judge(id, now);
--- a/crates/coordination/src/placer/mod.rs
+++ b/crates/coordination/src/placer/mod.rs
@@ -6,9 +6,9 @@
 
 mod expectation;
 mod gangs;
-mod ladder;
 mod moves;
 mod placing;
+mod preemption;
 mod records;
 mod telling;
 mod watched;
@@ -22,8 +22,8 @@
 
 use tracing::{debug, info, warn};
 
-use crate::blame::Blame;
 use crate::changes::ChangeLog;
+use crate::fault_attribution::FaultAttribution;
 use crate::fleet::Demand;
 use crate::job::{Chunk, Ending, Job, Live, Placed, Urgency};
 use crate::ledger::Admission;
@@ -177,7 +177,7 @@
     /// Zones out of sight, by the part whose owner said so.
     hidden: Vec<BTreeMap<String, HiddenZone>>,
     /// Whose fault failures were.
-    blame: Blame,
+    faults: FaultAttribution,
     limits: HashMap<String, Room>,
     guarantees: HashMap<String, Room>,
     /// Seconds within which tasks of a class should start.
@@ -262,7 +262,7 @@
             unsaved: BTreeMap::new(),
             notes: ChangeLog::default(),
             hidden: (0..parts).map(|_| BTreeMap::new()).collect(),
-            blame: Blame::default(),
+            faults: FaultAttribution::default(),
             limits,
             guarantees,
             start_within: HashMap::new(),
--- a/crates/coordination/src/placer/placing.rs
+++ b/crates/coordination/src/placer/placing.rs
@@ -319,7 +319,7 @@
         let counts = if spec.spread { job.per_zone(None) } else { HashMap::new() };
         let order = self.parts_order();
         // Where something else ran well of late, a suspect's failure tells most.
-        let trusted = suspect.then(|| self.blame.trusted(now));
+        let trusted = suspect.then(|| self.faults.trusted(now));
         let among = if suspect { vec![trusted.as_ref(), None] } else { vec![None] };
         for (only, zone) in among.iter().flat_map(|only| zone_sets.iter().map(move |zone| (*only, zone))) {
             let mut chosen: Vec<(u32, usize, usize, Evict, bool)> = Vec::new();
--- a/crates/coordination/src/placer/ladder.rs
+++ b/crates/coordination/src/placer/preemption.rs
@@ -11,7 +11,7 @@
 
 use super::*;
 use crate::fleet::Shortage;
-use crate::watch::services::{Doing, Rung, Try};
+use crate::watch::services::{Doing, PreemptionStep, Try};
 
 impl Placer {
     /// Tries another way for services that are late.
@@ -70,7 +70,7 @@
             self.fields[p].take(i, &need, &spec.image);
             let s = now.saturating_sub(since) / 1_000;
             let what = format!("replica {task} left {machine}, not up after {s} s; {other} has its image");
-            tries.push(Try { rung: Rung::Elsewhere, at: now, what });
+            tries.push(Try { rung: PreemptionStep::Elsewhere, at: now, what });
             taken.push((other, p as u16));
             if let Some(job) = self.jobs.get_mut(id) {
                 if let Some(l) = job.live.get_mut(&task) {
@@ -96,14 +96,14 @@
     fn seek_room(&mut self, id: &JobId, shortage: &Shortage, now: u64) -> Vec<Try> {
         let Some(service) = self.services.get(id) else { return Vec::new() };
         let before = |rung| service.tries.iter().any(|t| t.rung == rung);
-        let (lifted, asked) = (before(Rung::Avoided), before(Rung::Rented));
+        let (lifted, asked) = (before(PreemptionStep::Avoided), before(PreemptionStep::Rented));
         let Some(job) = self.jobs.get_mut(id).filter(|j| j.suspect.is_none()) else { return Vec::new() };
         let mut tries = Vec::new();
         if !job.avoid.is_empty() && !lifted {
             let n = job.avoid.len();
             job.avoid.clear();
             self.place_again = true;
-            tries.push(Try { rung: Rung::Avoided, at: now, what: format!("{n} machines that it avoided may take it again") });
+            tries.push(Try { rung: PreemptionStep::Avoided, at: now, what: format!("{n} machines that it avoided may take it again") });
         }
         if asked {
             return tries;
@@ -111,7 +111,7 @@
         let none = shortage.closed(now);
         let had =
             if none.is_empty() { "none has come up in time".to_owned() } else { format!("the cloud has none of {}", none.join(", ")) };
-        tries.push(Try { rung: Rung::Rented, at: now, what: format!("machines are asked for; {had}") });
+        tries.push(Try { rung: PreemptionStep::Rented, at: now, what: format!("machines are asked for; {had}") });
         tries
     }
 
--- a/crates/coordination/src/placer/telling.rs
+++ b/crates/coordination/src/placer/telling.rs
@@ -308,7 +308,7 @@
                 } else {
                     job.mark_done(id.task);
                 }
-                let touched = self.blame.ran(&id.job, &live.machine, live.since);
+                let touched = self.faults.ran(&id.job, &live.machine, live.since);
                 self.suspect(touched.jobs, now);
                 return;
             }
@@ -353,9 +353,9 @@
             })
             .collect();
         for (other, since) in well {
-            self.blame.ran(&other, &live.machine, since);
+            self.faults.ran(&other, &live.machine, since);
         }
-        let touched = self.blame.failed(&id.job, &live.machine, now);
+        let touched = self.faults.failed(&id.job, &live.machine, now);
         self.suspect(touched.jobs, now);
         let Some(job) = self.jobs.get_mut(&id.job) else { return };
         let wait = job.fail(live.since, now);
@@ -370,7 +370,7 @@
     /// Takes up what the evidence now says of jobs.
     fn suspect(&mut self, jobs: BTreeSet<JobId>, now: u64) {
         for id in jobs {
-            let suspect = self.blame.suspect(&id);
+            let suspect = self.faults.suspect(&id);
             let Some(job) = self.jobs.get_mut(&id).filter(|j| j.suspect != suspect) else { continue };
             if job.suspect.is_none() {
                 info!(job = %id, part = self.part, machines = suspect, "job is the suspect; one try at a time");
--- a/crates/coordination/src/hearing/mod.rs
+++ b/crates/coordination/src/sessions/mod.rs
@@ -3,18 +3,18 @@
 //! What comes from a worker may be old: a report that was held back, a copy of one
 //! that was answered long ago, or the last word of a machine that has been back
 //! since, empty, and counts from the start. What goes to a worker may not arrive.
-//! One [`Hearing`] for each machine judges both from what the messages themselves
-//! show: session and number, which only rise in one life of a worker, and the
+//! One [`WorkerSession`] for each machine judges both from what the messages themselves
+//! show: session and number, which only rise in one incarnation of a worker, and the
 //! highest token that it has seen, which only rises too and which this owner
 //! chooses.
 //!
-//! * **News.** A message proves what is now if it shows a token that this owner has
+//! * **Current.** A message proves what is now if it shows a token that this owner has
 //!   given, or is the answer to a call that it made, and its numbers are higher than
-//!   all before. Anything else is a hint, which starts and ends nothing.
-//! * **A new life.** A token that was first given after a number was seen can't be
+//!   all before. Anything else is unverified, which starts and ends nothing.
+//! * **A restart.** A token that was first given after a number was seen can't be
 //!   shown under that number or a lower one, unless the worker counts from the start
-//!   again. From then on only a token that is higher than all its earlier life can
-//!   have shown is believed, so no copy from that life is.
+//!   again. From then on only a token that is higher than all its earlier incarnation
+//!   can have shown is believed, so no copy from that one is.
 //! * **What has reached it.** A worker has one report in flight and drops answers
 //!   that come after it gave the report up. So a later report that shows a lower
 //!   token than the answer to the one before gave proves that this answer never
@@ -25,13 +25,33 @@
 use crate::machine::Timing;
 use crate::promise;
 use lemonweir_model::constants::*;
+use lemonweir_protocol::worker::Report;
+
+/// Session and number of a worker's message: both only rise in one incarnation of the
+/// worker, the session first.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct SequenceNumber {
+    /// Counts the times that the worker's lease expired.
+    pub(crate) session: u64,
+    /// Counts the worker's messages.
+    pub(crate) number: u64,
+}
+
+impl SequenceNumber {
+    /// That of a report.
+    pub(crate) fn of(report: &Report) -> Self {
+        Self { session: report.session, number: report.seq }
+    }
 
-/// Session and number of a worker's message.
-pub(crate) type Numbers = (u64, u64);
+    /// True before any message was believed.
+    fn is_none(self) -> bool {
+        self == Self::default()
+    }
+}
 
 /// How a message of a worker came here.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Came {
+pub(crate) enum Origin {
     /// A report that the worker sent by itself, by a controller of this number if
     /// not directly.
     Report(Option<u16>),
@@ -41,32 +61,32 @@
 
 /// What a message of a worker is worth.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Word {
+pub(crate) enum Freshness {
     /// How it is now, as far as anybody can know.
-    News,
+    Current,
     /// The same, of a worker that counts from the start again: all that its earlier
     /// life had is gone.
-    Reborn,
+    Restarted,
     /// Older than what is known.
-    Late,
+    Stale,
     /// It may be older than this owner, or of an earlier life.
-    Hint,
+    Unverified,
 }
 
 /// Whether answers reach a machine, as far as this owner can tell.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Ear {
+enum Reachability {
     /// It acts as one that was answered.
-    Hears,
+    Reachable,
     /// It acted as one that was not; the next token tells.
-    Doubt,
+    Suspected,
     /// The last answer has not reached it.
-    Deaf,
+    Unreachable,
 }
 
 /// The answer to the newest report.
 #[derive(Clone, Copy, Debug)]
-struct Given {
+struct LastReply {
     at: u64,
     way: Option<u16>,
     token: u64,
@@ -74,7 +94,7 @@
 
 /// What was only heard of a machine.
 #[derive(Clone, Copy, Debug)]
-struct Hint {
+struct Unverified {
     session: u64,
     first: u64,
     last: u64,
@@ -82,95 +102,95 @@
 
 /// The exchange with one machine.
 #[derive(Debug)]
-pub(crate) struct Hearing {
+pub(crate) struct WorkerSession {
     /// Lowest token of this owner.
     base: u64,
     /// Lowest token that a report must show to be believed.
     floor: u64,
     /// Numbers of the newest message that was believed, and the token it showed.
-    newest: Numbers,
+    newest: SequenceNumber,
     token: u64,
     /// Numbers of the newest report among these.
-    report: Numbers,
+    report: SequenceNumber,
     /// Below the part's token: raised with a promise, to fence orders whose fate is
     /// unknown, and to learn whether answers arrive.
     fence: u64,
     /// The fence before, while the present one is for answers alone.
     challenge: Option<u64>,
     /// The present token, and the newest numbers when it was chosen.
-    mark: (u64, Numbers),
+    mark: (u64, SequenceNumber),
     raised_at: u64,
     /// Highest token that a call has carried.
     called: u64,
     /// Newest numbers when the call under way was made.
-    asked: Numbers,
+    asked: SequenceNumber,
     /// When this life was first believed, ms.
     born: Option<u64>,
-    ear: Ear,
-    last: Option<Given>,
+    reachability: Reachability,
+    last: Option<LastReply>,
     /// Until when answers were given that may have reached it, or its session may have
     /// begun, ms: its lease runs from then at the latest.
     leased: Option<u64>,
     /// When the last answer was given that reached it, by token or conduct, ms.
     reached: Option<u64>,
-    hint: Option<Hint>,
+    unverified: Option<Unverified>,
 }
 
-impl Hearing {
+impl WorkerSession {
     /// Nothing was heard yet. `base`: the lowest token of this owner.
     pub(crate) fn new(base: u64, now: u64) -> Self {
         Self {
             base,
             floor: base,
-            newest: (0, 0),
+            newest: SequenceNumber::default(),
             token: 0,
-            report: (0, 0),
+            report: SequenceNumber::default(),
             fence: 0,
             challenge: None,
-            mark: (base, (0, 0)),
+            mark: (base, SequenceNumber::default()),
             raised_at: now,
             called: 0,
-            asked: (0, 0),
+            asked: SequenceNumber::default(),
             born: None,
-            ear: Ear::Hears,
+            reachability: Reachability::Reachable,
             last: None,
             leased: None,
             reached: None,
-            hint: None,
+            unverified: None,
         }
     }
 
     // ---- what came -------------------------------------------------------------
 
     /// What a message is worth.
-    pub(crate) fn weigh(&self, numbers: Numbers, token: u64, came: Came) -> Word {
+    pub(crate) fn weigh(&self, numbers: SequenceNumber, token: u64, origin: Origin) -> Freshness {
         let lower = token < self.token;
-        match came {
+        match origin {
             // Nothing of a worker that has seen a later owner is ours to judge.
-            _ if token >> FENCE_BITS > self.base >> FENCE_BITS => Word::Hint,
+            _ if token >> FENCE_BITS > self.base >> FENCE_BITS => Freshness::Unverified,
             // It was written after the call was made, when these were known.
-            Came::Answer if numbers <= self.asked => Word::Reborn,
-            Came::Report(_) if token < self.floor => Word::Hint,
+            Origin::Answer if numbers <= self.asked => Freshness::Restarted,
+            Origin::Report(_) if token < self.floor => Freshness::Unverified,
             // In one life both rise.
-            _ if numbers > self.newest && lower => Word::Hint,
-            _ if numbers > self.newest => Word::News,
-            Came::Report(_) if token >= self.mark.0 && numbers <= self.mark.1 => Word::Reborn,
-            _ => Word::Late,
+            _ if numbers > self.newest && lower => Freshness::Unverified,
+            _ if numbers > self.newest => Freshness::Current,
+            Origin::Report(_) if token >= self.mark.0 && numbers <= self.mark.1 => Freshness::Restarted,
+            _ => Freshness::Stale,
         }
     }
 
-    /// Takes what [`Hearing::weigh`] found to be news.
-    pub(crate) fn take(&mut self, numbers: Numbers, token: u64, came: Came, timing: &Timing, now: u64) {
-        self.hint = None;
-        match came {
-            Came::Report(way) => self.listen(numbers, token, way, timing, now),
-            Came::Answer if token > self.token.max(self.called) => self.proven(token),
-            Came::Answer => {}
+    /// Takes what [`WorkerSession::weigh`] found to be news.
+    pub(crate) fn take(&mut self, numbers: SequenceNumber, token: u64, origin: Origin, timing: &Timing, now: u64) {
+        self.unverified = None;
+        match origin {
+            Origin::Report(way) => self.listen(numbers, token, way, timing, now),
+            Origin::Answer if token > self.token.max(self.called) => self.proven(token),
+            Origin::Answer => {}
         }
         // Guards against a machine that answers don't reach and whose new session only
         // the answer to a call shows: its lease runs from the session's begin, which may
         // be as late as now, whichever answers came before.
-        if numbers.0 > self.newest.0 {
+        if numbers.session > self.newest.session {
             self.leased = self.leased.max(Some(now));
         }
         self.newest = numbers;
@@ -183,11 +203,12 @@
     /// Guards against copies of reports from its earlier life, which have higher
     /// numbers: whatever that has shown is below the token that is given from now
     /// on.
-    pub(crate) fn reborn(&mut self, came: Came, now: u64) {
-        (self.newest, self.report, self.asked, self.token) = ((0, 0), (0, 0), (0, 0), 0);
+    pub(crate) fn reborn(&mut self, origin: Origin, now: u64) {
+        (self.newest, self.report, self.asked, self.token) =
+            (SequenceNumber::default(), SequenceNumber::default(), SequenceNumber::default(), 0);
         (self.last, self.challenge, self.reached, self.born) = (None, None, None, None);
         // That a call reached it says nothing of answers.
-        self.ear = if came == Came::Answer { Ear::Doubt } else { Ear::Hears };
+        self.reachability = if origin == Origin::Answer { Reachability::Suspected } else { Reachability::Reachable };
         let raised = promise::raised(self.fence);
         if let Some(fence) = raised {
             self.raise(fence, now);
@@ -197,19 +218,19 @@
 
     /// A report that is late all the same tells what reached the worker, if no later
     /// one has come: only the answer to a call was newer.
-    pub(crate) fn overtaken(&mut self, numbers: Numbers, token: u64, way: Option<u16>, timing: &Timing, now: u64) {
+    pub(crate) fn overtaken(&mut self, numbers: SequenceNumber, token: u64, way: Option<u16>, timing: &Timing, now: u64) {
         if numbers > self.report && token >= self.floor {
             self.listen(numbers, token, way, timing, now);
         }
     }
 
     /// Notes a hint. True if it is to be asked whether it is so.
-    pub(crate) fn heard_of(&mut self, numbers: Numbers, now: u64) -> bool {
-        if self.newest != (0, 0) {
+    pub(crate) fn heard_of(&mut self, numbers: SequenceNumber, now: u64) -> bool {
+        if !self.newest.is_none() {
             return false;
         }
-        let first = self.hint.map_or(now, |h| h.first);
-        self.hint = Some(Hint { session: numbers.0, first, last: now });
+        let first = self.unverified.map_or(now, |h| h.first);
+        self.unverified = Some(Unverified { session: numbers.session, first, last: now });
         true
     }
 
@@ -224,8 +245,8 @@
     /// that comes late for its newest, and an order that names the earlier life's
     /// session is executed once it has got there. A worker's first reports show no
     /// token, and in one life numbers and token rise together.
-    pub(crate) fn suspect(&mut self, numbers: Numbers, token: u64, timing: &Timing, now: u64) -> bool {
-        if self.newest != (0, 0) && (token == 0 || numbers > self.newest && token < self.token && !self.outlived(token)) {
+    pub(crate) fn suspect(&mut self, numbers: SequenceNumber, token: u64, timing: &Timing, now: u64) -> bool {
+        if !self.newest.is_none() && (token == 0 || numbers > self.newest && token < self.token && !self.outlived(token)) {
             self.born = self.born.map(|_| now);
             let Some(fence) = promise::raised(self.fence) else { return false };
             self.challenge = None;
@@ -245,11 +266,11 @@
     }
 
     /// A report that the worker sent after all before.
-    fn listen(&mut self, numbers: Numbers, token: u64, way: Option<u16>, timing: &Timing, now: u64) {
+    fn listen(&mut self, numbers: SequenceNumber, token: u64, way: Option<u16>, timing: &Timing, now: u64) {
         self.report = numbers;
         let Some(last) = self.last.take() else {
-            if self.ear != Ear::Hears && !self.dare(now) {
-                self.ear = Ear::Hears;
+            if self.reachability != Reachability::Reachable && !self.dare(now) {
+                self.reachability = Reachability::Reachable;
             }
             return;
         };
@@ -258,17 +279,17 @@
         let turned = way != last.way && way.is_some();
         let odd = turned || now > last.at + timing.unanswered_ms();
         if token < last.token {
-            self.ear = Ear::Deaf;
+            self.reachability = Reachability::Unreachable;
         } else if token > self.token.max(self.called) {
             self.reached = Some(last.at);
             self.proven(token);
-        } else if odd || self.ear != Ear::Hears {
-            if self.ear == Ear::Hears {
-                self.ear = Ear::Doubt;
+        } else if odd || self.reachability != Reachability::Reachable {
+            if self.reachability == Reachability::Reachable {
+                self.reachability = Reachability::Suspected;
             }
             // Without a token to tell by, its conduct does.
             if !self.dare(now) && !odd {
-                self.ear = Ear::Hears;
+                self.reachability = Reachability::Reachable;
             }
         } else {
             self.reached = Some(last.at);
@@ -279,7 +300,7 @@
     fn proven(&mut self, token: u64) {
         if self.last.is_none_or(|last| token >= last.token) {
             self.reached = self.reached.max(self.last.map(|last| last.at));
-            (self.ear, self.challenge) = (Ear::Hears, None);
+            (self.reachability, self.challenge) = (Reachability::Reachable, None);
         }
     }
 
@@ -337,9 +358,9 @@
         token
     }
 
-    /// A report is answered with [`Hearing::answer_token`].
-    pub(crate) fn answered(&mut self, numbers: Numbers, token: u64, way: Option<u16>, now: u64) {
-        let answer = Given { at: now, way, token: self.answer_token() };
+    /// A report is answered with [`WorkerSession::answer_token`].
+    pub(crate) fn answered(&mut self, numbers: SequenceNumber, token: u64, way: Option<u16>, now: u64) {
+        let answer = LastReply { at: now, way, token: self.answer_token() };
         let newest = numbers == self.report && token != 0;
         if newest && self.last.is_some() {
             // A copy of one that was answered: its lease runs from when it was
@@ -348,11 +369,11 @@
         }
         // One that the worker has given up can't be waited for, unless by a new life,
         // which shows no token or one of the last.
-        if newest || self.newest == (0, 0) || numbers > self.report || token == 0 || token >= self.token {
+        if newest || self.newest.is_none() || numbers > self.report || token == 0 || token >= self.token {
             self.leased = self.leased.max(Some(now));
         }
         // A worker in its first exchanges has not shown the token that counts.
-        if newest || self.newest == (0, 0) || numbers > self.newest && token >= self.token {
+        if newest || self.newest.is_none() || numbers > self.newest && token >= self.token {
             self.last = Some(answer);
         }
     }
@@ -366,12 +387,12 @@
 
     /// The worker's session.
     pub(crate) fn session(&self) -> u64 {
-        self.newest.0
+        self.newest.session
     }
 
     /// The session to ask in.
     pub(crate) fn session_to_ask(&self) -> u64 {
-        self.hint.map_or(self.newest.0, |h| h.session)
+        self.unverified.map_or(self.newest.session, |h| h.session)
     }
 
     /// Highest token that the worker has shown.
@@ -411,17 +432,17 @@
 
     /// Answers reach it, as far as anybody can tell.
     pub(crate) fn hears(&self) -> bool {
-        self.ear == Ear::Hears
+        self.reachability == Reachability::Reachable
     }
 
     /// Since when no answer has reached it, ms, if that is proven.
     pub(crate) fn deaf_since(&self) -> Option<u64> {
-        (self.ear == Ear::Deaf).then_some(self.reached.unwrap_or(0))
+        (self.reachability == Reachability::Unreachable).then_some(self.reached.unwrap_or(0))
     }
 
     /// When it was first and last heard of, ms, if nothing of it was news.
     pub(crate) fn only_heard_of(&self) -> Option<(u64, u64)> {
-        self.hint.map(|h| (h.first, h.last))
+        self.unverified.map(|h| (h.first, h.last))
     }
 }
 
--- a/crates/coordination/src/watch/services.rs
+++ b/crates/coordination/src/watch/services.rs
@@ -34,7 +34,7 @@
 
 /// Another way that was tried since replicas are missing, each once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Rung {
+pub enum PreemptionStep {
     /// A replica that did not come up leaves its machine for another.
     Elsewhere,
     /// Machines that the service avoided are taken again.
@@ -47,7 +47,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Try {
     /// Which way.
-    pub rung: Rung,
+    pub rung: PreemptionStep,
     /// When, ms.
     pub at: u64,
     /// What was done, and why.
--- a/crates/coordination/tests/changes.rs
+++ b/crates/coordination/tests/changes.rs
@@ -334,7 +334,7 @@
     owner.sync(&sync(5, whole, vec![want(0, 1)], Have::default()), ROOM, 20).expect("taken");
     assert!(owner.calls(20, ROOM).len() == 1);
     // Late, of another token, of a part that there is not.
-    assert_eq!(owner.sync(&sync(5, whole, Vec::new(), Have::default()), ROOM, 21).err(), Some(SyncRefusal::Late));
+    assert_eq!(owner.sync(&sync(5, whole, Vec::new(), Have::default()), ROOM, 21).err(), Some(SyncRefusal::Stale));
     let mut other = sync(6, whole, Vec::new(), Have::default());
     other.to_token = TOKEN + 1;
     assert_eq!(owner.sync(&other, ROOM, 21).err(), Some(SyncRefusal::Token));
--- a/crates/coordination/tests/blame.rs
+++ b/crates/coordination/tests/fault_attribution.rs
@@ -3,7 +3,7 @@
 
 mod support;
 
-use lemonweir_coordination::blame::{Blame, Verdict};
+use lemonweir_coordination::fault_attribution::{FaultAttribution, Verdict};
 use lemonweir_model::constants::*;
 use lemonweir_model::{JobId, MachineId};
 use proptest::prelude::*;
@@ -84,10 +84,10 @@
     /// that the event was not said to touch.
     #[test]
     fn judgements_are_the_plain_models(events in events()) {
-        let (mut real, mut plain, mut now) = (Blame::default(), Plain::default(), 1_000_000);
+        let (mut real, mut plain, mut now) = (FaultAttribution::default(), Plain::default(), 1_000_000);
         for e in events {
             now += e.gap;
-            let all = |real: &Blame| -> Vec<(Option<u32>, Verdict)> {
+            let all = |real: &FaultAttribution| -> Vec<(Option<u32>, Verdict)> {
                 (0..JOBS.max(MACHINES)).map(|n| (real.suspect(&job(n)), real.verdict(&support::machine(n)))).collect()
             };
             let before = all(&real);
--- a/crates/coordination/tests/watch.rs
+++ b/crates/coordination/tests/watch.rs
@@ -5,7 +5,7 @@
 use std::sync::LazyLock;
 
 use lemonweir_coordination::membership::{Claim, Membership};
-use lemonweir_coordination::watch::services::{Doing, Rung, Seen, Services, Try};
+use lemonweir_coordination::watch::services::{Doing, PreemptionStep, Seen, Services, Try};
 use lemonweir_coordination::{Config, Core, Effect, Lot};
 use lemonweir_model::JobId;
 use lemonweir_model::constants::*;
@@ -469,7 +469,7 @@
                 assert!(due <= now, "seed {seed}: not before its time");
                 late += 1;
                 let what = format!("at {now}");
-                services.looked(&id, vec![Try { rung: Rung::Elsewhere, at: now, what }], now);
+                services.looked(&id, vec![Try { rung: PreemptionStep::Elsewhere, at: now, what }], now);
                 assert!(!services.late(now, 99).contains(&id), "not at once again");
                 let service = services.get(&id).expect("watched");
                 tried = tried.max(service.tries.len());
