--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -52,7 +52,7 @@
 use lemonweir_protocol::worker::{Report, ReportReply};
 use lemonweir_storage::Mirror;
 use lemonweir_storage::mirror::{Holder, MirroredJob};
-use lemonweir_storage::records::{ChunkRecord, ImagesRecord, MailKind};
+use lemonweir_storage::records::{ChunkRecord, ImagesRecord, MailKind, parse_run_key, part_key};
 
 /// What the process has to do. Each names the part and its token, so that an
 /// answer to a part that is no longer held is dropped.
@@ -102,6 +102,18 @@
     pub token: u64,
 }
 
+/// Keys of task records to read again after a transaction for a shard met other
+/// versions: those among `conflicts`, or none if the shard itself is lost.
+///
+/// Guards against a deposed leader that reads its records again, one by one, while its
+/// successor loads them.
+pub fn keys_to_reread(lot: Lot, conflicts: &[String]) -> Vec<&str> {
+    if conflicts.contains(&part_key(lot.part)) {
+        return Vec::new();
+    }
+    conflicts.iter().map(String::as_str).filter(|key| parse_run_key(key).is_some()).collect()
+}
+
 /// What to answer to a worker's report.
 #[derive(Debug)]
 pub enum ReportAnswer {
--- /dev/null
+++ b/crates/coordination/tests/starts.rs
@@ -0,0 +1,101 @@
+//! When an owner starts nothing although a start is recorded, and what a placer reads
+//! again after a conflict.
+
+#[path = "support/controllers.rs"]
+mod controllers;
+mod support;
+
+use controllers::settings;
+use lemonweir_coordination::placer::TxnOutcome;
+use lemonweir_coordination::{Config, Core, Effect, Lot, ReportAnswer, keys_to_reread};
+use lemonweir_model::JobSpec;
+use lemonweir_model::constants::*;
+use lemonweir_protocol::state::{Entry, to_value};
+use lemonweir_protocol::worker::{Order, Report, ReportReply, Verb};
+use lemonweir_storage::records::*;
+use support::*;
+
+const LOT: Lot = Lot { part: 0, token: TOKEN };
+
+fn launches(orders: &[Order]) -> usize {
+    orders.iter().filter(|order| order.verb == Verb::Launch).count()
+}
+
+/// Starts that the controller orders by calls within 200 ms from `now` on.
+fn called(core: &mut Core, now: u64) -> usize {
+    let effects: Vec<Effect> = (now..now + 200).step_by(10).flat_map(|now| core.pump(now)).collect();
+    let orders = |effect: &Effect| if let Effect::Command(_, call) = effect { launches(&call.commands.orders) } else { 0 };
+    effects.iter().map(orders).sum()
+}
+
+/// Controller 0 with its own shard, a machine that it has heard, and a job that waits;
+/// nothing of the store is read after `now`. With the token that the machine was given.
+fn with_waiting_job(now: u64) -> (Core, u64) {
+    let mut core = Core::new(Config::new(&settings(0)), lemonweir_policy::embedded().expect("policy"));
+    core.set_catalog([(kind().name, kind())].into_iter().collect());
+    let spec = JobSpec { team: "amber".into(), ..array(1) };
+    let record = JobRecord { spec: spec.clone(), at: 1, withdrawn: false };
+    let holder = Entry { key: part_key(0), value: to_value(&PartRecord { host: "h0".into() }), version: TOKEN };
+    let job = Entry { key: job_key(&spec.id), value: to_value(&record), version: 46 };
+    core.mirror.replace(&[job, holder], 100);
+    core.refreshed(10, true);
+    core.adopt(LOT, &[], Vec::new(), 10);
+    let first = report(own_machine(&core), 1);
+    let token = reported(&mut core, &first, 20).token;
+    core.refreshed(now, false);
+    (core, token)
+}
+
+fn reported(core: &mut Core, report: &Report, now: u64) -> ReportReply {
+    let ReportAnswer::Orders(reply) = core.report(report, now) else { panic!("not answered at {now}") };
+    reply
+}
+
+/// A machine of the controller's own shard.
+fn own_machine(core: &Core) -> usize {
+    (0..).find(|n| core.config.part_of("north", &machine(*n)) == LOT.part).expect("one of all")
+}
+
+/// The machine reports as ever until `at`, when the answer to the transaction with the
+/// start comes; the starts in the answer to its last report.
+fn recorded(core: &mut Core, mut token: u64, at: u64) -> usize {
+    let (mut written, mut answered) = (false, 0);
+    for (seq, now) in (2..).zip((1_000..at).step_by(1_000).chain([at])) {
+        written |= (now - 1_000..now).step_by(50).any(|now| core.pump(now).iter().any(|effect| matches!(effect, Effect::Txn(..))));
+        if now == at {
+            core.txn_done(LOT, TxnOutcome::Done(200), at);
+        }
+        let next = Report { token, ..report(own_machine(core), seq) };
+        let reply = reported(core, &next, now);
+        (token, answered) = (reply.token, launches(&reply.orders));
+    }
+    assert!(written, "a start is written");
+    answered
+}
+
+/// The answer to the transaction comes when the controller has had no word from the store
+/// for as long as its lease there lives: another may have proven over what it starts.
+/// Fails without `Owner::hold_starts`.
+#[test]
+fn nothing_starts_without_word_from_the_store_for_a_lease() {
+    for (age, starts) in [(HOLD_TTL_MS - 1_000, 1), (HOLD_TTL_MS + 1_000, 0)] {
+        let (mut core, token) = with_waiting_job(100);
+        let at = 100 + age;
+        let answered = recorded(&mut core, token, at);
+        assert_eq!(answered + called(&mut core, at + 1), starts, "{age} ms after the last word");
+        // With word from the store it goes on.
+        core.refreshed(at + 220, false);
+        assert_eq!(called(&mut core, at + 230), 1 - starts);
+    }
+}
+
+/// A conflict on the shard's own key tells that it is lost: nothing is read again for it,
+/// while the store is busy with its new leader.
+#[test]
+fn a_lost_shard_reads_no_records_again() {
+    let chunk = run_key(0, &array(1).id, 0);
+    let job = job_key(&array(1).id);
+    assert_eq!(keys_to_reread(LOT, &[chunk.clone(), job.clone()]), [chunk.as_str()]);
+    assert!(keys_to_reread(LOT, &[part_key(0), chunk.clone(), job]).is_empty());
+    assert_eq!(keys_to_reread(LOT, &[part_key(1), chunk.clone()]), [chunk.as_str()]);
+}
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -23,7 +23,7 @@
 use lemonweir_coordination::membership::Claim;
 use lemonweir_coordination::owner::{CommandCall, CommandResult, SyncRefusal};
 use lemonweir_coordination::placer::TxnOutcome;
-use lemonweir_coordination::{Effect, Lot, RentResult, ReportAnswer, mail_piece_bytes};
+use lemonweir_coordination::{Effect, Lot, RentResult, ReportAnswer, keys_to_reread, mail_piece_bytes};
 use lemonweir_model::constants::*;
 use lemonweir_model::{JobId, MachineId};
 use lemonweir_protocol::cloud::Rental;
--- a/crates/lab/src/world/services.rs
+++ b/crates/lab/src/world/services.rs
@@ -163,8 +163,10 @@
         let outcome = match self.store.txn(&txn) {
             TxnAnswer::NoHold => TxnOutcome::Again,
             TxnAnswer::Conflict(keys) => {
-                let version = |key: &String| self.store.get(key).map_or(0, |(_, v)| v);
-                versions.extend(keys.iter().filter(|k| k.starts_with("run/")).map(|k| (k.clone(), version(k))));
+                let version = |key: &str| self.store.get(key).map_or(0, |(_, version)| version);
+                if let For::Core(lot) = whose {
+                    versions.extend(keys_to_reread(lot, &keys).into_iter().map(|key| (key.to_owned(), version(key))));
+                }
                 TxnOutcome::Conflict(keys)
             }
             TxnAnswer::Done(revision) => {
--- a/crates/node/src/carry.rs
+++ b/crates/node/src/carry.rs
@@ -9,7 +9,7 @@
 use crate::{Node, peer_address};
 use lemonweir_coordination::owner::{CommandCall, CommandResult, SyncRefusal};
 use lemonweir_coordination::placer::{TxnOutcome, TxnVerdict};
-use lemonweir_coordination::{Effect, mail_piece_bytes};
+use lemonweir_coordination::{Effect, keys_to_reread, mail_piece_bytes};
 use lemonweir_model::constants::*;
 use lemonweir_protocol::links::{self, CARRY, Carry, Goal, HAIL, LINKS_VERSION, REPORTS, Reports, Service, Word};
 use lemonweir_protocol::peer::{self, Superseded, Sync, View};
@@ -101,14 +101,14 @@
         // changed: they are read before the transaction counts as ended.
         TxnOutcome::Conflict(ref keys) => {
             let mut versions = Vec::new();
-            for key in keys.iter().filter(|k| k.starts_with("run/")) {
+            for key in keys_to_reread(lot, keys) {
                 let version = loop {
                     match node.state.get(key).await {
                         Ok(entry) => break entry.map_or(0, |e| e.version),
                         Err(_) => smol::Timer::after(std::time::Duration::from_millis(2 * TICK_MS)).await,
                     };
                 };
-                versions.push((key.clone(), version));
+                versions.push((key.to_owned(), version));
             }
             let mut core = node.core();
             for (key, version) in &versions {
