--- a/crates/coordination/src/answers.rs
+++ b/crates/coordination/src/answers.rs
@@ -8,9 +8,11 @@
 //! Both times run on steady clocks, whose drift the second allows for.
 
 use crate::Core;
+use crate::chains::Standing;
 use lemonweir_model::JobId;
 use lemonweir_model::constants::{MEMORY_MS, TOLD_AFTER_MS};
 use lemonweir_protocol::users::Phase;
+use lemonweir_storage::mirror::SettledEnd;
 
 /// What this node can say of a job now.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -23,18 +25,31 @@
     Unfinished(Phase, u64, u64, String),
     /// It was unfinished; only a reading that begins now tells whether it still is.
     Reading,
+    /// It waits for others, of which these may be over: their ends must be read first.
+    Ends(Vec<JobId>),
     /// This node knows nothing of it.
     Unknown,
 }
 
+impl Answer {
+    /// What may be told of a job by an end that decides it: its own, or that of a
+    /// cancelled job that it needs.
+    pub(crate) fn of_end(end: SettledEnd, now: u64) -> Self {
+        match (end.learned + TOLD_AFTER_MS).saturating_sub(now) {
+            0 => Answer::Over(end.phase),
+            ms => Answer::OverIn(ms),
+        }
+    }
+}
+
 impl Core {
     /// What may be told of a job, in constant time.
     pub fn answer(&self, id: &JobId, now: u64) -> Answer {
-        if let Some((phase, learned)) = self.mirror.end(id) {
-            return match (learned + TOLD_AFTER_MS).saturating_sub(now) {
-                0 => Answer::Over(phase),
-                ms => Answer::OverIn(ms),
-            };
+        if let Some(end) = self.mirror.end(id) {
+            return Answer::of_end(end, now);
+        }
+        if self.mirror.waiting.contains_key(id) {
+            return self.chain_answer(id, now);
         }
         if !self.mirror.jobs.contains_key(id) {
             return Answer::Unknown;
@@ -50,6 +65,12 @@
     /// The state of an unfinished job as the copy has it; for who has just had it
     /// brought up to date.
     pub fn unfinished(&self, id: &JobId, now: u64) -> Option<Answer> {
+        if self.mirror.waiting.contains_key(id) {
+            return match self.chain_standing(id) {
+                Standing::Waits(_) | Standing::Ready(_) => Some(Answer::Unfinished(Phase::Queued, 0, 0, String::new())),
+                _ => None,
+            };
+        }
         if self.mirror.end(id).is_some() || !self.mirror.jobs.contains_key(id) {
             return None;
         }
--- /dev/null
+++ b/crates/coordination/src/chains.rs
@@ -0,0 +1,361 @@
+//! Jobs that wait for others: which may start, which are cancelled with another, and the
+//! priority that the jobs before them get.
+//!
+//! * **Start.** A waiting job is moved to where placers find it by one transaction, whose
+//!   conditions are the ends of all jobs that it awaits, each under the version that says
+//!   done ([`lemonweir_storage::chains`]).
+//! * **Cancellation.** A job that needs a cancelled one, directly or through others, never
+//!   starts, since that end never changes. So it counts as cancelled from the moment when
+//!   the end that it needs is written: any node may tell, and the record of its own end
+//!   follows when there is room for the write.
+//! * **Priority.** Users set the priority that they care about on the last job of a
+//!   pipeline. A job is placed with the highest priority of all that need it.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+
+use tracing::info;
+
+use crate::answers::Answer;
+use crate::placer::TxnOutcome;
+use crate::{Config, Core, Effect};
+use lemonweir_model::constants::*;
+use lemonweir_model::{JobId, JobSpec, Rank};
+use lemonweir_protocol::state::{Condition, Txn, Write};
+use lemonweir_protocol::users::Phase;
+use lemonweir_storage::Mirror;
+use lemonweir_storage::chains::*;
+use lemonweir_storage::mirror::SettledEnd;
+use lemonweir_storage::records::{JobRecord, accept_job, withdraw_job};
+
+/// How a job that waits stands, by the ends of all that it needs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// All awaited jobs are done, each by the end with this version.
+    Ready(Vec<(JobId, u64)>),
+    /// These awaited jobs are not done yet.
+    Waits(Vec<JobId>),
+    /// A job that it needs is cancelled.
+    Cancelled(SettledEnd),
+    /// The ends of these must be read before anything can be said.
+    Unread(Vec<JobId>),
+}
+
+/// What becomes of a submission that awaits others.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Admission {
+    /// Nothing is known here of these ids: the store has to be asked.
+    Unknown(Vec<JobId>),
+    /// Accepted by these transactions, in their order; then it is told to be so.
+    Accept(Vec<Txn>, Phase),
+}
+
+/// What a transaction for waiting jobs was for.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+struct Pending {
+    /// Jobs that it lets start.
+    released: Vec<JobId>,
+    /// Jobs that it records as cancelled.
+    cancelled: Vec<JobId>,
+    /// Ends that it shows to stand.
+    verified: Vec<JobId>,
+}
+
+/// The waiting jobs' side of a controller.
+#[derive(Debug, Default)]
+pub struct Chains {
+    /// Changes of waiting jobs that the priorities follow from.
+    seen: u64,
+    /// Priorities that jobs get from those that need them.
+    lent: HashMap<JobId, Rank>,
+    pending: Option<Pending>,
+    /// Ends that are being read.
+    reading: BTreeSet<JobId>,
+    /// Ends that the store has confirmed for jobs that await too many for one transaction.
+    verified: HashSet<JobId>,
+    /// When to try again after a transaction that was not made, ms.
+    not_before: u64,
+}
+
+impl Chains {
+    /// The highest priority of the jobs that need a job.
+    pub(crate) fn lent(&self, id: &JobId) -> Option<Rank> {
+        self.lent.get(id).copied()
+    }
+}
+
+/// A job that waits, on the way through those that it needs.
+fn standing(mirror: &Mirror, id: &JobId) -> Standing {
+    let Some(awaits) = mirror.awaits(id) else { return Standing::Unread(Vec::new()) };
+    let (mut done, mut waits, mut unread) = (Vec::new(), Vec::new(), Vec::new());
+    for awaited in &awaits {
+        match mirror.end(awaited) {
+            Some(end) if end.phase == Phase::Done => done.push((awaited.clone(), end.version)),
+            Some(end) => return Standing::Cancelled(end),
+            None if mirror.jobs.contains_key(awaited) || mirror.waiting.contains_key(awaited) => waits.push(awaited.clone()),
+            None => unread.push(awaited.clone()),
+        }
+    }
+    let (cancelled, further) = cancelled_before(mirror, &waits);
+    unread.extend(further);
+    match cancelled {
+        Some(end) => Standing::Cancelled(end),
+        None if !unread.is_empty() => Standing::Unread(unread),
+        None if waits.is_empty() => Standing::Ready(done),
+        None => Standing::Waits(waits),
+    }
+}
+
+/// The end of a cancelled job somewhere before these, and the jobs there of which nothing
+/// is known. Each job is looked at once, however many need it.
+fn cancelled_before(mirror: &Mirror, jobs: &[JobId]) -> (Option<SettledEnd>, Vec<JobId>) {
+    let mut unread = Vec::new();
+    let mut seen: BTreeSet<JobId> = jobs.iter().cloned().collect();
+    let mut queue: Vec<JobId> = jobs.to_vec();
+    while let Some(id) = queue.pop() {
+        if !mirror.waiting.contains_key(&id) {
+            continue;
+        }
+        for awaited in mirror.awaits(&id).unwrap_or_default() {
+            match mirror.end(&awaited) {
+                Some(end) if end.phase == Phase::Withdrawn => return (Some(end), unread),
+                Some(_) => {}
+                None if mirror.jobs.contains_key(&awaited) => {}
+                None if mirror.waiting.contains_key(&awaited) => {
+                    if seen.insert(awaited.clone()) {
+                        queue.push(awaited);
+                    }
+                }
+                None => unread.push(awaited),
+            }
+        }
+    }
+    (None, unread)
+}
+
+/// The highest priority of the jobs that need each job, directly or through others.
+fn lent_priorities(mirror: &Mirror) -> HashMap<JobId, Rank> {
+    let mut lent: HashMap<JobId, Rank> = HashMap::new();
+    let mut queue: Vec<JobId> = mirror.waiting.keys().cloned().collect();
+    while let Some(id) = queue.pop() {
+        let Some(waiting) = mirror.waiting.get(&id) else { continue };
+        let own = waiting.record.spec.rank;
+        let rank = lent.get(&id).map_or(own, |lent| own.min(*lent));
+        for awaited in mirror.awaits(&id).unwrap_or_default() {
+            if lent.get(&awaited).is_none_or(|before| rank < *before) {
+                lent.insert(awaited.clone(), rank);
+                queue.push(awaited);
+            }
+        }
+    }
+    lent
+}
+
+impl Core {
+    /// How a job that waits for others stands.
+    pub fn chain_standing(&self, id: &JobId) -> Standing {
+        standing(&self.mirror, id)
+    }
+
+    /// What may be told of a job that waits for others.
+    pub(crate) fn chain_answer(&self, id: &JobId, now: u64) -> Answer {
+        match self.chain_standing(id) {
+            Standing::Cancelled(end) => Answer::of_end(end, now),
+            Standing::Unread(ids) if ids.is_empty() => Answer::Reading,
+            Standing::Unread(ids) => Answer::Ends(ids),
+            _ if self.links.store_age(now) > MEMORY_MS => Answer::Reading,
+            standing => Answer::Unfinished(Phase::Queued, 0, 0, waits_for(&standing)),
+        }
+    }
+
+    /// What becomes of a submission whose job is not known here, at this time of day.
+    pub fn admit(&self, spec: &JobSpec, at: u64) -> Admission {
+        let unknown: Vec<JobId> = spec.awaits.iter().filter(|id| !self.mirror.knows(id)).cloned().collect();
+        if !unknown.is_empty() {
+            return Admission::Unknown(unknown);
+        }
+        let (mut waits, mut cancelled) = (Vec::new(), false);
+        for id in &spec.awaits {
+            match self.mirror.end(id).map(|end| end.phase) {
+                Some(Phase::Withdrawn) => cancelled = true,
+                Some(_) => {}
+                None => waits.push(id.clone()),
+            }
+        }
+        let (before, _) = cancelled_before(&self.mirror, &waits);
+        if cancelled || before.is_some() {
+            return Admission::Accept(vec![accept_cancelled(&spec.id)], Phase::Withdrawn);
+        }
+        // Ends never change: what is done need not be awaited, but its end is still to be
+        // confirmed by the store, unless nothing else is awaited.
+        let record = JobRecord { spec: spec.clone(), at, withdrawn: false, awaited: 0 };
+        let txns = if spec.awaits.is_empty() { vec![accept_job(&record)] } else { accept_waiting(&record, self.config.txn_ops) };
+        Admission::Accept(txns, Phase::Queued)
+    }
+
+    /// The transaction by which a user cancels an unfinished job; `None`: it is being
+    /// cancelled already, or not known here.
+    pub fn cancellation(&self, id: &JobId) -> Option<Txn> {
+        if let Some(job) = self.mirror.jobs.get(id) {
+            return (!job.record.withdrawn).then(|| withdraw_job(&job.record, job.version));
+        }
+        self.mirror.waiting.get(id).map(|waiting| cancel_waiting(id, waiting.version))
+    }
+
+    /// Follows the changes of waiting jobs: the jobs whose priority has changed.
+    pub(crate) fn relend(&mut self) -> Vec<JobId> {
+        if self.chains.seen == self.mirror.waiting_changes {
+            return Vec::new();
+        }
+        self.chains.seen = self.mirror.waiting_changes;
+        let before = std::mem::replace(&mut self.chains.lent, lent_priorities(&self.mirror));
+        let lent = &self.chains.lent;
+        let ids: BTreeSet<&JobId> = before.keys().chain(lent.keys()).filter(|id| before.get(*id) != lent.get(*id)).collect();
+        ids.into_iter().filter(|id| self.mirror.jobs.contains_key(*id)).cloned().collect()
+    }
+
+    /// True if this node moves the waiting jobs of a team: it leads the team's shard, or
+    /// nobody does and it is the first that lives.
+    fn keeps_chains_of(&self, team: &str) -> bool {
+        let part = Self::team_part(&self.mirror, &self.config, team);
+        match self.mirror.parts.get(&part) {
+            Some(_) => self.parts.contains_key(&part),
+            None => self.mirror.nodes.keys().next().is_some_and(|host| *host == own_host(&self.config)),
+        }
+    }
+
+    /// What is due for waiting jobs: ends to be read, and one transaction at a time.
+    pub(crate) fn pump_chains(&mut self, now: u64, effects: &mut Vec<Effect>) {
+        if self.mirror.waiting.is_empty() && self.mirror.stray_pages().next().is_none() || now < self.chains.not_before {
+            return;
+        }
+        let kept: Vec<JobId> =
+            self.mirror.waiting.iter().filter(|(_, w)| self.keeps_chains_of(&w.record.spec.team)).map(|(id, _)| id.clone()).collect();
+        let mut unread = BTreeSet::new();
+        let mut ready = Vec::new();
+        let mut cancelled = Vec::new();
+        for id in kept {
+            match self.chain_standing(&id) {
+                Standing::Ready(done) => ready.push((id, done)),
+                Standing::Cancelled(_) => cancelled.push(id),
+                Standing::Unread(ids) => unread.extend(ids),
+                Standing::Waits(_) => {}
+            }
+        }
+        let wanted: Vec<JobId> = unread.into_iter().filter(|id| !self.chains.reading.contains(id)).take(ENDS_READ_AT_ONCE).collect();
+        if !wanted.is_empty() {
+            self.chains.reading.extend(wanted.iter().cloned());
+            effects.push(Effect::ReadEnds(wanted));
+        }
+        if self.chains.pending.is_none()
+            && let Some((txn, pending)) = self.chain_txn(&ready, &cancelled)
+        {
+            self.chains.pending = Some(pending);
+            effects.push(Effect::Chain(txn));
+        }
+    }
+
+    /// One transaction for as many waiting jobs as it holds: those that may start go
+    /// first.
+    fn chain_txn(&self, ready: &[(JobId, Vec<(JobId, u64)>)], cancelled: &[JobId]) -> Option<(Txn, Pending)> {
+        let most_writes = self.config.txn_ops;
+        let most_conditions = CONDITIONS_A_CHANGE * most_writes;
+        let (mut txn, mut pending) = (Txn::default(), Pending::default());
+        for (id, done) in ready {
+            let Some(waiting) = self.mirror.waiting.get(id) else { continue };
+            let unverified: Vec<(JobId, u64)> = done.iter().filter(|(id, _)| !self.chains.verified.contains(id)).cloned().collect();
+            if unverified.len() >= most_conditions {
+                // More than one transaction holds: first some of them by themselves.
+                if txn == Txn::default() {
+                    let some = &unverified[..most_conditions];
+                    return Some((ends_stand(some), Pending { verified: some.iter().map(|(id, _)| id.clone()).collect(), ..pending }));
+                }
+                break;
+            }
+            let next = release_waiting(&waiting.record, waiting.version, &unverified);
+            if !join(&mut txn, next, most_writes, most_conditions) {
+                break;
+            }
+            pending.released.push(id.clone());
+        }
+        for id in cancelled {
+            let Some(waiting) = self.mirror.waiting.get(id) else { continue };
+            if !join(&mut txn, cancel_waiting(id, waiting.version), most_writes, most_conditions) {
+                break;
+            }
+            pending.cancelled.push(id.clone());
+        }
+        for (id, page) in self.mirror.stray_pages() {
+            let gone = Txn {
+                conditions: vec![Condition { key: chain_key(id), version: 0 }],
+                writes: vec![Write::Delete { key: awaits_key(id, *page) }],
+            };
+            if self.mirror.knows(id) && !join(&mut txn, gone, most_writes, most_conditions) {
+                break;
+            }
+        }
+        (!txn.writes.is_empty()).then_some((txn, pending))
+    }
+
+    /// The transaction of [`Effect::Chain`] ended.
+    pub fn chain_done(&mut self, outcome: TxnOutcome, now: u64) {
+        let Some(pending) = self.chains.pending.take() else { return };
+        let TxnOutcome::Done(revision) = outcome else {
+            // What it was made of has changed: a newer copy tells.
+            self.chains.not_before = now + CHAIN_RETRY_MS;
+            return;
+        };
+        for id in &pending.released {
+            info!(job = %id, "all jobs that it awaits are done");
+            self.mirror.waiting.remove(id);
+        }
+        for id in &pending.cancelled {
+            info!(job = %id, "cancelled with a job that it needs");
+            self.mirror.waiting.remove(id);
+            self.mirror.settle(id, Phase::Withdrawn, revision, now);
+        }
+        self.chains.verified.extend(pending.verified);
+        if self.mirror.waiting.is_empty() {
+            self.chains.verified.clear();
+        }
+    }
+
+    /// The ends of [`Effect::ReadEnds`] were looked for; those found are settled.
+    pub fn ends_read(&mut self, ids: &[JobId], now: u64) {
+        for id in ids {
+            self.chains.reading.remove(id);
+            if !self.mirror.knows(id) {
+                self.chains.not_before = now + CHAIN_RETRY_MS;
+            }
+        }
+    }
+}
+
+fn own_host(config: &Config) -> &str {
+    &config.members[usize::from(config.me)].host
+}
+
+/// Why a job waits, in plain words.
+fn waits_for(standing: &Standing) -> String {
+    let Standing::Waits(ids) = standing else { return "all jobs that it awaits are done; it is about to be placed".into() };
+    let named: Vec<&str> = ids.iter().take(AWAITS_NAMED).map(JobId::as_str).collect();
+    let more = ids.len().saturating_sub(named.len());
+    let more = if more > 0 { format!(" and {more} more") } else { String::new() };
+    format!("waits for {}{more}", named.join(", "))
+}
+
+/// Adds a transaction to another if both together stay within the limits, or the first
+/// is empty.
+fn join(txn: &mut Txn, next: Txn, most_writes: usize, most_conditions: usize) -> bool {
+    let fits = txn.writes.len() + next.writes.len() <= most_writes && txn.conditions.len() + next.conditions.len() <= most_conditions;
+    if !fits && !txn.writes.is_empty() {
+        return false;
+    }
+    let mut known: BTreeMap<String, u64> = txn.conditions.iter().map(|c| (c.key.clone(), c.version)).collect();
+    for condition in next.conditions {
+        if known.insert(condition.key.clone(), condition.version).is_none() {
+            txn.conditions.push(condition);
+        }
+    }
+    txn.writes.extend(next.writes);
+    true
+}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod answers;
 mod boot_time;
 pub mod budget;
+pub mod chains;
 pub mod changes;
 mod config;
 mod evidence;
@@ -32,9 +33,11 @@
 pub use config::{Config, mail_piece_bytes};
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
 
 use tracing::{debug, info, warn};
 
+use crate::chains::Chains;
 use crate::fleet::Shortage;
 use crate::links::{Links, Stray, StrayReport};
 use crate::owner::{CommandCall, CommandResult, Owner, SyncRefusal};
@@ -43,7 +46,7 @@
 use crate::watch::takeover::Takeover;
 use lemonweir_model::constants::*;
 use lemonweir_model::policy::Policy;
-use lemonweir_model::{Catalog, JobId, JobSpec, MachineId};
+use lemonweir_model::{Catalog, JobId, JobSpec, MachineId, Rank};
 use lemonweir_protocol::cloud::{Rental, RentalEntry};
 use lemonweir_protocol::links::{Service, Word};
 use lemonweir_protocol::peer::{self, JobNote, Rented, Superseded, Sync, View};
@@ -60,6 +63,10 @@
 pub enum Effect {
     /// Make a transaction.
     Txn(Lot, Txn),
+    /// Make a transaction for jobs that wait for others.
+    Chain(Txn),
+    /// Read the ends of these jobs.
+    ReadEnds(Vec<JobId>),
     /// Write a hint; its end does not matter.
     Note(Txn),
     /// Call a worker.
@@ -194,6 +201,18 @@
     (!job.record.withdrawn).then_some(&job.record.spec)
 }
 
+/// A job with the priority that those who need it give it, if that is higher.
+fn with_rank(job: &MirroredJob, lent: Option<Rank>) -> MirroredJob {
+    match lent.filter(|lent| *lent < job.record.spec.rank) {
+        Some(rank) => {
+            let mut record = (*job.record).clone();
+            record.spec.rank = rank;
+            MirroredJob { record: Arc::new(record), ..job.clone() }
+        }
+        None => job.clone(),
+    }
+}
+
 /// One node's decisions.
 pub struct Core {
     /// Facts.
@@ -210,6 +229,7 @@
     /// Who reaches what.
     pub links: Links,
     pause: Pause,
+    chains: Chains,
     /// Zones of reports that the settings don't name, each told once.
     odd_zones: BTreeSet<String>,
 }
@@ -227,6 +247,7 @@
             notes: HashMap::new(),
             calls: 0,
             pause: Pause::default(),
+            chains: Chains::default(),
             odd_zones: BTreeSet::new(),
         }
     }
@@ -284,7 +305,7 @@
             },
         );
         // All jobs of its teams, and those of its records that are over.
-        let (mirror, config) = (&self.mirror, &self.config);
+        let (mirror, config, chains) = (&self.mirror, &self.config, &self.chains);
         if let Some(part) = self.parts.get_mut(&lot.part) {
             let known: Vec<JobId> = part.placer.known().cloned().collect();
             for id in known.iter().filter(|id| !mirror.jobs.contains_key(*id)) {
@@ -293,7 +314,7 @@
             for (id, job) in &mirror.jobs {
                 part.placer.book.note(id, uses(job));
                 if Self::team_part(mirror, config, &job.record.spec.team) == lot.part {
-                    part.placer.set_job(id, Some(job), now);
+                    part.placer.set_job(id, Some(&with_rank(job, chains.lent(id))), now);
                 }
             }
             part.know_needs();
@@ -345,8 +366,9 @@
     }
 
     fn jobs_changed(&mut self, now: u64) {
-        let touched = self.mirror.take_touched();
-        let (mirror, config) = (&self.mirror, &self.config);
+        let mut touched = self.mirror.take_touched();
+        touched.extend(self.relend());
+        let (mirror, config, chains) = (&self.mirror, &self.config, &self.chains);
         for id in touched {
             match mirror.jobs.get(&id) {
                 Some(job) => {
@@ -355,7 +377,7 @@
                     }
                     let index = Self::team_part(mirror, config, &job.record.spec.team);
                     if let Some(part) = self.parts.get_mut(&index) {
-                        part.placer.set_job(&id, Some(job), now);
+                        part.placer.set_job(&id, Some(&with_rank(job, chains.lent(&id))), now);
                     }
                 }
                 None => {
@@ -627,9 +649,10 @@
         let Some(part) = self.part(lot) else {
             return TxnVerdict::Fine;
         };
+        let revision = if let TxnOutcome::Done(revision) = outcome { revision } else { 0 };
         let (verdict, ends) = part.placer.txn_done(outcome, now);
         for (id, phase) in ends {
-            self.mirror.settle(&id, phase, now);
+            self.mirror.settle(&id, phase, revision, now);
         }
         if verdict == TxnVerdict::Lost {
             self.abandon(lot.part, now);
--- a/crates/coordination/src/placer/mod.rs
+++ b/crates/coordination/src/placer/mod.rs
@@ -445,7 +445,8 @@
         match mirrored {
             Some(m) => {
                 let job = self.jobs.entry(id.clone()).or_insert_with(|| Job::known(now));
-                if job.record.is_some() && job.version == m.version {
+                let same_rank = job.record.as_ref().is_some_and(|record| record.spec.rank == m.record.spec.rank);
+                if same_rank && job.version == m.version {
                     return;
                 }
                 let spec = &m.record.spec;
--- a/crates/coordination/src/pump.rs
+++ b/crates/coordination/src/pump.rs
@@ -21,6 +21,7 @@
         let mut effects = Vec::new();
         effects.extend(self.links.hails(now).into_iter().map(|(host, word)| Effect::Hail(host, word)));
         effects.extend(self.links.probes(now).into_iter().map(Effect::Probe));
+        self.pump_chains(now, &mut effects);
         // A sync within this node may give a placer something to do at once.
         for _ in 0..3 {
             if !self.pump_once(now, &mut effects) {
--- a/crates/lab/src/checker.rs
+++ b/crates/lab/src/checker.rs
@@ -112,6 +112,9 @@
     pub fn told(&mut self, job: &JobId, phase: Option<Phase>, accepted: bool, asked: u64, now: u64) {
         let before = self.told.get(job).filter(|(_, at)| *at <= asked).map(|(phase, _)| *phase);
         match phase {
+            Some(Phase::Queued | Phase::Running) if self.orphaned(job, asked) => {
+                self.fault(now, format!("orphaned: {job} is called {phase:?}, and a job that it needs is cancelled"));
+            }
             None if accepted => self.fault(now, format!("forgotten: {job} got 404")),
             Some(_) if !self.specs.contains_key(job) => self.fault(now, format!("invented: {job}")),
             Some(phase) if before.is_some_and(|o| o != phase) => {
@@ -125,6 +128,26 @@
         }
     }
 
+    /// True if a job that this one needs, directly or through others, was called cancelled
+    /// for longer than its jobs may take to follow.
+    fn orphaned(&self, job: &JobId, asked: u64) -> bool {
+        let (mut queue, mut seen) = (vec![job], BTreeSet::new());
+        while let Some(job) = queue.pop() {
+            for awaited in self.specs.get(job).into_iter().flat_map(|spec| &spec.awaits).filter(|awaited| seen.insert(*awaited)) {
+                if self.withdrawn.get(awaited).is_some_and(|at| asked > at + self.cancel_us) {
+                    return true;
+                }
+                queue.push(awaited);
+            }
+        }
+        false
+    }
+
+    /// True if a job is cancelled.
+    pub fn is_cancelled(&self, job: &JobId) -> bool {
+        self.withdrawn.contains_key(job)
+    }
+
     /// A transaction was made: ends of jobs must be true.
     pub fn written(&mut self, txn: &Txn, now: u64) {
         for w in &txn.writes {
@@ -174,6 +197,9 @@
             self.fault(now, format!("ran_cancelled: {job}/{task} starts after its cancellation was confirmed"));
         }
         let Some(spec) = self.specs.get(job).cloned() else { return self.fault(now, format!("unknown job {job}")) };
+        if let Some(awaited) = spec.awaits.iter().find(|awaited| self.over.get(*awaited) != Some(&Phase::Done)) {
+            self.fault(now, format!("too_early: {job}/{task} starts before {awaited} is done"));
+        }
         let zones = self.zones.entry(job.clone()).or_default();
         let elsewhere = zones.iter().any(|(z, n)| z != place.zone && *n > 0);
         let here = zones.entry(place.zone.to_owned()).or_default();
--- a/crates/lab/src/host.rs
+++ b/crates/lab/src/host.rs
@@ -32,6 +32,8 @@
     Presence(u64),
     /// A user's submission or withdrawal, asked for at that time.
     User(JobId, bool, u64),
+    /// Jobs that wait for others.
+    Chain,
 }
 
 /// What a reading of the followed keys brought.
@@ -100,6 +102,8 @@
     Announced,
     /// A reading that began at that time.
     Read(u64, Reading),
+    /// Ends of jobs were asked for.
+    EndsRead(Vec<JobId>),
     /// A user submits.
     Submit(JobId),
     /// A user polls.
--- a/crates/lab/src/sample.rs
+++ b/crates/lab/src/sample.rs
@@ -44,5 +44,6 @@
         checkpoint_s: 5.0,
         save_s: 2.0,
         deadline_s: None,
+        awaits: Vec::new(),
     }
 }
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -97,6 +97,10 @@
     pub start_within_s: f64,
     /// Share of its jobs that fail on every machine until they are withdrawn.
     pub broken: f64,
+    /// Classes whose jobs of the same number its jobs await.
+    pub awaits: Vec<String>,
+    /// s after the awaited jobs came at which its jobs come.
+    pub later_s: Dist,
     /// Share of its jobs that their users withdraw while they wait or run.
     pub cancelled: f64,
 }
@@ -330,7 +334,15 @@
     if scenario.teams.is_empty() {
         top.fault("team", "one at least must be given");
     }
-    let classes = top.tables("class").iter().map(|t| class(t, &scenario)).collect();
+    let mut classes: Vec<Class> = Vec::new();
+    for t in top.tables("class") {
+        let class = class(&t, &scenario);
+        // Only classes before it, so that no chain is a circle.
+        for awaited in class.awaits.iter().filter(|awaited| !classes.iter().any(|before| before.name == **awaited)) {
+            t.fault("awaits", &format!("no class before this one is called {awaited}"));
+        }
+        classes.push(class);
+    }
     let faults = top.tables("fault").iter().filter_map(|t| trouble::fault(t, &scenario)).collect();
     Scenario { classes, faults, ..scenario }
 }
@@ -402,6 +414,8 @@
         save: (t.number("checkpoint_s", 0.0, 1e6, Some(0.0)), t.number("save_s", 0.0, 1e6, Some(0.0))),
         start_within_s: t.number("start_within_s", 0.0, 1e6, Some(0.0)),
         broken: t.number("broken", 0.0, 1.0, Some(0.0)),
+        awaits: t.texts("awaits"),
+        later_s: dist(t, "later_s", Some(0.0)),
         cancelled: t.number("cancelled", 0.0, 1.0, Some(0.0)),
     }
 }
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -20,6 +20,7 @@
 use std::sync::Arc;
 
 use lemonweir_coordination::answers::Answer;
+use lemonweir_coordination::chains::Admission;
 use lemonweir_coordination::membership::Claim;
 use lemonweir_coordination::owner::{CommandCall, CommandResult, SyncRefusal};
 use lemonweir_coordination::placer::TxnOutcome;
@@ -32,6 +33,7 @@
 use lemonweir_protocol::state::{Entry, Txn, Write, from_value};
 use lemonweir_protocol::users::{Phase, never_runs, team_limit};
 use lemonweir_protocol::worker::{Report, ReportReply};
+use lemonweir_storage::chains::chain_key;
 use lemonweir_storage::records::*;
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
--- a/crates/lab/src/world/controllers.rs
+++ b/crates/lab/src/world/controllers.rs
@@ -112,6 +112,11 @@
         let at = self.leaves(host) + self.travel();
         match effect {
             Effect::Txn(lot, txn) => self.send_txn(host, For::Core(lot), txn),
+            Effect::Chain(txn) => self.send_txn(host, For::Chain, txn),
+            Effect::ReadEnds(ids) => {
+                let at = at + self.travel();
+                self.push(at, Event::To(host, life, Box::new(Input::EndsRead(ids))));
+            }
             Effect::Note(txn) => self.send_txn(host, For::Nobody, txn),
             Effect::Command(lot, call) => self.send_orders(host, lot, call, at),
             Effect::Sync(lot, sync) => self.send_sync(host, lot, sync, at),
@@ -230,6 +235,12 @@
             Input::Hold(answer) => self.hold_answered(host, answer),
             // Asked for again at the loop's next step.
             Input::HoldUnknown => self.hosts[host].keeping -= 1,
+            Input::EndsRead(ids) => {
+                self.settle_ends(host, &ids);
+                if let Some(core) = self.hosts[host].core.as_mut() {
+                    core.ends_read(&ids, ms);
+                }
+            }
             Input::Submit(id) => self.take_submission(host, id),
             Input::Poll(id) => match core.answer(&id, ms) {
                 Answer::Unfinished(phase, ..) => self.reply(host, id, Some(phase), 200),
@@ -320,6 +331,10 @@
                 core.txn_done(lot, outcome.unwrap_or(TxnOutcome::Again), ms);
             }
             For::Nobody => {}
+            For::Chain => {
+                core.chain_done(outcome.unwrap_or(TxnOutcome::Again), ms);
+                self.want_reading(host);
+            }
             For::Presence(hold) => {
                 h.keeping -= 1;
                 h.hold = matches!(outcome, Some(TxnOutcome::Done(_))).then_some(hold);
@@ -340,7 +355,9 @@
                 }
                 Some(TxnOutcome::Done(_)) => {
                     self.announce(host, &id);
-                    self.reply(host, id, Some(Phase::Queued), 201);
+                    // With a cancelled job that it needs it is cancelled from the start.
+                    let over = txn.writes.iter().any(|write| matches!(write, Write::Put { key, .. } if *key == end_key(&id)));
+                    self.reply(host, id, Some(if over { Phase::Withdrawn } else { Phase::Queued }), 201);
                 }
                 // Made before, or changed meanwhile: what the store says now
                 // is the answer.
--- a/crates/lab/src/world/waiting.rs
+++ b/crates/lab/src/world/waiting.rs
@@ -50,7 +50,8 @@
         let mut beside_room = BTreeSet::new();
         for (id, user) in &self.users {
             let Some(load) = self.ground.jobs.get(id).filter(|load| !load.broken) else { continue };
-            let unfinished = user.accepted.is_some() && user.withdrew.is_none() && !user.over && self.phase(id).is_none();
+            let may_start = load.spec.awaits.iter().all(|awaited| self.phase(awaited) == Some(Phase::Done));
+            let unfinished = may_start && user.accepted.is_some() && user.withdrew.is_none() && !user.over && self.phase(id).is_none();
             let here = live.get(id).copied().unwrap_or(0) as u64;
             if unfinished && here + self.ground.done_tasks(id) < load.spec.tasks && self.room_for(&load.spec, &machines) {
                 beside_room.insert(id.clone());
--- a/crates/model/src/constants.rs
+++ b/crates/model/src/constants.rs
@@ -241,6 +241,20 @@
 
 // ---- store -----------------------------------------------------------------
 
+/// Awaited jobs in one record: with ids of 24 bytes they take half of a value of 2 KiB,
+/// which leaves room for the job itself.
+pub const AWAITS_PAGE: usize = 40;
+
+/// Jobs that one may await: what a submission's 64 KiB can name.
+pub const AWAITS_MOST: usize = 2_000;
+/// Awaited jobs that are named to a user who asks why a job waits.
+pub const AWAITS_NAMED: usize = 5;
+/// Ends of awaited jobs that are read at a time.
+pub const ENDS_READ_AT_ONCE: usize = 16;
+/// ms after which a transaction for waiting jobs is tried again that was not made: a
+/// reading of the store lies between.
+pub const CHAIN_RETRY_MS: u64 = 300;
+
 /// ms after which an unanswered store request is given up.
 pub const STATE_TIMEOUT_MS: u64 = 1_500;
 /// ms without word from the store after which a node leaves users to those who
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -235,6 +235,14 @@
     /// Deadline from submission, s.
     #[serde(rename = "dueS", default)]
     pub deadline_s: Option<f64>,
+    /// Jobs that must be done before any task of this one starts.
+    #[serde(default, skip_serializing_if = "Vec::is_empty", deserialize_with = "list_or_null")]
+    pub awaits: Vec<JobId>,
+}
+
+/// A field that may be null may also be absent (protocol page).
+fn list_or_null<'de, D: serde::Deserializer<'de>>(from: D) -> Result<Vec<JobId>, D::Error> {
+    <Option<Vec<JobId>> as Deserialize>::deserialize(from).map(Option::unwrap_or_default)
 }
 
 impl JobSpec {
--- a/crates/node/src/carry.rs
+++ b/crates/node/src/carry.rs
@@ -4,6 +4,7 @@
 
 use tracing::{debug, error, info};
 
+use crate::lookups::end;
 use crate::route::take_reports;
 use crate::state::{StateError, TxnResult};
 use crate::{Node, peer_address};
@@ -26,6 +27,20 @@
         let node = node2;
         match effect {
             Effect::Txn(lot, txn) => transaction(&node, lot, &txn).await,
+            Effect::Chain(txn) => {
+                let outcome = chain_transaction(&node, &txn).await;
+                let now = node.now();
+                node.core().chain_done(outcome, now);
+            }
+            Effect::ReadEnds(ids) => {
+                for id in &ids {
+                    if let Err(fault) = end(&node, id).await {
+                        debug!(job = %id, %fault, "end not read");
+                    }
+                }
+                let now = node.now();
+                node.core().ends_read(&ids, now);
+            }
             Effect::Command(lot, call) => {
                 let result = command(&node, &call).await;
                 let now = node.now();
@@ -82,6 +97,26 @@
     node.executor.spawn(work).detach();
 }
 
+/// Makes a transaction for waiting jobs; after one that moved something the copy is read
+/// again, so that what may start is placed at once.
+async fn chain_transaction(node: &Node, txn: &Txn) -> TxnOutcome {
+    match node.state.txn(txn).await {
+        Ok(TxnResult::Done(revision)) => {
+            node.fresh().await;
+            TxnOutcome::Done(revision)
+        }
+        Ok(TxnResult::Conflict(keys)) => {
+            info!(?keys, "transaction for waiting jobs met other versions");
+            node.fresh().await;
+            TxnOutcome::Conflict(keys)
+        }
+        Err(fault) => {
+            debug!(%fault, "transaction for waiting jobs not made");
+            TxnOutcome::Again
+        }
+    }
+}
+
 async fn transaction(node: &Node, lot: lemonweir_coordination::Lot, txn: &Txn) {
     let outcome = match node.state.txn(txn).await {
         Ok(TxnResult::Done(revision)) => TxnOutcome::Done(revision),
--- a/crates/node/src/lookups.rs
+++ b/crates/node/src/lookups.rs
@@ -14,7 +14,8 @@
 use lemonweir_model::constants::*;
 use lemonweir_protocol::state::from_value;
 use lemonweir_protocol::users::Phase;
-use lemonweir_storage::records::{END_PREFIX, EndRecord, absent, end_key, job_key};
+use lemonweir_storage::chains::chain_key;
+use lemonweir_storage::records::{ABSENT_CONDITIONS, END_PREFIX, EndRecord, absent, end_key, job_key};
 use lemonweir_transport::within;
 
 /// What the store says of an id.
@@ -82,7 +83,7 @@
 /// Works off what waits, some ids at a time.
 async fn run(node: &Rc<Node>) {
     smol::Timer::after(Duration::from_millis(GATHER_MS)).await;
-    let most = (CONDITIONS_A_CHANGE * node.settings.cluster.state.txn_ops / 2).max(1);
+    let most = (CONDITIONS_A_CHANGE * node.core().config.txn_ops / ABSENT_CONDITIONS).max(1);
     loop {
         let asked = {
             let mut lookups = node.lookups.borrow_mut();
@@ -111,7 +112,7 @@
         let fate = match &there {
             Err(_) => Err(Missed::Store),
             Ok(keys) if keys.contains(&end_key(&id)) => end(node, &id).await.map_err(|_| Missed::Store),
-            Ok(keys) if keys.contains(&job_key(&id)) => Ok(Found::Unfinished),
+            Ok(keys) if keys.contains(&job_key(&id)) || keys.contains(&chain_key(&id)) => Ok(Found::Unfinished),
             Ok(_) => Ok(Found::Nowhere),
         };
         for sender in senders {
@@ -124,9 +125,9 @@
 /// Reads the end of a job, once: it never changes. Its neighbours' come with it,
 /// so that a process that has just started, whom users ask for all that is over,
 /// does not read them one by one.
-async fn end(node: &Node, id: &JobId) -> Result<Found, StateError> {
-    if let Some((phase, _)) = node.core().mirror.end(id) {
-        return Ok(Found::Over(phase));
+pub(crate) async fn end(node: &Node, id: &JobId) -> Result<Found, StateError> {
+    if let Some(end) = node.core().mirror.end(id) {
+        return Ok(Found::Over(end.phase));
     }
     let key = end_key(id);
     // What is without the last digit comes before all that begin with it.
@@ -139,9 +140,9 @@
     let mut core = node.core();
     for entry in page {
         match (entry.key.strip_prefix(END_PREFIX), from_value::<EndRecord>(&entry.value)) {
-            (Some(id), Some(record)) => core.mirror.settle(&JobId::from(id), record.phase, now),
+            (Some(id), Some(record)) => core.mirror.settle(&JobId::from(id), record.phase, entry.version, now),
             _ => tracing::error!(key = entry.key, "end not understood"),
         }
     }
-    core.mirror.end(id).map(|(phase, _)| Found::Over(phase)).ok_or(StateError::Refused)
+    core.mirror.end(id).map(|end| Found::Over(end.phase)).ok_or(StateError::Refused)
 }
--- a/crates/node/src/web.rs
+++ b/crates/node/src/web.rs
@@ -11,14 +11,15 @@
 use crate::{Node, peer_address, wall_ms};
 use lemonweir_coordination::ReportAnswer;
 use lemonweir_coordination::answers::Answer;
+use lemonweir_coordination::chains::Admission;
 use lemonweir_coordination::questions::{Asked, Refusal};
-use lemonweir_model::JobId;
 use lemonweir_model::constants::*;
+use lemonweir_model::{JobId, JobSpec};
 use lemonweir_protocol::links::Picture;
+use lemonweir_protocol::state::Txn;
 use lemonweir_protocol::users::{JobState, Phase, never_runs, read_submission};
 use lemonweir_protocol::worker::Report;
 use lemonweir_protocol::{decode, encode};
-use lemonweir_storage::records::{JobRecord, accept_job, withdraw_job};
 use lemonweir_transport::{Handler, Reply, Request, within};
 
 /// What users and workers may ask.
@@ -114,6 +115,7 @@
                     return Ok(state_of(id, answer));
                 }
             }
+            Answer::Ends(ids) => read_ends(node, &ids).await?,
             Answer::Unknown => match look(node, id).await.map_err(refusal)? {
                 Found::Nowhere => return Ok(None),
                 Found::Over(_) => {}
@@ -132,6 +134,19 @@
     }
 }
 
+/// Reads the ends of jobs that others await; what is still unfinished is in the copy then.
+async fn read_ends(node: &Rc<Node>, ids: &[JobId]) -> Result<(), Refusal> {
+    let mut unfinished = false;
+    for id in ids {
+        unfinished |= matches!(look(node, id).await.map_err(refusal)?, Found::Unfinished);
+    }
+    // Guards against going round without a pause for what the copy does not show yet.
+    if unfinished && !node.fresh().await {
+        return Err(Refusal::Store);
+    }
+    Ok(())
+}
+
 fn refusal(missed: Missed) -> Refusal {
     match missed {
         Missed::Turn => Refusal::Lookups,
@@ -184,7 +199,7 @@
             let reason = (!reason.is_empty()).then_some(reason);
             Some(JobState { id: id.clone(), phase, done: Some(done), running: Some(running), reason })
         }
-        Answer::OverIn(_) | Answer::Reading | Answer::Unknown => None,
+        Answer::OverIn(_) | Answer::Reading | Answer::Ends(_) | Answer::Unknown => None,
     }
 }
 
@@ -221,7 +236,7 @@
     let id = spec.id.clone();
     let known = {
         let core = node.core();
-        core.mirror.jobs.contains_key(&id) || core.mirror.end(&id).is_some()
+        core.mirror.knows(&id)
     };
     if known {
         return known_job(node, &id).await;
@@ -264,23 +279,66 @@
         let after = RETRY_AFTER_S.max(wait.as_secs_f64().ceil() as u64).min(RETRY_AFTER_MOST_S);
         return turn_away_for(node, &id, Asked::Submission, Refusal::Writes, after);
     }
-    let at = wall_ms();
-    let record = JobRecord { spec, at, withdrawn: false };
-    let txn = accept_job(&record);
+    let (txns, phase) = match admission(node, &spec).await {
+        Ok(admitted) => admitted,
+        Err(reply) => return reply,
+    };
     let deadline = node.now() + USER_TIMEOUT_MS;
+    for txn in &txns {
+        loop {
+            match node.state.txn(txn).await {
+                Ok(TxnResult::Done(_)) => break,
+                Ok(TxnResult::Conflict(_)) => return known_job(node, &id).await,
+                // May have been made: the same transaction tells, since its
+                // conditions then fail.
+                Err(StateError::Unknown) if node.now() < deadline => {}
+                Err(_) => return turn_away(node, &id, Asked::Submission, Refusal::Store),
+            }
+        }
+    }
+    info!(job = %id, team = spec.team, class = spec.class, tasks = spec.tasks, awaits = spec.awaits.len(), ?phase, "job accepted");
+    announce(node, &spec.team);
+    answer(node, 201, &JobState::plain(id, phase))
+}
+
+/// The transactions that accept a job, and what its user is told then; `Err`: the answer
+/// to a submission that can't be accepted, or not now.
+async fn admission(node: &Rc<Node>, spec: &JobSpec) -> Result<(Vec<Txn>, Phase), Reply> {
+    let id = &spec.id;
+    let mut asked = false;
     loop {
-        match node.state.txn(&txn).await {
-            Ok(TxnResult::Done(_)) => {
-                info!(job = %id, team = record.spec.team, class = record.spec.class, tasks = record.spec.tasks, "job accepted");
-                announce(node, &record.spec.team);
-                return answer(node, 201, &JobState::plain(id, Phase::Queued));
+        let admission = node.core().admit(spec, wall_ms());
+        let unknown = match admission {
+            Admission::Accept(txns, phase) => return Ok((txns, phase)),
+            Admission::Unknown(ids) => ids,
+        };
+        // Guards against refusing what only this node's copy does not know: the store is
+        // asked about the awaited jobs, and about the job itself, which may be accepted.
+        for awaited in &unknown {
+            match look(node, awaited).await {
+                Ok(Found::Nowhere) => return Err(refuse_unknown(node, id, awaited).await),
+                Ok(_) => {}
+                Err(missed) => return Err(turn_away(node, id, Asked::Submission, refusal(missed))),
             }
-            Ok(TxnResult::Conflict(_)) => return known_job(node, &id).await,
-            // May have been made: the same transaction tells, since its
-            // conditions then fail.
-            Err(StateError::Unknown) if node.now() < deadline => {}
-            Err(_) => return turn_away(node, &id, Asked::Submission, Refusal::Store),
         }
+        if asked || !node.fresh().await {
+            return Err(turn_away(node, id, Asked::Submission, Refusal::Store));
+        }
+        asked = true;
+    }
+}
+
+/// Refuses a submission that awaits a job which was never accepted, unless it is itself
+/// accepted already.
+async fn refuse_unknown(node: &Rc<Node>, id: &JobId, awaited: &JobId) -> Reply {
+    match look_up_in_time(node, id).await {
+        Ok(Some(state)) => answer(node, 200, &state),
+        Ok(None) => {
+            info!(job = %id, %awaited, "awaits a job that was never accepted");
+            node.questions.borrow_mut().answered(id);
+            Reply::new(422, encode(&format!("awaits: {awaited} was never accepted")))
+        }
+        Err(why) => turn_away(node, id, Asked::Submission, why),
     }
 }
 
@@ -329,7 +387,11 @@
             Ok(Some(_)) => {}
             Err(why) => return turn_away(node, &id, Asked::Withdrawal, why),
         }
-        let Some(job) = node.core().mirror.jobs.get(&id).cloned() else {
+        let (team, cancellation) = {
+            let core = node.core();
+            (core.mirror.spec(&id).map(|spec| spec.team.clone()), core.cancellation(&id))
+        };
+        let Some(team) = team else {
             // Guards against going round for ever for a record that this process
             // can't read.
             if node.now() < deadline {
@@ -337,24 +399,26 @@
             }
             return turn_away(node, &id, Asked::Withdrawal, Refusal::Store);
         };
-        if job.record.withdrawn {
+        let Some(cancellation) = cancellation else {
             if until.is_none_or(|until| node.now() >= until) {
                 return turn_away(node, &id, Asked::Withdrawal, Refusal::Stopping);
             }
             smol::Timer::after(Duration::from_millis(TICK_MS)).await;
             continue;
-        }
+        };
         // Guards against a user who is held back for as long as others' changes take.
         if node.state.write_wait() > Duration::from_millis(SUBMIT_WAIT_MS) {
             return turn_away(node, &id, Asked::Withdrawal, Refusal::Writes);
         }
-        match node.state.txn(&withdraw_job(&job.record, job.version)).await {
+        match node.state.txn(&cancellation).await {
             Ok(TxnResult::Done(_)) => {
                 info!(job = %id, "withdrawal asked for");
-                announce(node, &job.record.spec.team);
+                announce(node, &team);
                 until = Some(node.now() + WITHDRAW_WAIT_MS);
+                // Guards against making the same change again until the copy shows it.
+                node.fresh().await;
             }
-            Ok(TxnResult::Conflict(_)) | Err(StateError::Unknown) if node.now() < deadline => {}
+            Ok(TxnResult::Conflict(_)) | Err(StateError::Unknown) if node.now() < deadline => drop(node.fresh().await),
             _ => return turn_away(node, &id, Asked::Withdrawal, Refusal::Store),
         }
     }
--- a/crates/protocol/src/users.rs
+++ b/crates/protocol/src/users.rs
@@ -1,9 +1,11 @@
 //! Users and the load balancer.
 
+use std::collections::BTreeSet;
+
 use serde::Serialize;
 
 use crate::{Malformed, decode};
-use lemonweir_model::constants::MAX_TASKS;
+use lemonweir_model::constants::{AWAITS_MOST, MAX_TASKS};
 use lemonweir_model::settings::Team;
 use lemonweir_model::{Catalog, JobId, JobSpec, Room, Shape};
 
@@ -52,7 +54,7 @@
 
 /// Reads a submission; anything missing or out of range is a fault (400).
 pub fn read_submission(body: &[u8]) -> Result<JobSpec, Malformed> {
-    let spec: JobSpec = decode(body)?;
+    let mut spec: JobSpec = decode(body)?;
     let fault = |text: &str| Err(Malformed(text.to_owned()));
     if JobId::parse(spec.id.as_str()).is_none() {
         return fault("nameId is not a job id");
@@ -86,6 +88,15 @@
     if long || spec.types.as_ref().is_some_and(|t| t.len() > 100) {
         return fault("name or list too long");
     }
+    if spec.awaits.len() > AWAITS_MOST {
+        return fault("awaits names too many jobs");
+    }
+    if spec.awaits.iter().any(|id| JobId::parse(id.as_str()).is_none()) {
+        return fault("awaits holds something that is not a job id");
+    }
+    // A job that is named twice is awaited once.
+    let mut named = BTreeSet::new();
+    spec.awaits.retain(|id| named.insert(id.clone()));
     Ok(spec)
 }
 
--- /dev/null
+++ b/crates/storage/src/chains.rs
@@ -0,0 +1,103 @@
+//! Records of jobs that wait for others.
+//!
+//! | key | value | life |
+//! | --- | --- | --- |
+//! | `w/chain/<id>` | [`JobRecord`], its `awaits` cut to the first page | until the last awaited job is done, or the job is cancelled |
+//! | `w/chain/<id>/<n>` | [`AwaitsPage`] | as above; removed later |
+//!
+//! A job that waits is not under `w/job/`, so nobody places it, and a process that does
+//! not know chains neither starts, ends nor rewrites it. Once every awaited job's end
+//! says done, one transaction moves it to `w/job/`, from when on it is a job like any other.
+
+use serde::{Deserialize, Serialize};
+
+use crate::records::{EndRecord, JobRecord, end_key, job_key};
+use lemonweir_model::JobId;
+use lemonweir_model::constants::AWAITS_PAGE;
+use lemonweir_protocol::state::{Condition, Txn, Write};
+use lemonweir_protocol::users::Phase;
+
+/// More awaited jobs than the first page holds.
+#[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq)]
+pub struct AwaitsPage {
+    /// Their ids.
+    pub awaits: Vec<JobId>,
+}
+
+/// Key of a job that waits for others.
+pub fn chain_key(id: &JobId) -> String {
+    format!("w/chain/{id}")
+}
+
+/// Key of a further page of the jobs that it awaits, from 1 on.
+pub fn awaits_key(id: &JobId, page: usize) -> String {
+    format!("w/chain/{id}/{page}")
+}
+
+/// Reads the job and the page, 0 for the job itself, from a key below `w/chain/`.
+pub fn parse_chain_key(rest: &str) -> Option<(JobId, usize)> {
+    match rest.split_once('/') {
+        None => Some((JobId::parse(rest)?, 0)),
+        Some((id, page)) => Some((JobId::parse(id)?, page.parse().ok().filter(|page| *page > 0)?)),
+    }
+}
+
+fn absent(key: String) -> Condition {
+    Condition { key, version: 0 }
+}
+
+/// Neither the job nor its end may be known, whether or not it waits for others.
+pub fn unknown_job(id: &JobId) -> Vec<Condition> {
+    [job_key(id), chain_key(id), end_key(id)].map(absent).to_vec()
+}
+
+/// The transactions that accept a job which waits for others, in their order: further
+/// pages first, which mean nothing by themselves, then the job, which counts.
+pub fn accept_waiting(record: &JobRecord, txn_ops: usize) -> Vec<Txn> {
+    let id = &record.spec.id;
+    let mut pages = record.spec.awaits.chunks(AWAITS_PAGE);
+    let first = pages.next().unwrap_or_default().to_vec();
+    let rest: Vec<Write> =
+        pages.zip(1..).map(|(awaits, page)| Write::put(awaits_key(id, page), &AwaitsPage { awaits: awaits.to_vec() })).collect();
+    let mut txns: Vec<Txn> =
+        rest.chunks(txn_ops.max(1)).map(|writes| Txn { conditions: unknown_job(id), writes: writes.to_vec() }).collect();
+    let mut head = record.clone();
+    head.awaited = record.spec.awaits.len();
+    head.spec.awaits = first;
+    txns.push(Txn { conditions: unknown_job(id), writes: vec![Write::put(chain_key(id), &head)] });
+    txns
+}
+
+/// Accepts a job that needs a cancelled one: it is cancelled from the start.
+pub fn accept_cancelled(id: &JobId) -> Txn {
+    Txn { conditions: unknown_job(id), writes: vec![Write::put(end_key(id), &EndRecord { phase: Phase::Withdrawn })] }
+}
+
+/// Cancels a job that waits, whose key has this version: no task of it was ever started.
+pub fn cancel_waiting(id: &JobId, version: u64) -> Txn {
+    Txn {
+        conditions: vec![Condition { key: chain_key(id), version }],
+        writes: vec![Write::put(end_key(id), &EndRecord { phase: Phase::Withdrawn }), Write::Delete { key: chain_key(id) }],
+    }
+}
+
+/// Lets a job start that has waited, whose key has this version: from now on it is a job
+/// like any other.
+///
+/// Guards against a start before all awaited jobs are done: the ends in `done`, each with
+/// the version under which it says so, are conditions.
+pub fn release_waiting(record: &JobRecord, version: u64, done: &[(JobId, u64)]) -> Txn {
+    let id = &record.spec.id;
+    let mut conditions = vec![Condition { key: chain_key(id), version }];
+    conditions.extend(done.iter().map(|(awaited, version)| Condition { key: end_key(awaited), version: *version }));
+    let mut job = record.clone();
+    job.spec.awaits.clear();
+    job.awaited = 0;
+    Txn { conditions, writes: vec![Write::put(job_key(id), &job), Write::Delete { key: chain_key(id) }] }
+}
+
+/// Asks whether these ends have these versions, without a write: an end never changes.
+pub fn ends_stand(done: &[(JobId, u64)]) -> Txn {
+    let conditions = done.iter().map(|(awaited, version)| Condition { key: end_key(awaited), version: *version }).collect();
+    Txn { conditions, writes: Vec::new() }
+}
--- a/crates/storage/src/mirror.rs
+++ b/crates/storage/src/mirror.rs
@@ -7,10 +7,11 @@
 
 use base64::prelude::{BASE64_STANDARD, Engine};
 
+use crate::chains::{AwaitsPage, parse_chain_key};
 use crate::handovers::Rings;
 use crate::records::{JobRecord, MailLine, MailRecord, NodeRecord, PartRecord, TeamRecord, parse_mail_key};
-use lemonweir_model::JobId;
 use lemonweir_model::constants::ENDS_REMEMBERED;
+use lemonweir_model::{JobId, JobSpec};
 use lemonweir_protocol::state::{Change, Entry, from_value};
 use lemonweir_protocol::users::Phase;
 
@@ -23,6 +24,26 @@
     pub version: u64,
 }
 
+/// A job that waits for others.
+#[derive(Clone, Debug)]
+pub struct WaitingJob {
+    /// The record; its `spec` names the first page of the jobs that it awaits.
+    pub record: Arc<JobRecord>,
+    /// Version of the key.
+    pub version: u64,
+}
+
+/// A job's end, which never changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SettledEnd {
+    /// Done or cancelled.
+    pub phase: Phase,
+    /// When this node learned of it, ms.
+    pub learned: u64,
+    /// Version of its key.
+    pub version: u64,
+}
+
 /// A part's owner with the part's token.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Holder {
@@ -39,6 +60,12 @@
     pub revision: Option<u64>,
     /// Unfinished jobs.
     pub jobs: BTreeMap<JobId, MirroredJob>,
+    /// Jobs that wait for others.
+    pub waiting: BTreeMap<JobId, WaitingJob>,
+    /// Further pages of what they await.
+    awaits_pages: BTreeMap<(JobId, usize), Vec<JobId>>,
+    /// Counts changes of jobs that wait.
+    pub waiting_changes: u64,
     /// Owners of parts.
     pub parts: BTreeMap<u16, Holder>,
     /// Living nodes.
@@ -51,8 +78,8 @@
     touched: BTreeSet<JobId>,
     mail: BTreeMap<(MailLine, usize), MailRecord>,
     new_mail: BTreeSet<MailLine>,
-    /// Settled ends, and when each was learned, ms.
-    ends: HashMap<JobId, (Phase, u64)>,
+    /// Settled ends.
+    ends: HashMap<JobId, SettledEnd>,
     ends_order: VecDeque<JobId>,
 }
 
@@ -60,6 +87,9 @@
     /// Takes a full reading.
     pub fn replace(&mut self, entries: &[Entry], revision: u64) {
         self.touched.extend(std::mem::take(&mut self.jobs).into_keys());
+        self.waiting.clear();
+        self.awaits_pages.clear();
+        self.waiting_changes += 1;
         self.parts.clear();
         self.nodes.clear();
         self.teams.clear();
@@ -93,6 +123,7 @@
                 }
                 _ => false,
             },
+            Some(("chain", rest)) => self.set_waiting(rest, value, version),
             Some(("part", index)) => match (index.parse(), from_value::<PartRecord>(value)) {
                 (Ok(index), Some(record)) => {
                     // Guards against going back to a holder from before one that a
@@ -144,10 +175,19 @@
                 // A job that nobody asked to withdraw leaves when it is done: its
                 // end needs no reading.
                 if self.jobs.remove(&id).is_some_and(|j| !j.record.withdrawn) {
-                    self.settle(&id, Phase::Done, now);
+                    // The end was written in the same transaction, at this revision.
+                    self.settle(&id, Phase::Done, version, now);
                 }
                 self.touched.insert(id);
             }
+            Some(("chain", rest)) => {
+                self.waiting_changes += 1;
+                match parse_chain_key(rest) {
+                    Some((id, 0)) => drop(self.waiting.remove(&id)),
+                    Some(page) => drop(self.awaits_pages.remove(&page)),
+                    None => {}
+                }
+            }
             Some(("part", index)) => {
                 // The same guard: a holder that came after this is still there.
                 if let Ok(index) = index.parse::<u16>()
@@ -172,6 +212,52 @@
         }
     }
 
+    fn set_waiting(&mut self, rest: &str, value: &rmpv::Value, version: u64) -> bool {
+        self.waiting_changes += 1;
+        match parse_chain_key(rest) {
+            Some((id, 0)) => {
+                let Some(record) = from_value::<JobRecord>(value) else { return false };
+                self.waiting.insert(id, WaitingJob { record: Arc::new(record), version });
+                true
+            }
+            Some(page) => {
+                let Some(AwaitsPage { awaits }) = from_value(value) else { return false };
+                self.awaits_pages.insert(page, awaits);
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// The jobs that one awaits, if all pages of them are here.
+    pub fn awaits(&self, id: &JobId) -> Option<Vec<JobId>> {
+        let record = &self.waiting.get(id)?.record;
+        let mut awaits = record.spec.awaits.clone();
+        for page in 1.. {
+            if awaits.len() >= record.awaited {
+                break;
+            }
+            awaits.extend(self.awaits_pages.get(&(id.clone(), page))?.iter().cloned());
+        }
+        Some(awaits)
+    }
+
+    /// Further pages of jobs that wait no more.
+    pub fn stray_pages(&self) -> impl Iterator<Item = &(JobId, usize)> {
+        self.awaits_pages.keys().filter(|(id, _)| !self.waiting.contains_key(id))
+    }
+
+    /// True if the job is accepted, as far as this copy tells.
+    pub fn knows(&self, id: &JobId) -> bool {
+        self.jobs.contains_key(id) || self.waiting.contains_key(id) || self.ends.contains_key(id)
+    }
+
+    /// What the user of an unfinished job asked for.
+    pub fn spec(&self, id: &JobId) -> Option<&JobSpec> {
+        let waiting = || self.waiting.get(id).map(|waiting| &waiting.record.spec);
+        self.jobs.get(id).map(|job| &job.record.spec).or_else(waiting)
+    }
+
     /// Jobs that came, changed or went since the last call.
     pub fn take_touched(&mut self) -> BTreeSet<JobId> {
         std::mem::take(&mut self.touched)
@@ -195,11 +281,11 @@
     }
 
     /// Remembers a settled end, learned now; it never changes.
-    pub fn settle(&mut self, job: &JobId, phase: Phase, now: u64) {
+    pub fn settle(&mut self, job: &JobId, phase: Phase, version: u64, now: u64) {
         if self.ends.contains_key(job) {
             return;
         }
-        self.ends.insert(job.clone(), (phase, now));
+        self.ends.insert(job.clone(), SettledEnd { phase, learned: now, version });
         self.ends_order.push_back(job.clone());
         if self.ends_order.len() > ENDS_REMEMBERED
             && let Some(oldest) = self.ends_order.pop_front()
@@ -208,8 +294,8 @@
         }
     }
 
-    /// A settled end and when it was learned, ms, if remembered.
-    pub fn end(&self, job: &JobId) -> Option<(Phase, u64)> {
+    /// A settled end, if remembered.
+    pub fn end(&self, job: &JobId) -> Option<SettledEnd> {
         self.ends.get(job).copied()
     }
 }
--- a/crates/storage/src/records.rs
+++ b/crates/storage/src/records.rs
@@ -6,6 +6,7 @@
 //! | `w/part/<i>` | [`PartRecord`] | with its owner's hold |
 //! | `w/node/<host>` | [`NodeRecord`] | with the node's hold |
 //! | `w/team/<name>` | [`TeamRecord`] | for ever |
+//! | `w/chain/<id>` | [`JobRecord`] | while the job waits for others ([`crate::chains`]) |
 //! | `end/<id>` | [`EndRecord`] | for ever |
 //! | `run/<part>/<id>/<chunk>` | [`ChunkRecord`] | while the job runs or an attempt may |
 //! | `img/<part>/<page>` | [`ImagesRecord`] | for ever; a hint only |
@@ -18,6 +19,7 @@
 use base64::prelude::{BASE64_STANDARD, Engine};
 use serde::{Deserialize, Serialize};
 
+use crate::chains::unknown_job;
 use crate::handovers::NewHandover;
 use lemonweir_model::constants::PEER_VERSION;
 use lemonweir_model::{JobId, JobSpec, MachineId, Room};
@@ -84,6 +86,14 @@
     /// no attempt is left its end is written.
     #[serde(default)]
     pub withdrawn: bool,
+    /// Jobs that it awaits, of which its `spec` may name only the first page; 0 once it
+    /// may start.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub awaited: usize,
+}
+
+fn is_zero(count: &usize) -> bool {
+    *count == 0
 }
 
 /// A part's owner.
@@ -210,18 +220,16 @@
 /// Accepts a job: neither it nor its end may be known.
 pub fn accept_job(record: &JobRecord) -> Txn {
     let id = &record.spec.id;
-    Txn {
-        conditions: [job_key(id), end_key(id)].map(|key| Condition { key, version: 0 }).to_vec(),
-        writes: vec![Write::put(job_key(id), record)],
-    }
+    Txn { conditions: unknown_job(id), writes: vec![Write::put(job_key(id), record)] }
 }
 
-/// Asks whether no such jobs are: neither unfinished nor over. It writes
-/// nothing; what it fails on is there.
+/// Conditions of [`absent`] for one job.
+pub const ABSENT_CONDITIONS: usize = 3;
+
+/// Asks whether no such jobs are: neither unfinished, waiting for others nor over. It
+/// writes nothing; what it fails on is there.
 pub fn absent(jobs: &[JobId]) -> Txn {
-    let none = |key: String| Condition { key, version: 0 };
-    let conditions = jobs.iter().flat_map(|id| [none(job_key(id)), none(end_key(id))]).collect();
-    Txn { conditions, writes: Vec::new() }
+    Txn { conditions: jobs.iter().flat_map(unknown_job).collect(), writes: Vec::new() }
 }
 
 /// Asks for the end of a job whose key has this version: if it has ended
