--- a/crates/coordination/src/chains.rs
+++ b/crates/coordination/src/chains.rs
@@ -74,6 +74,8 @@
     verified: HashSet<JobId>,
     /// When to try again after a transaction that was not made, ms.
     not_before: u64,
+    /// What the copy said when all waiting jobs were last looked at, and when that was, ms.
+    surveyed: Option<(u64, u64)>,
 }
 
 impl Chains {
@@ -85,6 +87,24 @@
 
 /// A job that waits, on the way through those that it needs.
 fn standing(mirror: &Mirror, id: &JobId) -> Standing {
+    let direct = direct_standing(mirror, id);
+    let (waits, mut unread) = match direct {
+        Standing::Waits(waits) => (waits, Vec::new()),
+        // What the others need may still tell that it is cancelled.
+        Standing::Unread(unread) => (mirror.awaits(id).unwrap_or_default(), unread),
+        decided => return decided,
+    };
+    let (cancelled, further) = cancelled_before(mirror, &waits);
+    unread.extend(further);
+    match cancelled {
+        Some(end) => Standing::Cancelled(end),
+        None if !unread.is_empty() => Standing::Unread(unread),
+        None => Standing::Waits(waits),
+    }
+}
+
+/// The same, by the jobs that it names alone.
+fn direct_standing(mirror: &Mirror, id: &JobId) -> Standing {
     let Some(awaits) = mirror.awaits(id) else { return Standing::Unread(Vec::new()) };
     let (mut done, mut waits, mut unread) = (Vec::new(), Vec::new(), Vec::new());
     for awaited in &awaits {
@@ -95,16 +115,36 @@
             None => unread.push(awaited.clone()),
         }
     }
-    let (cancelled, further) = cancelled_before(mirror, &waits);
-    unread.extend(further);
-    match cancelled {
-        Some(end) => Standing::Cancelled(end),
-        None if !unread.is_empty() => Standing::Unread(unread),
-        None if waits.is_empty() => Standing::Ready(done),
-        None => Standing::Waits(waits),
+    match (unread.is_empty(), waits.is_empty()) {
+        (false, _) => Standing::Unread(unread),
+        (true, false) => Standing::Waits(waits),
+        (true, true) => Standing::Ready(done),
     }
 }
 
+/// Waiting jobs that need a cancelled one, each with the end that cancels it. Each job is
+/// looked at once for all of them together.
+fn cancelled_with(mirror: &Mirror) -> HashMap<JobId, SettledEnd> {
+    let mut needed_by: HashMap<JobId, Vec<&JobId>> = HashMap::new();
+    let mut queue: Vec<(&JobId, SettledEnd)> = Vec::new();
+    for id in mirror.waiting.keys() {
+        for awaited in mirror.awaits(id).unwrap_or_default() {
+            match mirror.end(&awaited) {
+                Some(end) if end.phase == Phase::Withdrawn => queue.push((id, end)),
+                Some(_) => {}
+                None => needed_by.entry(awaited).or_default().push(id),
+            }
+        }
+    }
+    let mut cancelled: HashMap<JobId, SettledEnd> = HashMap::new();
+    while let Some((id, end)) = queue.pop() {
+        if cancelled.insert(id.clone(), end).is_none() {
+            queue.extend(needed_by.get(id).into_iter().flatten().map(|next| (*next, end)));
+        }
+    }
+    cancelled
+}
+
 /// The end of a cancelled job somewhere before these, and the jobs there of which nothing
 /// is known. Each job is looked at once, however many need it.
 fn cancelled_before(mirror: &Mirror, jobs: &[JobId]) -> (Option<SettledEnd>, Vec<JobId>) {
@@ -201,6 +241,11 @@
         self.mirror.waiting.get(id).map(|waiting| cancel_waiting(id, waiting.version))
     }
 
+    /// The priority that a job is placed with here, if this node places it.
+    pub fn placed_rank(&self, id: &JobId) -> Option<Rank> {
+        self.parts.values().find_map(|part| part.placer.rank(id))
+    }
+
     /// Follows the changes of waiting jobs: the jobs whose priority has changed.
     pub(crate) fn relend(&mut self) -> Vec<JobId> {
         if self.chains.seen == self.mirror.waiting_changes {
@@ -228,13 +273,25 @@
         if self.mirror.waiting.is_empty() && self.mirror.stray_pages().next().is_none() || now < self.chains.not_before {
             return;
         }
+        // Guards against a look at thousands of waiting jobs at every event.
+        let changes = self.mirror.chain_changes();
+        let looked = |(before, at): (u64, u64)| now < at + CHAIN_LOOK_MS || before == changes && now < at + COPY_REFRESH_MS;
+        if self.chains.pending.is_some() || self.chains.surveyed.is_some_and(looked) {
+            return;
+        }
+        self.chains.surveyed = Some((changes, now));
         let kept: Vec<JobId> =
             self.mirror.waiting.iter().filter(|(_, w)| self.keeps_chains_of(&w.record.spec.team)).map(|(id, _)| id.clone()).collect();
+        let with_cancelled = cancelled_with(&self.mirror);
         let mut unread = BTreeSet::new();
         let mut ready = Vec::new();
         let mut cancelled = Vec::new();
         for id in kept {
-            match self.chain_standing(&id) {
+            if with_cancelled.contains_key(&id) {
+                cancelled.push(id);
+                continue;
+            }
+            match direct_standing(&self.mirror, &id) {
                 Standing::Ready(done) => ready.push((id, done)),
                 Standing::Cancelled(_) => cancelled.push(id),
                 Standing::Unread(ids) => unread.extend(ids),
@@ -246,9 +303,7 @@
             self.chains.reading.extend(wanted.iter().cloned());
             effects.push(Effect::ReadEnds(wanted));
         }
-        if self.chains.pending.is_none()
-            && let Some((txn, pending)) = self.chain_txn(&ready, &cancelled)
-        {
+        if let Some((txn, pending)) = self.chain_txn(&ready, &cancelled) {
             self.chains.pending = Some(pending);
             effects.push(Effect::Chain(txn));
         }
@@ -299,6 +354,7 @@
     /// The transaction of [`Effect::Chain`] ended.
     pub fn chain_done(&mut self, outcome: TxnOutcome, now: u64) {
         let Some(pending) = self.chains.pending.take() else { return };
+        self.chains.surveyed = None;
         let TxnOutcome::Done(revision) = outcome else {
             // What it was made of has changed: a newer copy tells.
             self.chains.not_before = now + CHAIN_RETRY_MS;
@@ -323,6 +379,7 @@
     pub fn ends_read(&mut self, ids: &[JobId], now: u64) {
         for id in ids {
             self.chains.reading.remove(id);
+            self.chains.surveyed = None;
             if !self.mirror.knows(id) {
                 self.chains.not_before = now + CHAIN_RETRY_MS;
             }
--- a/crates/coordination/src/placer/mod.rs
+++ b/crates/coordination/src/placer/mod.rs
@@ -531,6 +531,11 @@
         self.fields.iter().map(Field::looked).sum()
     }
 
+    /// The priority that a job is placed with.
+    pub(crate) fn rank(&self, id: &JobId) -> Option<Rank> {
+        self.jobs.get(id).map(Job::rank)
+    }
+
     /// The counts of one job, if it is this part's, and why it waits.
     pub fn job_note(&self, id: &JobId, now: u64) -> Option<(u64, u64, String)> {
         let job = self.jobs.get(id).filter(|j| !j.over)?;
--- a/crates/model/src/constants.rs
+++ b/crates/model/src/constants.rs
@@ -254,6 +254,9 @@
 /// ms after which a transaction for waiting jobs is tried again that was not made: a
 /// reading of the store lies between.
 pub const CHAIN_RETRY_MS: u64 = 300;
+/// ms between two looks at all waiting jobs: little beside the fetch of an image, and
+/// enough for thousands of them on a tenth of a core.
+pub const CHAIN_LOOK_MS: u64 = 50;
 
 /// ms after which an unanswered store request is given up.
 pub const STATE_TIMEOUT_MS: u64 = 1_500;
--- a/crates/storage/src/mirror.rs
+++ b/crates/storage/src/mirror.rs
@@ -66,6 +66,8 @@
     awaits_pages: BTreeMap<(JobId, usize), Vec<JobId>>,
     /// Counts changes of jobs that wait.
     pub waiting_changes: u64,
+    /// Counts jobs that ended or went.
+    ended_changes: u64,
     /// Owners of parts.
     pub parts: BTreeMap<u16, Holder>,
     /// Living nodes.
@@ -181,6 +183,7 @@
         match key.strip_prefix("w/").and_then(|k| k.split_once('/')) {
             Some(("job", id)) => {
                 let id = JobId::from(id);
+                self.ended_changes += 1;
                 // A job that nobody asked to withdraw leaves when it is done: its
                 // end needs no reading.
                 if self.jobs.remove(&id).is_some_and(|j| !j.record.withdrawn) {
@@ -256,6 +259,11 @@
         self.awaits_pages.keys().filter(|(id, _)| !self.waiting.contains_key(id))
     }
 
+    /// Changes with any of which waiting jobs may stand otherwise.
+    pub fn chain_changes(&self) -> u64 {
+        self.waiting_changes + self.ended_changes
+    }
+
     /// True if the job is accepted, as far as this copy tells.
     pub fn knows(&self, id: &JobId) -> bool {
         self.jobs.contains_key(id) || self.waiting.contains_key(id) || self.ends.contains_key(id)
@@ -294,6 +302,7 @@
         if self.ends.contains_key(job) {
             return;
         }
+        self.ended_changes += 1;
         self.ends.insert(job.clone(), SettledEnd { phase, learned: now, version });
         self.ends_order.push_back(job.clone());
         if self.ends_order.len() > ENDS_REMEMBERED
