--- a/crates/coordination/src/placer/telling.rs
+++ b/crates/coordination/src/placer/telling.rs
@@ -3,6 +3,19 @@
 use super::*;
 use lemonweir_storage::records::GangStep;
 
+/// The first of some items, as many as take so many bytes.
+///
+/// Guards against a message through the store that is too large for it, and so never
+/// carries the stops that stand in it.
+fn fitting<T>(items: impl Iterator<Item = T>, mut bytes: usize, size: impl Fn(&T) -> usize) -> Vec<T> {
+    let fits = |item: &T| {
+        let left = bytes.checked_sub(size(item));
+        bytes = left.unwrap_or(0);
+        left.is_some()
+    };
+    items.take_while(fits).collect()
+}
+
 impl Placer {
     /// Notes what changed in what the owners are told.
     pub(super) fn flush(&mut self) {
@@ -82,6 +95,9 @@
     /// other nodes only, and go where there is room for them.
     pub fn sync_for(&mut self, to: u16, to_token: u64, mut room: usize, notes: bool, now: u64) -> Sync {
         self.flush();
+        // What stands beside the changes gets a share each: together with them it is twice
+        // `room` at the most.
+        let beside = room / 4;
         let link = &mut self.links[usize::from(to)];
         if link.to_token != to_token {
             (link.to_token, link.acked, link.notes_acked) = (to_token, 0, 0);
@@ -98,7 +114,7 @@
         }
         // Guards against a stop order that waits behind hundreds of starts
         // where a message holds few.
-        let stops = if span.last { Vec::new() } else { stops_beyond(&link.wants, span.upto, room.max(STOPS_BYTES)) };
+        let stops = if span.last { Vec::new() } else { stops_beyond(&link.wants, span.upto, room.max(STOPS_BYTES.min(beside))) };
         let mut told = Vec::new();
         if notes {
             let (span, changes) = self.notes.since(link.notes_acked, &mut room, |_, _| NOTE_BYTES);
@@ -115,12 +131,8 @@
                 })
                 .collect();
         }
-        let rented = self
-            .promises
-            .iter()
-            .filter(|p| p.part == to)
-            .map(|p| Rented { age_ms: now.saturating_sub(p.at), ..p.rented.clone() })
-            .collect();
+        let rented = self.promises.iter().filter(|p| p.part == to).map(|p| Rented { age_ms: now.saturating_sub(p.at), ..p.rented.clone() });
+        let rented = fitting(rented, beside, written);
         let field = &self.fields[usize::from(to)];
         Sync {
             version: PEER_VERSION,
@@ -137,7 +149,7 @@
             have: if link.token == to_token { link.have } else { Have::default() },
             strays: 0,
             rented,
-            keep: self.keep.iter().filter(|m| field.find(m).is_some()).cloned().collect(),
+            keep: fitting(self.keep.iter().filter(|m| field.find(m).is_some()).cloned(), beside, written),
             notes: told,
         }
     }
--- a/crates/coordination/tests/turns.rs
+++ b/crates/coordination/tests/turns.rs
@@ -4,9 +4,9 @@
 
 use std::sync::Arc;
 
-use lemonweir_coordination::placer::{Placer, TxnOutcome};
+use lemonweir_coordination::placer::{Placer, Promise, TxnOutcome};
 use lemonweir_model::{JobId, JobSpec, Rank};
-use lemonweir_protocol::peer::Span;
+use lemonweir_protocol::peer::{self, Rented, Span};
 use lemonweir_protocol::state::Write;
 use lemonweir_storage::mirror::MirroredJob;
 use lemonweir_storage::records::JobRecord;
@@ -63,3 +63,20 @@
     assert_eq!(written, oldest_first);
     assert_eq!(starts, 40, "and every start has its turn after them");
 }
+
+/// Found on a day with values of 2 KiB and four changes a transaction: what a placer rented
+/// and keeps stood beside the changes without a bound, the message was too large for the
+/// store, and so were all that followed.
+#[test]
+fn a_message_stays_below_twice_its_room() {
+    let mut placer = Placer::new(0, TOKEN, 2, terms(), 0);
+    for n in 0..500 {
+        let rented = Rented { machine: machine(n), kind: "box".into(), zone: "north".into(), spot: false, age_ms: 0 };
+        placer.promises.push(Promise { rented, part: 1, at: 1 });
+    }
+    for room in [700, 2_700, 24_000] {
+        let sync = placer.sync_for(1, TOKEN, room, false, 10);
+        assert!(peer::write(&sync).len() <= 2 * room, "{room}: {}", peer::write(&sync).len());
+        assert!(!sync.rented.is_empty(), "{room}");
+    }
+}
