--- a/crates/coordination/src/budget.rs
+++ b/crates/coordination/src/budget.rs
@@ -1,6 +1,6 @@
 //! This node's share of a limit that all nodes have in common.
 
-use lemonweir_model::constants::{BUDGET_FALL, BUDGET_RISE, QUESTIONS_SHARE, WHOLE_FALL, WHOLE_LEAST, WHOLE_RISE};
+use lemonweir_model::constants::{BUDGET_FALL, BUDGET_RISE, QUESTIONS_SHARE, WHOLE_FALL, WHOLE_RISE};
 
 /// Tokens that refill with time; callers wait for theirs.
 ///
@@ -14,6 +14,8 @@
     /// What all nodes together take at most, and what the settings promise.
     whole: f64,
     promised: f64,
+    /// What it will be at the least.
+    least: f64,
     per_s: f64,
     tokens: f64,
     at: u64,
@@ -23,7 +25,12 @@
     /// A bucket for one of `nodes` that share `whole` a second.
     pub fn new(whole: f64, nodes: usize, now_us: u64) -> Self {
         let share = whole / nodes as f64;
-        Self { share, whole, promised: whole, per_s: share, tokens: share.max(1.0), at: now_us }
+        Self { share, whole, promised: whole, least: whole, per_s: share, tokens: share.max(1.0), at: now_us }
+    }
+
+    /// The same where the whole may fall to `least` without notice.
+    pub fn falling_to(self, least: f64) -> Self {
+        Self { least: least.min(self.whole), ..self }
     }
 
     /// Takes `n` tokens, going into debt; returns how long to wait for them, µs.
@@ -49,14 +56,14 @@
     }
 
     /// The other side refused, which may take less than it did. What all nodes together may
-    /// take is learned from refusals at the equal share: there no other node took more than
-    /// its own.
+    /// take is learned from refusals at the equal share, down to what the settings name.
     ///
     /// Guards against changes that are refused again and again once the service takes fewer,
-    /// without notice.
+    /// without notice. Where the settings name no lower limit nothing is learned: a node at
+    /// its equal share is refused too while another one takes more than its own.
     pub fn refused_for_good(&mut self) {
         if self.per_s <= self.share {
-            let lower = (self.whole * WHOLE_FALL).max(self.promised * WHOLE_LEAST);
+            let lower = (self.whole * WHOLE_FALL).max(self.least);
             self.share *= lower / self.whole;
             self.whole = lower;
         }
--- a/crates/coordination/tests/answers.rs
+++ b/crates/coordination/tests/answers.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use lemonweir_coordination::budget::Requests;
+use lemonweir_coordination::budget::{Bucket, Requests};
 use lemonweir_coordination::questions::{Asked, Line, Questions, Refusal};
 use lemonweir_model::JobId;
 use lemonweir_model::constants::*;
@@ -203,3 +203,22 @@
         assert!(written as f64 >= 60.0 * share * 0.45, "{whole} of {nodes}: {written} written");
     }
 }
+
+/// A limit that fell is learned where the settings name it, and only there: a node at its
+/// equal share is also refused while another one takes more.
+#[test]
+fn only_a_limit_that_the_settings_name_is_learned() {
+    let rate = |bucket: &mut Bucket| {
+        for now_us in (0..20_000_000u64).step_by(100_000) {
+            bucket.refused_for_good();
+            bucket.take(1.0, now_us);
+        }
+        // What waits now waits for so long a change.
+        bucket.take(200.0, 20_000_000);
+        let (before, after) = (bucket.wait(20_000_000), bucket.take(1.0, 20_000_000));
+        1e6 / (after - before) as f64
+    };
+    let (unnamed, named) = (rate(&mut Bucket::new(60.0, 3, 0)), rate(&mut Bucket::new(60.0, 3, 0).falling_to(42.0)));
+    assert!(unnamed > 19.0, "{unnamed}");
+    assert!((13.0..16.0).contains(&named), "{named}");
+}
--- a/crates/model/src/constants.rs
+++ b/crates/model/src/constants.rs
@@ -281,8 +281,6 @@
 /// Share by which the learned limit rises again in a second without refusals: one that
 /// fell to two thirds is tried in full after some minutes.
 pub const WHOLE_RISE: f64 = 0.001;
-/// Share of the promised limit below which the learned one never falls.
-pub const WHOLE_LEAST: f64 = 0.25;
 /// Bytes of task records in one transaction: below the 64 KiB that it may
 /// hold, with room for conditions.
 pub const TXN_BYTES: usize = 40_000;
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -52,7 +52,12 @@
 impl Budget {
     /// A budget for one of `nodes` that share `whole` a second.
     pub(crate) fn new(whole: f64, nodes: usize) -> Self {
-        Self { bucket: RefCell::new(Bucket::new(whole, nodes, 0)), started: Instant::now() }
+        Self::falling(whole, whole, nodes)
+    }
+
+    /// The same where the whole may fall to `least` without notice.
+    pub(crate) fn falling(whole: f64, least: f64, nodes: usize) -> Self {
+        Self { bucket: RefCell::new(Bucket::new(whole, nodes, 0).falling_to(least)), started: Instant::now() }
     }
 
     fn now_us(&self) -> u64 {
@@ -89,7 +94,12 @@
     pub(crate) fn new(courier: Rc<Courier>, limits: &StateLimits, nodes: usize) -> Self {
         let ours = |x: f64| x * BUDGET_PERCENT as f64 / 100.0;
         let requests = Rc::new(RefCell::new(Requests::new(ours(limits.rps), nodes, 0)));
-        Self { courier, requests, writes: Rc::new(Budget::new(ours(limits.write_rps), nodes)), started: Instant::now() }
+        Self {
+            courier,
+            requests,
+            writes: Rc::new(Budget::falling(ours(limits.write_rps), ours(limits.least_write_rps()), nodes)),
+            started: Instant::now(),
+        }
     }
 
     fn now_us(&self) -> u64 {
