--- a/crates/coordination/tests/slow_store.rs
+++ b/crates/coordination/tests/slow_store.rs
@@ -1,27 +1,16 @@
 //! A store that answers after seconds: which timers take that for an outage.
 
+#[path = "support/controllers.rs"]
+mod controllers;
+mod support;
+
+use controllers::settings;
 use lemonweir_coordination::{Config, Core};
 use lemonweir_model::constants::*;
-use lemonweir_model::settings::Settings;
 use lemonweir_protocol::links::Service;
 
 fn core() -> Core {
-    let seed = |n: u16| serde_json::json!({"host_name": format!("h{n}"), "zone": "north", "address": format!("10.0.0.{n}:8081")});
-    let value = serde_json::json!({
-        "host_name": "h1", "zone": "north", "listen": "10.0.0.1:8080", "internal_addr": "10.0.0.1:8081",
-        "seeds": [seed(0), seed(2)],
-        "services": {"cloud": "10.2.0.2:8443", "state": "10.2.0.1:2379"},
-        "cluster": {
-            "zones": ["north"], "teams": [{"name": "red"}], "objectives": [],
-            "workers": {"report_s": 3.0, "lease_s": 14.0, "gang_wait_s": 50.0, "gang_peer_s": 8.0, "cancel_s": 34.0},
-            "state": {"rps": 200.0, "write_rps": 80.0, "value_kb": 8.0, "txn_ops": 32},
-            "cloud": {"rps": 4.0, "list_lag_s": 10.0},
-            "limits": {"cpu_share": 0.12, "mem_mb": 104.0, "fd_limit": 1800},
-            "clock_off_ms": 250.0
-        }
-    });
-    let settings: Settings = serde_json::from_value(value).expect("settings");
-    let mut core = Core::new(Config::new(&settings), lemonweir_policy::embedded().expect("policy"));
+    let mut core = Core::new(Config::new(&settings(1)), lemonweir_policy::embedded().expect("policy"));
     core.mirror.replace(&[], 50);
     core.set_catalog(Default::default());
     core
