--- a/crates/lab/src/hunt.rs
+++ b/crates/lab/src/hunt.rs
@@ -62,6 +62,7 @@
         "name = 'hunt'\nduration_s = {DAY_S}\ncontrollers = {controllers}\nzones = [{}]\npoll_s = 10\n\
          [workers]\nreport_s = {report:.2}\nlease_s = {lease:.2}\ncancel_s = {cancel:.2}\n\
          [state]\nrps = {}\nwrite_rps = {}\ntxn_ops = {}\n\
+         [state.next]\nwrite_rps = {}\nvalue_kb = 2\ntxn_ops = 4\n\
          [cloud]\nrps = {}\nlist_lag_s = {:.1}\n\
          [messages]\nlost_command = {}\nlate_command = {}\nlost_sync = {}\nlate_sync = 500\nlost_txn_reply = {}\nlate_txn = {}\n\
          [[machine_type]]\nname = 'box'\ncpus = 16\ngpus = 4\nmemory_gb = 64\ncache_gb = 60\nfetch_gb_per_s = 0.8\nprice = 4\nspot_price = 1\n\
@@ -71,6 +72,7 @@
         60 * controllers + machines as usize / 10,
         40 + machines / 12,
         rng.random_range(8..33),
+        28 + machines / 18,
         rng.random_range(3..9) + controllers,
         rng.random_range(2.0..15.0),
         rng.random_range(0..30),
@@ -115,6 +117,9 @@
         );
     }
     w.push_str(&guest);
+    if rng.random::<bool>() {
+        w.push_str(&chains(machines));
+    }
     let host = |rng: &mut ChaCha8Rng| rng.random_range(0..controllers);
     let one = |rng: &mut ChaCha8Rng, at: f64, length: f64| {
         let (a, b, zone) = (host(rng), host(rng), rng.random_range(0..zones));
@@ -170,6 +175,7 @@
             format!("kind = 'cancel_now'\ncount = {}\nfor_s = 1", 1 + machines / 8),
             format!("kind = 'cancel_now'\ncount = {}\nhang_s = {length:.1}\nfor_s = 1", 1 + machines / 8),
             format!("kind = 'odd_requests'\nfor_s = {length:.1}"),
+            "kind = 'state_limits'\nfor_s = 1".to_owned(),
             format!("kind = 'refused'\ncontroller = {a}\ncarried = true\nfor_s = {length:.1}"),
             format!("kind = 'refused'\ncontroller = {a}\ncarried = true\nfor_s = {length:.1}"),
             format!("kind = 'crash'\ncontroller = {a}\nfor_s = {short:.1}"),
@@ -202,6 +208,19 @@
     (w, troubles)
 }
 
+/// Jobs in a line of three across teams, of which the last is urgent and needs both others.
+fn chains(machines: u32) -> String {
+    let per_min = 1.0 + f64::from(machines) / 60.0;
+    format!(
+        "[[class]]\nname = 'first'\nteams = ['red', 'blue']\npriority = 'low'\nspot = true\ncpus = 1\nmemory_gb = 2\nrun_s = 15\n\
+         tasks = {{ dist = 'uniform', low = 1, high = 80 }}\nper_min = {per_min:.2}\ncancelled = 0.15\n\
+         [[class]]\nname = 'second'\nteams = ['blue', 'red']\nshape = 'gang'\ncpus = 1\nmemory_gb = 2\nrun_s = 20\n\
+         tasks = {{ dist = 'uniform', low = 2, high = 4 }}\nawaits = ['first']\n\
+         [[class]]\nname = 'last'\nteams = ['red', 'blue']\npriority = 'high'\nspot = true\ncpus = 1\nmemory_gb = 2\nrun_s = 8\ntasks = 3\n\
+         awaits = ['first', 'second']\nlater_s = {{ dist = 'uniform', low = 0, high = 40 }}\ncancelled = 0.1\n"
+    )
+}
+
 /// One of the ways in which a guest without a guarantee takes up room: a huge
 /// array, many tiny jobs, or long idle work.
 fn guests(rng: &mut ChaCha8Rng, machines: u32) -> String {
