--- a/crates/lab/src/world/users.rs
+++ b/crates/lab/src/world/users.rs
@@ -180,7 +180,9 @@
                 self.ground.checker.submitted(&load.spec);
                 self.ground.jobs.insert(id.clone(), load);
             }
-            self.ground.history.note(now, "submit", &id, &"");
+            let awaits = self.ground.jobs.get(&id).map(|load| load.spec.awaits.clone()).unwrap_or_default();
+            let awaits: Vec<&str> = awaits.iter().map(JobId::as_str).collect();
+            self.ground.history.note(now, "submit", &id, &awaits.join(" "));
             if !self.unfit.contains(&id) {
                 self.measures.submitted();
             }
