Coordination: effects and workers' reports have modules of their own

lib.rs held types, reports, silence and events in 770 lines; what the process is asked to do is in effects.rs, how reports are answered in reports.rs. Nothing else changes.

--- /dev/null
+++ b/crates/coordination/src/effects.rs
@@ -0,0 +1,101 @@
+//! What the decisions ask the process to do, and how it tells them of the end.
+
+use lemonweir_model::JobId;
+use lemonweir_model::MachineId;
+use lemonweir_protocol::cloud::Rental;
+use lemonweir_protocol::links::{Service, Word};
+use lemonweir_protocol::peer::{Sync, View};
+use lemonweir_protocol::state::Txn;
+use lemonweir_protocol::worker::ReportReply;
+use lemonweir_storage::records::{parse_run_key, part_key};
+
+use crate::owner::CommandCall;
+
+/// What the process has to do. Each names the part and its token, so that an
+/// answer to a part that is no longer held is dropped.
+#[derive(Debug)]
+pub enum Effect {
+    /// Make a transaction.
+    Txn(Lot, Txn),
+    /// Make a transaction for jobs that wait for others.
+    Chain(Txn),
+    /// Read the ends of these jobs.
+    ReadEnds(Vec<JobId>),
+    /// Write a hint; its end does not matter.
+    Note(Txn),
+    /// Call a worker.
+    Command(Lot, CommandCall),
+    /// Sync with an owner on another node.
+    Sync(Lot, Sync),
+    /// Send a sync through the store.
+    MailSync(Sync),
+    /// Answer a sync through the store, to this part.
+    MailView(u16, View),
+    /// Ask another part's placer to sync with us.
+    Nudge(u16),
+    /// Rent machines.
+    Rent(Lot, Rental),
+    /// Give machines back.
+    Release(Lot, Vec<MachineId>),
+    /// Tell another controller of our links.
+    Hail(u16, Word),
+    /// Try a service's direct way with a request that changes nothing.
+    Probe(Service),
+}
+
+/// Counted work and judgements.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// Words of bits and machines that walks looked at.
+    pub looked: u64,
+    /// Placements refused for want of room.
+    pub refused: u64,
+    /// Attempts pushed out for others.
+    pub pushed_out: u64,
+}
+
+/// A part with the token under which something was asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Lot {
+    /// The part.
+    pub part: u16,
+    /// Its token.
+    pub token: u64,
+}
+
+/// Keys of task records to read again after a transaction for a shard met other
+/// versions: those among `conflicts`, or none if the shard itself is lost.
+///
+/// Guards against a deposed leader that reads its records again, one by one, while its
+/// successor loads them.
+pub fn keys_to_reread(lot: Lot, conflicts: &[String]) -> Vec<&str> {
+    if conflicts.contains(&part_key(lot.part)) {
+        return Vec::new();
+    }
+    conflicts.iter().map(String::as_str).filter(|key| parse_run_key(key).is_some()).collect()
+}
+
+/// What to answer to a worker's report.
+#[derive(Debug)]
+pub enum ReportAnswer {
+    /// 200 with orders.
+    Orders(ReportReply),
+    /// 421: report to this controller.
+    Elsewhere(String),
+    /// Carry the report to the owner, the controller of this number, and answer
+    /// with its answer.
+    Carry(u16),
+    /// 503.
+    Unable,
+}
+
+/// How a rental went.
+#[derive(Debug)]
+pub enum RentResult {
+    /// These machines were rented.
+    Rented(Vec<MachineId>),
+    /// None available.
+    NoCapacity,
+    /// Ask again, with the same name: it may have been executed.
+    Again,
+}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod chains;
 pub mod changes;
 mod config;
+mod effects;
 mod evidence;
 pub mod fault_attribution;
 pub mod fleet;
@@ -25,22 +26,24 @@
 mod promise;
 mod pump;
 pub mod questions;
+mod reports;
 mod sessions;
 pub mod sockets;
 pub mod watch;
 pub mod weights;
 
 pub use config::{Config, mail_piece_bytes};
+pub use effects::{Effect, Lot, RentResult, ReportAnswer, Tally, keys_to_reread};
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
-use tracing::{debug, info, warn};
+use tracing::{debug, info};
 
 use crate::chains::Chains;
 use crate::fleet::Shortage;
-use crate::links::{Links, Stray, StrayReport};
-use crate::owner::{CommandCall, CommandResult, Owner, SyncRefusal};
+use crate::links::Links;
+use crate::owner::{Owner, SyncRefusal};
 use crate::pause::Pause;
 use crate::placer::{Placer, Promise, Terms, TxnOutcome, TxnVerdict};
 use crate::watch::takeover::Takeover;
@@ -48,103 +51,11 @@
 use lemonweir_model::policy::Policy;
 use lemonweir_model::{Catalog, JobId, JobSpec, MachineId, Rank};
 use lemonweir_protocol::cloud::{Rental, RentalEntry};
-use lemonweir_protocol::links::{Service, Word};
 use lemonweir_protocol::peer::{self, JobNote, Rented, Superseded, Sync, View};
-use lemonweir_protocol::state::Txn;
 use lemonweir_protocol::users::Phase;
-use lemonweir_protocol::worker::{Report, ReportReply};
 use lemonweir_storage::Mirror;
 use lemonweir_storage::mirror::{Holder, MirroredJob};
-use lemonweir_storage::records::{ChunkRecord, ImagesRecord, MailKind, parse_run_key, part_key};
-
-/// What the process has to do. Each names the part and its token, so that an
-/// answer to a part that is no longer held is dropped.
-#[derive(Debug)]
-pub enum Effect {
-    /// Make a transaction.
-    Txn(Lot, Txn),
-    /// Make a transaction for jobs that wait for others.
-    Chain(Txn),
-    /// Read the ends of these jobs.
-    ReadEnds(Vec<JobId>),
-    /// Write a hint; its end does not matter.
-    Note(Txn),
-    /// Call a worker.
-    Command(Lot, CommandCall),
-    /// Sync with an owner on another node.
-    Sync(Lot, Sync),
-    /// Send a sync through the store.
-    MailSync(Sync),
-    /// Answer a sync through the store, to this part.
-    MailView(u16, View),
-    /// Ask another part's placer to sync with us.
-    Nudge(u16),
-    /// Rent machines.
-    Rent(Lot, Rental),
-    /// Give machines back.
-    Release(Lot, Vec<MachineId>),
-    /// Tell another controller of our links.
-    Hail(u16, Word),
-    /// Try a service's direct way with a request that changes nothing.
-    Probe(Service),
-}
-
-/// Counted work and judgements.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Tally {
-    /// Words of bits and machines that walks looked at.
-    pub looked: u64,
-    /// Placements refused for want of room.
-    pub refused: u64,
-    /// Attempts pushed out for others.
-    pub pushed_out: u64,
-}
-
-/// A part with the token under which something was asked.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Lot {
-    /// The part.
-    pub part: u16,
-    /// Its token.
-    pub token: u64,
-}
-
-/// Keys of task records to read again after a transaction for a shard met other
-/// versions: those among `conflicts`, or none if the shard itself is lost.
-///
-/// Guards against a deposed leader that reads its records again, one by one, while its
-/// successor loads them.
-pub fn keys_to_reread(lot: Lot, conflicts: &[String]) -> Vec<&str> {
-    if conflicts.contains(&part_key(lot.part)) {
-        return Vec::new();
-    }
-    conflicts.iter().map(String::as_str).filter(|key| parse_run_key(key).is_some()).collect()
-}
-
-/// What to answer to a worker's report.
-#[derive(Debug)]
-pub enum ReportAnswer {
-    /// 200 with orders.
-    Orders(ReportReply),
-    /// 421: report to this controller.
-    Elsewhere(String),
-    /// Carry the report to the owner, the controller of this number, and answer
-    /// with its answer.
-    Carry(u16),
-    /// 503.
-    Unable,
-}
-
-/// How a rental went.
-#[derive(Debug)]
-pub enum RentResult {
-    /// These machines were rented.
-    Rented(Vec<MachineId>),
-    /// None available.
-    NoCapacity,
-    /// Ask again, with the same name: it may have been executed.
-    Again,
-}
+use lemonweir_storage::records::{ChunkRecord, ImagesRecord, MailKind};
 
 #[derive(Clone, Default)]
 struct Line {
@@ -413,141 +324,8 @@
         Some(format!("{}, which places for {team}, can't be reached from here since {} s", holder.host, now.saturating_sub(since) / 1_000))
     }
 
-    // ---- standing still ------------------------------------------------------
-
-    /// Something happens: notes whether this process stood still before it.
-    fn awake(&mut self, now: u64) {
-        if let Some(gap) = self.pause.pass(now) {
-            self.stood_still(gap, now);
-        }
-    }
-
-    fn stood_still(&mut self, gap: u64, now: u64) {
-        self.links.note(now, format!("this controller stood still for {gap} ms"));
-        self.links.stood_still(gap, now);
-        for part in self.parts.values_mut() {
-            part.owner.stood_still(gap, now);
-        }
-    }
-
-    /// True if this process stood still for so long that another may hold what it
-    /// held, and the store has not shown otherwise yet.
-    pub fn unproven(&self) -> bool {
-        self.pause.unproven(self.links.store_heard())
-    }
-
     // ---- events ------------------------------------------------------------
 
-    /// A worker reported.
-    pub fn report(&mut self, report: &Report, now: u64) -> ReportAnswer {
-        self.awake(now);
-        // A zone that nobody knows is no link.
-        let known = self.config.zones.contains(&report.zone);
-        if !known && self.odd_zones.len() < ODD_ZONES && self.odd_zones.insert(report.zone.clone()) {
-            warn!(machine = %report.machine, zone = report.zone, "machine of a zone that is not in the settings");
-        }
-        let part = self.config.part_of(&report.zone, &report.machine);
-        if self.mirror.revision.is_none() && part == self.config.me {
-            self.links.came(&report.zone, known, now);
-            return self.keep_promise(report, now);
-        }
-        if let Some(part) = self.parts.get(&part) {
-            self.links.came(&report.zone, known && part.owner.is_news(report), now);
-        }
-        if self.parts.contains_key(&part) {
-            return self.answer_report(report, part, None, now);
-        }
-        let (again, news) = self.links.strays.came(part, &report.machine, sessions::SequenceNumber::of(report), now);
-        self.links.came(&report.zone, known && news, now);
-        let members = &self.config.members;
-        let holder = self.mirror.parts.get(&part).filter(|h| h.host != members[usize::from(self.config.me)].host);
-        let Some((number, holder)) = holder.and_then(|h| Some((members.iter().position(|m| m.host == h.host)? as u16, h))) else {
-            return ReportAnswer::Unable;
-        };
-        let knows = report.token >> FENCE_BITS == holder.token;
-        let stray = StrayReport { part, holder: number, zone: &report.zone, machine: &report.machine, again, knows };
-        match self.links.stray(&stray, now) {
-            Stray::Carry => ReportAnswer::Carry(number),
-            Stray::Send => ReportAnswer::Elsewhere(holder.host.clone()),
-            Stray::Unable => ReportAnswer::Unable,
-        }
-    }
-
-    /// A worker of our home's part came to a process that has had no word from
-    /// the store yet.
-    fn keep_promise(&self, report: &Report, now: u64) -> ReportAnswer {
-        let wall = now + self.config.wall_offset_ms;
-        match promise::kept_until(report.token, wall, self.config.clock_off_ms) {
-            Some(until) if wall <= until => ReportAnswer::Orders(ReportReply { token: report.token, orders: Vec::new() }),
-            _ => ReportAnswer::Unable,
-        }
-    }
-
-    /// The time of day at the steady clock's `now`, ms: the two drift apart.
-    pub fn set_clock(&mut self, now: u64, wall_ms: u64) {
-        let offset = wall_ms.saturating_sub(now);
-        let jump = offset.saturating_sub(std::mem::replace(&mut self.config.wall_offset_ms, offset));
-        // Guards against a pause in which the steady clock stood: only the time of
-        // day tells of it, as far as that is right.
-        if jump > 2 * self.config.clock_off_ms + STOOD_STILL_MS {
-            let gap = self.pause.stood(jump, now);
-            self.stood_still(gap, now);
-        }
-    }
-
-    /// Another controller carries a worker's report here. Only an owner answers
-    /// it: nothing is carried on.
-    pub fn carried_report(&mut self, report: &Report, by: u16, now: u64) -> ReportAnswer {
-        self.awake(now);
-        let part = self.config.part_of(&report.zone, &report.machine);
-        self.answer_report(report, part, Some(by), now)
-    }
-
-    fn answer_report(&mut self, report: &Report, part: u16, by: Option<u16>, now: u64) -> ReportAnswer {
-        let blind = self.blind(now);
-        let began = self.links.store_heard().map(|at| at + self.config.wall_offset_ms);
-        let at_home = part == self.config.me;
-        match self.parts.get_mut(&part) {
-            Some(part) if !blind => {
-                if let Some(began) = began.filter(|_| at_home) {
-                    part.owner.promise(&report.machine, began, now);
-                }
-                part.owner.report(report, by, now).map_or(ReportAnswer::Unable, ReportAnswer::Orders)
-            }
-            _ => ReportAnswer::Unable,
-        }
-    }
-
-    /// Too long without word from the store to act for a part, or none since a
-    /// pause.
-    fn blind(&self, now: u64) -> bool {
-        self.unproven() || self.links.store_heard().is_none_or(|at| now > at + self.blind_ms())
-    }
-
-    /// True if this controller has had no word from the store for as long as its hold
-    /// lives. Its workers are answered all the same, but another may have its part by
-    /// now, and what that has proven over must not be started here.
-    fn outlived(&self, now: u64) -> bool {
-        self.links.store_age(now) > HOLD_TTL_MS
-    }
-
-    /// ms after the last word from the store for which reports are answered.
-    /// Without it withdrawals may be asked for that we don't see; none is told
-    /// to its user before its last attempt is proven over (`Job::finished`), so
-    /// what runs on meanwhile breaks no promise.
-    fn blind_ms(&self) -> u64 {
-        let alike = self.mirror.nodes.values().all(|n| n.format >= PEER_VERSION);
-        if alike { self.policy.blind_ms } else { self.config.short_blind_ms.min(self.policy.blind_ms) }
-    }
-
-    /// A call to a worker ended.
-    pub fn command_done(&mut self, lot: Lot, call: &CommandCall, result: CommandResult, now: u64) {
-        self.calls = self.calls.saturating_sub(1);
-        if let Some(part) = self.part(lot) {
-            part.owner.call_done(call, result, now);
-        }
-    }
-
     /// A placer on another node says what it wants.
     pub fn sync_in(&mut self, sync: &Sync, now: u64) -> Result<View, SyncRefusal> {
         self.awake(now);
--- /dev/null
+++ b/crates/coordination/src/reports.rs
@@ -0,0 +1,145 @@
+//! Workers' reports and calls to workers: who answers, for how long without word from the
+//! store, and after this process stood still.
+
+use tracing::warn;
+
+use crate::links::{Stray, StrayReport};
+use crate::owner::{CommandCall, CommandResult};
+use crate::{Core, Lot, ReportAnswer, promise, sessions};
+use lemonweir_model::constants::*;
+use lemonweir_protocol::worker::{Report, ReportReply};
+
+impl Core {
+    // ---- standing still ------------------------------------------------------
+
+    /// Something happens: notes whether this process stood still before it.
+    pub(crate) fn awake(&mut self, now: u64) {
+        if let Some(gap) = self.pause.pass(now) {
+            self.stood_still(gap, now);
+        }
+    }
+
+    pub(crate) fn stood_still(&mut self, gap: u64, now: u64) {
+        self.links.note(now, format!("this controller stood still for {gap} ms"));
+        self.links.stood_still(gap, now);
+        for part in self.parts.values_mut() {
+            part.owner.stood_still(gap, now);
+        }
+    }
+
+    /// True if this process stood still for so long that another may hold what it
+    /// held, and the store has not shown otherwise yet.
+    pub fn unproven(&self) -> bool {
+        self.pause.unproven(self.links.store_heard())
+    }
+
+    /// A worker reported.
+    pub fn report(&mut self, report: &Report, now: u64) -> ReportAnswer {
+        self.awake(now);
+        // A zone that nobody knows is no link.
+        let known = self.config.zones.contains(&report.zone);
+        if !known && self.odd_zones.len() < ODD_ZONES && self.odd_zones.insert(report.zone.clone()) {
+            warn!(machine = %report.machine, zone = report.zone, "machine of a zone that is not in the settings");
+        }
+        let part = self.config.part_of(&report.zone, &report.machine);
+        if self.mirror.revision.is_none() && part == self.config.me {
+            self.links.came(&report.zone, known, now);
+            return self.keep_promise(report, now);
+        }
+        if let Some(part) = self.parts.get(&part) {
+            self.links.came(&report.zone, known && part.owner.is_news(report), now);
+        }
+        if self.parts.contains_key(&part) {
+            return self.answer_report(report, part, None, now);
+        }
+        let (again, news) = self.links.strays.came(part, &report.machine, sessions::SequenceNumber::of(report), now);
+        self.links.came(&report.zone, known && news, now);
+        let members = &self.config.members;
+        let holder = self.mirror.parts.get(&part).filter(|h| h.host != members[usize::from(self.config.me)].host);
+        let Some((number, holder)) = holder.and_then(|h| Some((members.iter().position(|m| m.host == h.host)? as u16, h))) else {
+            return ReportAnswer::Unable;
+        };
+        let knows = report.token >> FENCE_BITS == holder.token;
+        let stray = StrayReport { part, holder: number, zone: &report.zone, machine: &report.machine, again, knows };
+        match self.links.stray(&stray, now) {
+            Stray::Carry => ReportAnswer::Carry(number),
+            Stray::Send => ReportAnswer::Elsewhere(holder.host.clone()),
+            Stray::Unable => ReportAnswer::Unable,
+        }
+    }
+
+    /// A worker of our home's part came to a process that has had no word from
+    /// the store yet.
+    pub(crate) fn keep_promise(&self, report: &Report, now: u64) -> ReportAnswer {
+        let wall = now + self.config.wall_offset_ms;
+        match promise::kept_until(report.token, wall, self.config.clock_off_ms) {
+            Some(until) if wall <= until => ReportAnswer::Orders(ReportReply { token: report.token, orders: Vec::new() }),
+            _ => ReportAnswer::Unable,
+        }
+    }
+
+    /// The time of day at the steady clock's `now`, ms: the two drift apart.
+    pub fn set_clock(&mut self, now: u64, wall_ms: u64) {
+        let offset = wall_ms.saturating_sub(now);
+        let jump = offset.saturating_sub(std::mem::replace(&mut self.config.wall_offset_ms, offset));
+        // Guards against a pause in which the steady clock stood: only the time of
+        // day tells of it, as far as that is right.
+        if jump > 2 * self.config.clock_off_ms + STOOD_STILL_MS {
+            let gap = self.pause.stood(jump, now);
+            self.stood_still(gap, now);
+        }
+    }
+
+    /// Another controller carries a worker's report here. Only an owner answers
+    /// it: nothing is carried on.
+    pub fn carried_report(&mut self, report: &Report, by: u16, now: u64) -> ReportAnswer {
+        self.awake(now);
+        let part = self.config.part_of(&report.zone, &report.machine);
+        self.answer_report(report, part, Some(by), now)
+    }
+
+    pub(crate) fn answer_report(&mut self, report: &Report, part: u16, by: Option<u16>, now: u64) -> ReportAnswer {
+        let blind = self.blind(now);
+        let began = self.links.store_heard().map(|at| at + self.config.wall_offset_ms);
+        let at_home = part == self.config.me;
+        match self.parts.get_mut(&part) {
+            Some(part) if !blind => {
+                if let Some(began) = began.filter(|_| at_home) {
+                    part.owner.promise(&report.machine, began, now);
+                }
+                part.owner.report(report, by, now).map_or(ReportAnswer::Unable, ReportAnswer::Orders)
+            }
+            _ => ReportAnswer::Unable,
+        }
+    }
+
+    /// Too long without word from the store to act for a part, or none since a
+    /// pause.
+    pub(crate) fn blind(&self, now: u64) -> bool {
+        self.unproven() || self.links.store_heard().is_none_or(|at| now > at + self.blind_ms())
+    }
+
+    /// True if this controller has had no word from the store for as long as its hold
+    /// lives. Its workers are answered all the same, but another may have its part by
+    /// now, and what that has proven over must not be started here.
+    pub(crate) fn outlived(&self, now: u64) -> bool {
+        self.links.store_age(now) > HOLD_TTL_MS
+    }
+
+    /// ms after the last word from the store for which reports are answered.
+    /// Without it withdrawals may be asked for that we don't see; none is told
+    /// to its user before its last attempt is proven over (`Job::finished`), so
+    /// what runs on meanwhile breaks no promise.
+    pub(crate) fn blind_ms(&self) -> u64 {
+        let alike = self.mirror.nodes.values().all(|n| n.format >= PEER_VERSION);
+        if alike { self.policy.blind_ms } else { self.config.short_blind_ms.min(self.policy.blind_ms) }
+    }
+
+    /// A call to a worker ended.
+    pub fn command_done(&mut self, lot: Lot, call: &CommandCall, result: CommandResult, now: u64) {
+        self.calls = self.calls.saturating_sub(1);
+        if let Some(part) = self.part(lot) {
+            part.owner.call_done(call, result, now);
+        }
+    }
+}
