--- a/crates/lab/src/hunt.rs
+++ b/crates/lab/src/hunt.rs
@@ -263,7 +263,8 @@
     let mut faults = broken_terms(&world);
     let live = world.live();
     let (mut up, mut wanted) = (0, 0);
-    for (id, job) in world.ground.jobs.iter().filter(|(_, l)| l.spec.shape == Shape::Service) {
+    // A service with a mistake is up nowhere, whatever the controllers do.
+    for (id, job) in world.ground.jobs.iter().filter(|(_, l)| l.spec.shape == Shape::Service && !l.broken) {
         let record: Option<JobRecord> = world.store.get(&job_key(id)).and_then(|(v, _)| from_value(v));
         if record.is_some_and(|r| !r.withdrawn && r.at + 60_000 < ms) {
             wanted += job.spec.tasks as usize;
