Tests: the site by hand reads again what the process does

The support of the coordination tests filtered keys of task records by itself after a conflict; keys_to_reread, which the process and the laboratory call, serves it too.

--- a/crates/coordination/tests/support/controllers.rs
+++ b/crates/coordination/tests/support/controllers.rs
@@ -9,7 +9,7 @@
 use lemonweir_coordination::membership::{Claim, Membership};
 use lemonweir_coordination::owner::{CommandCall, CommandResult, SyncRefusal};
 use lemonweir_coordination::placer::TxnOutcome;
-use lemonweir_coordination::{Config, Core, Effect, Lot, RentResult, ReportAnswer};
+use lemonweir_coordination::{Config, Core, Effect, Lot, RentResult, ReportAnswer, keys_to_reread};
 use lemonweir_model::constants::*;
 use lemonweir_model::policy::Policy;
 use lemonweir_model::settings::Settings;
@@ -436,7 +436,7 @@
             Effect::Txn(lot, txn) => {
                 let outcome = self.transact(node, &txn);
                 if let TxnOutcome::Conflict(keys) = &outcome {
-                    for key in keys.iter().filter(|k| k.starts_with("run/")) {
+                    for key in keys_to_reread(lot, keys) {
                         let (version, (job, chunk)) = (self.version(key), parse_run_key(key).expect("a key"));
                         self.nodes[node].core.reread(lot, &job, chunk, version);
                     }
