Test: quota after failover reports what ran over the limit before what idles

The assertion on what runs at the end came first and hid the count. The checks are as strict: the same two conditions, each over all orders.

--- a/crates/coordination/tests/quota_after_failover.rs
+++ b/crates/coordination/tests/quota_after_failover.rs
@@ -311,7 +311,7 @@
 
 #[test]
 fn successor_does_not_launch_ended_attempts_over_the_quota_limit() {
-    let mut over = Vec::new();
+    let (mut over, mut idle) = (Vec::new(), Vec::new());
     for (name, scenario) in scenarios() {
         for lives_ms in (0..4_000).step_by(200) {
             let records = scenario.records_of_ended_placer(lives_ms);
@@ -319,17 +319,24 @@
             if most > QUOTA_TASKS {
                 over.push((name.clone(), lives_ms, most));
             }
-            assert_eq!(at_end, QUOTA_TASKS, "{name}, {lives_ms} ms: run at the end");
+            if at_end < QUOTA_TASKS {
+                idle.push((name.clone(), lives_ms, at_end));
+            }
         }
     }
-    assert!(over.is_empty(), "{} over the limit: {over:#?}", over.len());
+    assert!(over.is_empty(), "{} over the limit: {over:?}", over.len());
+    assert!(idle.is_empty(), "{} below the limit: {idle:?}", idle.len());
 }
 
 #[test]
 fn successor_with_a_lowered_quota_limit_launches_no_more_than_that() {
+    let mut over = Vec::new();
     for (name, scenario) in scenarios() {
         let records = scenario.records_of_ended_placer(4_000);
         let (most, _) = scenario.follow_successor(records, QUOTA_TASKS - 1);
-        assert!(most < QUOTA_TASKS, "{name}: {most} run");
+        if most >= QUOTA_TASKS {
+            over.push((name, most));
+        }
     }
+    assert!(over.is_empty(), "{} over the limit: {over:?}", over.len());
 }
