Log and show a team's use against its quota limit where it is counted

No behaviour changes.

- 'shard acquired' names the revision of the cache; 'team usage loaded' says for each limited team what the records hold; 'shard released' names its token.
- 'task placed' and the end of an attempt, as its placer learns it, name the team's use from then on.
- 'attempt launched': by which owner's token, for which placer's token, whether it was launched before.
- GET /v1/watch lists the use of each limited team as the placer and the owner of each shard led count it; lemonweir supervision shows those over the limit.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -53,6 +53,7 @@
 mod shard_lifecycle;
 pub mod socket_shares;
 pub mod supervision;
+mod team_usage;
 mod worker_lease;
 
 pub use self::core::Core;
--- a/crates/coordination/src/owner/commands.rs
+++ b/crates/coordination/src/owner/commands.rs
@@ -81,6 +81,7 @@
         let unwanted = self.commands_for_unwanted(m, channel);
         let launches = self.due_launches(machine, m, channel);
         for id in &launches {
+            self.log_launch(id, channel);
             if let Some(tracked) = self.attempts.get_mut(id) {
                 tracked.stage = AttemptStage::Accepted {
                     launched_in: Some(session),
@@ -114,6 +115,23 @@
             .collect()
     }
 
+    fn log_launch(&self, id: &AttemptId, channel: CommandChannel) {
+        let Some(tracked) = self.attempts.get(id) else {
+            return;
+        };
+        info!(
+            attempt = %id,
+            machine = %tracked.desired.machine,
+            shard = self.shard,
+            fencing_token = self.token,
+            placer = tracked.from,
+            placer_fencing_token = self.placers.get(&tracked.from).map(|placer| placer.token),
+            repeated = tracked.stage != AttemptStage::NOT_LAUNCHED,
+            ?channel,
+            "attempt launched"
+        );
+    }
+
     /// Tasks to stop, with their grace in s.
     ///
     /// Guards against a stop that counts as sent though its call never left, as when a
--- a/crates/coordination/src/owner/summary.rs
+++ b/crates/coordination/src/owner/summary.rs
@@ -1,9 +1,22 @@
 //! The regular log line about a shard's occupancy.
 
 use super::*;
+use crate::team_usage::{TeamUsage, usage_by_team};
 use lemonweir_model::constants::SUMMARY_MS;
 
 impl Owner {
+    /// What the attempts of each team use that were launched here, or seen on a machine.
+    pub(crate) fn usage_by_team(&self) -> BTreeMap<String, TeamUsage> {
+        let launched = self.attempts.values().filter(|tracked| {
+            let stage = tracked.stage;
+            matches!(stage, AttemptStage::Accepted { .. }) && stage != AttemptStage::NOT_LAUNCHED
+        });
+        usage_by_team(launched.map(|tracked| {
+            let desired = &tracked.desired;
+            (desired.team.as_str(), desired.resources)
+        }))
+    }
+
     /// Logs the occupancy of the shard, for its operators.
     pub(super) fn log_summary(&mut self, now: u64) {
         if now < self.summary_logged_at + SUMMARY_MS {
--- a/crates/coordination/src/placer/attempt_events.rs
+++ b/crates/coordination/src/placer/attempt_events.rs
@@ -116,6 +116,7 @@
         let Some(live) = self.remove_attempt(&id.job, id.task) else {
             return;
         };
+        self.log_attempt_end(id, state);
         let Some(job) = self.jobs.get_mut(&id.job) else {
             return;
         };
@@ -152,6 +153,20 @@
         self.stop_rest_of_gang(&id.job, now);
     }
 
+    fn log_attempt_end(&self, id: &AttemptId, state: AttemptState) {
+        let Some(job) = self.jobs.get(&id.job) else {
+            return;
+        };
+        info!(
+            attempt = %id,
+            shard = self.shard,
+            ?state,
+            team = job.team,
+            team_usage = %self.usage_of(&job.team),
+            "attempt end learned; its record is written later"
+        );
+    }
+
     /// A task is done. The tasks of a gang complete together.
     fn apply_completion(&mut self, id: &AttemptId, live: &LiveAttempt, now: u64) {
         if let Some(job) = self.jobs.get_mut(&id.job) {
--- a/crates/coordination/src/placer/placing.rs
+++ b/crates/coordination/src/placer/placing.rs
@@ -436,6 +436,8 @@
             return;
         };
         let recorded_by = job.mark_start_unwritten(task);
+        let (team, need) = (job.team.clone(), job.need);
+        let team_usage = self.usage_of(&team).plus(&need);
         let slot = &self.indexes[place.shard].slots[place.slot];
         info!(
             job_id = %id,
@@ -445,6 +447,8 @@
             shard = place.shard,
             has_image = is_warm,
             ?preemption,
+            team,
+            %team_usage,
             "task placed"
         );
         let live = LiveAttempt {
--- a/crates/coordination/src/placer/quotas.rs
+++ b/crates/coordination/src/placer/quotas.rs
@@ -1,9 +1,13 @@
 //! Quotas of the teams: limits, guaranteed quotas, and which attempts run beyond
 //! the guaranteed one.
 
+use std::collections::BTreeMap;
+
 use lemonweir_model::Resources;
+use tracing::info;
 
 use super::Placer;
+use crate::team_usage::{TeamUsage, usage_by_team};
 
 /// What a team without a quota limit may use.
 pub(super) const NO_LIMIT: Resources = Resources {
@@ -33,6 +37,31 @@
         self.team_usage.get(team).copied().unwrap_or_default()
     }
 
+    /// What the attempts of each team use that are not proven to have ended.
+    pub(crate) fn usage_by_team(&self) -> BTreeMap<String, TeamUsage> {
+        usage_by_team(self.jobs.values().flat_map(|job| {
+            let attempts = job.live.values();
+            attempts.map(|_| (job.team.as_str(), job.need))
+        }))
+    }
+
+    /// Logs what the records that this placer began with use of each limited team.
+    pub(crate) fn log_loaded_usage(&self) {
+        for (team, TeamUsage { attempts, used }) in self.usage_by_team() {
+            if let Some(limit) = self.quota_limits.get(&team) {
+                info!(
+                    shard = self.shard,
+                    fencing_token = self.fencing_token,
+                    team,
+                    attempts,
+                    team_usage = %used,
+                    quota_limit = %limit,
+                    "team usage loaded"
+                );
+            }
+        }
+    }
+
     /// Marks what a team runs beyond its guaranteed quota: that goes to the highest
     /// priority first, then to the oldest job.
     pub(super) fn update_quota_marks(&mut self, team: &str) {
--- a/crates/coordination/src/shard_lifecycle.rs
+++ b/crates/coordination/src/shard_lifecycle.rs
@@ -48,11 +48,13 @@
             shard = lease.shard,
             fencing_token = lease.token,
             chunks = chunks.len(),
+            revision = self.cache.revision,
             "shard acquired"
         );
         self.links
             .record_event(now, format!("shard {} acquired", lease.shard));
         self.load_jobs(&mut shard, now);
+        shard.placer.log_loaded_usage();
         self.shards.insert(lease.shard, shard);
         self.begin_failover(lease, now);
     }
@@ -112,7 +114,12 @@
 
     /// Stops leading a shard.
     pub fn release(&mut self, shard: u16, now: u64) {
-        if self.shards.remove(&shard).is_some() {
+        if let Some(released) = self.shards.remove(&shard) {
+            info!(
+                shard,
+                fencing_token = released.lease.token,
+                "shard released"
+            );
             self.links
                 .record_event(now, format!("shard {shard} released"));
         }
--- a/crates/coordination/src/supervision/report.rs
+++ b/crates/coordination/src/supervision/report.rs
@@ -3,11 +3,12 @@
 
 use crate::Core;
 use crate::supervision::services::{RecoveryActivity, SupervisedService};
+use crate::team_usage::TeamUsage;
 use lemonweir_model::JobKind;
 use lemonweir_model::settings::ClusterMember;
 use lemonweir_protocol::supervision::{
-    FailoverCompletionRow, FailoverReport, FailoverRow, ShardRow, SupervisionReport,
-    UnderReplicatedServiceRow,
+    FailoverCompletionRow, FailoverReport, FailoverRow, ShardRow, SupervisionReport, TeamUsageRow,
+    UnderReplicatedServiceRow, UsageSide,
 };
 use lemonweir_storage::failovers::{FailoverCompletion, FailoverRecord, LeadershipChange};
 use lemonweir_storage::state_cache::CachedJob;
@@ -57,6 +58,7 @@
             desired: 0,
             running: 0,
             under_replicated: Vec::new(),
+            team_usage: self.team_usage_rows(),
         };
         for job in
             self.cache.jobs.values().filter(|job| {
@@ -82,6 +84,37 @@
         report
     }
 
+    /// What the teams with a quota limit use, as both sides of each shard led here count it.
+    fn team_usage_rows(&self) -> Vec<TeamUsageRow> {
+        let mut rows = Vec::new();
+        for (&shard, state) in &self.shards {
+            let sides = [
+                (UsageSide::Placer, state.placer.usage_by_team()),
+                (UsageSide::Owner, state.owner.usage_by_team()),
+            ];
+            for (side, usage) in sides {
+                for (team, TeamUsage { attempts, used }) in usage {
+                    let Some(limit) = self.config.quota_limits.get(&team) else {
+                        continue;
+                    };
+                    let limited = |amount: u64| (amount < u64::MAX).then_some(amount);
+                    rows.push(TeamUsageRow {
+                        team,
+                        shard,
+                        side,
+                        attempts,
+                        milli_cpus: used.milli_cpus,
+                        milli_gpus: used.milli_gpus,
+                        milli_cpus_limit: limited(limit.milli_cpus),
+                        milli_gpus_limit: limited(limit.milli_gpus),
+                    });
+                }
+            }
+        }
+        rows.sort_by(|a, b| (&a.team, a.side, a.shard).cmp(&(&b.team, b.side, b.shard)));
+        rows
+    }
+
     fn shard_row(&self, shard: u16, home: &ClusterMember) -> ShardRow {
         let leader = self.cache.shard_leaders.get(&shard);
         let failovers = self.cache.failovers.entries_of(shard);
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -121,6 +121,17 @@
     pub memory_mb: u64,
 }
 
+impl fmt::Display for Resources {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let thousandths = |amount: u64| match amount {
+            u64::MAX => "unlimited".to_owned(),
+            amount => (amount as f64 / 1000.0).to_string(),
+        };
+        let (cpus, gpus) = (thousandths(self.milli_cpus), thousandths(self.milli_gpus));
+        write!(f, "{cpus} CPUs, {gpus} GPUs")
+    }
+}
+
 impl Resources {
     /// What a task needs: rounded up, so that it is never counted too small.
     pub fn request(cpus: f64, gpus: f64, memory_gb: f64) -> Self {
--- a/crates/protocol/src/supervision.rs
+++ b/crates/protocol/src/supervision.rs
@@ -24,6 +24,49 @@
     /// Services that lack replicas, the largest share first.
     #[serde(rename = "short")]
     pub under_replicated: Vec<UnderReplicatedServiceRow>,
+    /// Teams with a quota limit, as the shards that this controller leads count them.
+    #[serde(rename = "teams", default, skip_serializing_if = "Vec::is_empty")]
+    pub team_usage: Vec<TeamUsageRow>,
+}
+
+/// Who counts what a team uses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum UsageSide {
+    /// The placer of the team's shard: every attempt not proven to have ended.
+    Placer,
+    /// The owner of a shard: the attempts that it launched or saw on its machines.
+    Owner,
+}
+
+/// What a team uses against its quota limit, in thousandths; no limit is absent.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TeamUsageRow {
+    /// The team.
+    pub team: String,
+    /// The shard whose leader counts.
+    #[serde(rename = "part")]
+    pub shard: u16,
+    /// Which side of it.
+    pub side: UsageSide,
+    /// Attempts counted.
+    pub attempts: usize,
+    /// Processors that they take.
+    pub milli_cpus: u64,
+    /// Accelerators that they take.
+    pub milli_gpus: u64,
+    /// Processors that the team may use.
+    pub milli_cpus_limit: Option<u64>,
+    /// Accelerators that the team may use.
+    pub milli_gpus_limit: Option<u64>,
+}
+
+impl TeamUsageRow {
+    /// True if it is more than the team may use.
+    pub fn is_over_limit(&self) -> bool {
+        let over = |used: u64, limit: Option<u64>| limit.is_some_and(|limit| used > limit);
+        over(self.milli_cpus, self.milli_cpus_limit) || over(self.milli_gpus, self.milli_gpus_limit)
+    }
 }
 
 /// A shard.
--- a/crates/protocol/tests/golden_messages.rs
+++ b/crates/protocol/tests/golden_messages.rs
@@ -872,6 +872,7 @@
             ),
             short(Vec::new(), None, None, None, Vec::new()),
         ],
+        team_usage: Vec::new(),
     };
     golden.both_ways("watch", &watch);
     let closed = FailoverCompletionRow {
--- a/src/commands/supervision.rs
+++ b/src/commands/supervision.rs
@@ -4,8 +4,8 @@
 
 use comfy_table::Table;
 use lemonweir_protocol::supervision::{
-    FailoverCompletionRow, FailoverReport, FailoverRow, ShardRow, SupervisionReport,
-    UnderReplicatedServiceRow,
+    FailoverCompletionRow, FailoverReport, FailoverRow, ShardRow, SupervisionReport, TeamUsageRow,
+    UnderReplicatedServiceRow, UsageSide,
 };
 
 use crate::args::OutputFormat;
@@ -27,6 +27,14 @@
     if !report.under_replicated.is_empty() {
         println!("{}\n", under_replicated_table(report.under_replicated));
     }
+    let over_limit: Vec<TeamUsageRow> = report
+        .team_usage
+        .into_iter()
+        .filter(TeamUsageRow::is_over_limit)
+        .collect();
+    if !over_limit.is_empty() {
+        println!("{}\n", over_limit_table(over_limit));
+    }
     println!(
         "{} of {} replicas of {} services are up",
         report.running, report.desired, report.services
@@ -81,6 +89,40 @@
     services
 }
 
+fn over_limit_table(rows: Vec<TeamUsageRow>) -> Table {
+    let mut teams = table([
+        "team over its limit",
+        "shard",
+        "counted by",
+        "attempts",
+        "cpus",
+        "gpus",
+    ]);
+    let of_limit = |used: u64, limit: Option<u64>| {
+        let thousandths = |amount: u64| amount as f64 / 1_000.0;
+        let used = thousandths(used);
+        limit.map_or_else(
+            || used.to_string(),
+            |limit| format!("{used} of {}", thousandths(limit)),
+        )
+    };
+    for row in rows {
+        let side = match row.side {
+            UsageSide::Placer => "placer",
+            UsageSide::Owner => "owner",
+        };
+        teams.add_row([
+            row.team.clone(),
+            row.shard.to_string(),
+            side.to_owned(),
+            row.attempts.to_string(),
+            of_limit(row.milli_cpus, row.milli_cpus_limit),
+            of_limit(row.milli_gpus, row.milli_gpus_limit),
+        ]);
+    }
+    teams
+}
+
 /// Shows the failovers of shards.
 pub(crate) fn failovers(controller: SocketAddr, format: OutputFormat) -> Result<(), CommandError> {
     let path = "/v1/watch/handovers";
--- a/tests/supervision.rs
+++ b/tests/supervision.rs
@@ -6,8 +6,8 @@
 
 use lemonweir_protocol::encode;
 use lemonweir_protocol::supervision::{
-    FailoverCompletionRow, FailoverReport, FailoverRow, ShardRow, SupervisionReport,
-    UnderReplicatedServiceRow,
+    FailoverCompletionRow, FailoverReport, FailoverRow, ShardRow, SupervisionReport, TeamUsageRow,
+    UnderReplicatedServiceRow, UsageSide,
 };
 
 /// Answers one request with this, and returns its first line.
@@ -95,9 +95,42 @@
             blocked_by: String::new(),
             escalations: vec!["3 s ago: replica 2 left n-000009".into()],
         }],
+        team_usage: vec![
+            team_usage("red", UsageSide::Placer, 14_000),
+            team_usage("red", UsageSide::Owner, 13_000),
+            team_usage("blue", UsageSide::Placer, 13_000),
+        ],
     }
 }
 
+fn team_usage(team: &str, side: UsageSide, milli_gpus: u64) -> TeamUsageRow {
+    TeamUsageRow {
+        team: team.into(),
+        shard: 1,
+        side,
+        attempts: 14,
+        milli_cpus: 66_000,
+        milli_gpus,
+        milli_cpus_limit: None,
+        milli_gpus_limit: Some(13_000),
+    }
+}
+
+#[test]
+fn team_over_its_quota_limit_is_shown_with_who_counts() {
+    let (addr, request) = serve(200, encode(&supervision_report(Some(200))));
+    let output = text(&run(addr, &[]));
+    drop(request.join());
+    let row = |side: &str| {
+        let has = |line: &&str| line.contains("red") && line.contains(side);
+        output.lines().find(has).map(str::to_owned)
+    };
+    let placer = row("placer").expect("a row");
+    assert!(placer.contains("14 of 13"), "{placer}");
+    assert_eq!(row("owner"), None, "{output}");
+    assert!(!output.contains("blue"), "{output}");
+}
+
 #[test]
 fn supervision_report_is_shown_with_its_age() {
     let (addr, request) = serve(200, encode(&supervision_report(Some(61_000))));
