--- /dev/null
+++ b/crates/simulator/tests/quota_limits.rs
@@ -0,0 +1,67 @@
+//! Soak of the teams' quota limits: `examples/scenarios/quota.toml` over many seeds.
+
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use lemonweir_simulator::run::{self, LoadSource, Placer};
+use lemonweir_simulator::scenario::Scenario;
+
+/// Seeds of one run of the test.
+const SEEDS: u64 = 80;
+/// Threads of the test.
+const THREADS: usize = 3;
+
+fn scenario() -> Arc<Scenario> {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/scenarios/quota.toml");
+    let text = std::fs::read_to_string(path).expect("readable");
+    let scenario = Scenario::parse("quota.toml", &text).expect("no fault");
+    assert!(scenario.faults_over_s() < scenario.duration_s);
+    Arc::new(scenario)
+}
+
+/// The violations of a seed.
+fn violations(scenario: &Arc<Scenario>, seed: u64) -> Vec<String> {
+    run::run_once(
+        scenario.clone(),
+        LoadSource::Synthetic,
+        Placer::Lemonweir,
+        seed,
+        None,
+    )
+    .expect("run")
+    .report
+    .violations
+}
+
+#[test]
+fn quota_limits_hold_while_leaders_at_the_limit_end_again_and_again() {
+    let scenario = scenario();
+    let next = AtomicU64::new(1);
+    let work = || {
+        let mut broken = Vec::new();
+        loop {
+            let seed = next.fetch_add(1, Ordering::Relaxed);
+            if seed > SEEDS {
+                return broken;
+            }
+            let found = violations(&scenario, seed);
+            if !found.is_empty() {
+                broken.push(format!("seed {seed}: {found:?}"));
+            }
+        }
+    };
+    let broken: Vec<String> = std::thread::scope(|s| {
+        let threads: Vec<_> = (0..THREADS).map(|_| s.spawn(work)).collect();
+        threads
+            .into_iter()
+            .flat_map(|thread| thread.join().expect("played"))
+            .collect()
+    });
+    assert!(
+        broken.is_empty(),
+        "{}:\n{}",
+        broken.len(),
+        broken.join("\n")
+    );
+}
