Placer: what is placed next stands in units.rs, apart from where

placing.rs decided what of a job is placed next, whether its team may, and where it goes. The first two are units.rs now. Lines are moved; no behaviour changes.

--- a/crates/coordination/src/placer/escalation.rs
+++ b/crates/coordination/src/placer/escalation.rs
@@ -15,9 +15,9 @@
 
 use super::Placer;
 use super::accounting::{SlotRef, TentativeUse};
-use super::placing::FETCH_SPREAD;
 use super::requests::{allowed_zones, replica_request};
 use super::supervision::START_STEP_MS;
+use super::units::FETCH_SPREAD;
 use crate::autoscaler::CapacityShortages;
 use crate::image_locality::scoring::{ImageLocality, placement_classes};
 use crate::job::LiveAttempt;
--- a/crates/coordination/src/placer/mod.rs
+++ b/crates/coordination/src/placer/mod.rs
@@ -7,7 +7,7 @@
 //! | module | job |
 //! | --- | --- |
 //! | `jobs`, `queues`, `quotas`, `over_limit` | jobs from the store, the teams' queues, quotas |
-//! | `placement_pass`, `placing`, `scoring`, `requests` | where waiting tasks go |
+//! | `placement_pass`, `units`, `placing`, `scoring`, `requests` | what is placed next, and where |
 //! | `unmet_demand`, `headroom` | what the autoscaler is asked for |
 //! | `accounting`, `partitions` | what each machine holds, and which zones are partitioned |
 //! | `desired`, `owner_channel`, `reconciliation`, `attempt_events` | exchange with the owners |
@@ -36,6 +36,7 @@
 mod scoring;
 mod status;
 mod supervision;
+mod units;
 mod unmet_demand;
 mod write_queue;
 
--- a/crates/coordination/src/placer/supervision.rs
+++ b/crates/coordination/src/placer/supervision.rs
@@ -6,7 +6,7 @@
 use lemonweir_model::constants::PREEMPTION_TIMEOUT_MS;
 use lemonweir_protocol::peer::{AttemptState, MachineView};
 
-use super::placing::{REASON_AT_LIMIT, REASON_NO_ROOM};
+use super::units::{REASON_AT_LIMIT, REASON_NO_ROOM};
 use super::{Placer, ReplicaEvent};
 use crate::job::Job;
 use crate::supervision::failover::{Failover, StartedBy};
--- a/crates/coordination/src/placer/unmet_demand.rs
+++ b/crates/coordination/src/placer/unmet_demand.rs
@@ -6,7 +6,7 @@
 use lemonweir_model::{JobId, JobKind, JobSpec, Priority, Resources};
 
 use super::Placer;
-use super::placing::REASON_LOW_PRIORITY_TURN;
+use super::units::REASON_LOW_PRIORITY_TURN;
 use crate::autoscaler::{CapacityDemand, tasks_in};
 use crate::job::Job;
 
