--- a/crates/protocol/tests/golden_messages.rs
+++ b/crates/protocol/tests/golden_messages.rs
@@ -24,8 +24,8 @@
     Superseded, SyncRequest,
 };
 use lemonweir_protocol::supervision::{
-    FailoverCompletionRow, FailoverReport, FailoverRow, SupervisionReport,
-    UnderReplicatedServiceRow,
+    FailoverCompletionRow, FailoverReport, FailoverRow, SupervisionReport, TeamUsageRow,
+    UnderReplicatedServiceRow, UsageSide,
 };
 use lemonweir_protocol::users::{JobPhase, JobStatus, decode_submission};
 use lemonweir_protocol::worker::*;
@@ -875,6 +875,24 @@
         team_usage: Vec::new(),
     };
     golden.both_ways("watch", &watch);
+    let usage = |side, milli_gpus_limit| TeamUsageRow {
+        team: "loketteam-05".into(),
+        shard: 2,
+        side,
+        attempts: 14,
+        milli_cpus: 66_000,
+        milli_gpus: 14_000,
+        milli_cpus_limit: None,
+        milli_gpus_limit,
+    };
+    let watch_with_usage = SupervisionReport {
+        team_usage: vec![
+            usage(UsageSide::Placer, Some(13_000)),
+            usage(UsageSide::Owner, None),
+        ],
+        ..watch
+    };
+    golden.both_ways("watch_with_usage", &watch_with_usage);
     let closed = FailoverCompletionRow {
         reported_by: "hutte-0".into(),
         state_loaded_ms: Some(310),
