review: stand-ins try other ports when one was taken; links of case 1 differ

The world of the cases chooses other ports when a controller could not take one, and models cuts of zones and controllers, held requests, late answers of workers and cloud, notices and sick machines. Case 1 delays its two links by 0.25 and 0.3 s one way.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -7,7 +7,7 @@
 from world import *
 
 FREEZE_S = 9.0       # within the 7 to 32.5 s of the site files
-SLOW_LINK_S = 0.26   # one way, between hutte-0 and each other controller
+SLOW_LINK_S = {"hutte-1": 0.25, "hutte-2": 0.3}   # one way, between hutte-0 and the others
 WAIT_S = 90.0        # "no job is left waiting for 90 s"
 
 
@@ -32,7 +32,7 @@
     await asyncio.sleep(8.0)
 
     if trouble:
-        world.link_delay = {frozenset(("hutte-0", h)): SLOW_LINK_S for h in ("hutte-1", "hutte-2")}
+        world.link_delay = {frozenset(("hutte-0", h)): s for h, s in SLOW_LINK_S.items()}
         world.note("trouble", f"links of hutte-0 to the other controllers take {SLOW_LINK_S} s one way")
         world.signal_node("hutte-0", signal.SIGSTOP)
     await asyncio.sleep(FREEZE_S)
--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -51,14 +51,14 @@
         self.world, self.limits = world, dict(limits)
         self.kv, self.revision, self.log = {}, 0, []
         self.leases, self.next_lease = {}, 7
-        self.outage, self.refused = False, set()
+        self.outage, self.refused, self.held = False, set(), set()
         self.tokens = {"rps": float(limits["rps"]), "write_rps": float(limits["write_rps"])}
         self.refilled = now()
         self.delay = {}          # host -> s by which its answers are late
         self.late_share = 0.0    # transactions without an answer, executed 2 to 12 s later
         self.lost_share = 0.0    # transactions whose answer alone is lost
         self.hook = None         # hook(host, txn) -> None, "late", "lost" or "drop"
-        self.refusals = 0
+        self.refusals, self.takers = 0, {}
 
     # -- changes
     def change(self, key, data, lease=None):
@@ -69,6 +69,8 @@
             self.log.append({"drop": key, "stamp": self.revision})
         else:
             self.kv[key] = (data, self.revision, lease)
+            if key.startswith("w/part/"):
+                self.takers[self.revision] = data.get("host")
             self.log.append({"set": key, "data": data, "stamp": self.revision})
         if len(self.log) > 12000:
             del self.log[:2000]
@@ -111,6 +113,11 @@
     # -- requests
     def handler(self, host):
         async def handle(method, path, body):
+            if host in self.held:       # the network holds the request back until the cut is over
+                while host in self.held:
+                    await asyncio.sleep(0.02)
+                if random.random() < 0.3:
+                    raise NoAnswer
             if self.outage or host in self.refused:
                 return 503, None
             if not self.take("rps", 1):
@@ -237,6 +244,7 @@
         self.history = []
         self.capacity = 40
         self.trouble = False
+        self.late_share = self.lost_share = 0.0
 
     async def handle(self, method, path, body):
         url = urlsplit(path)
@@ -245,6 +253,20 @@
             return 503, {"error": "trouble"}
         if method == "GET" and url.path == "/catalog":
             return 200, {"hardware": self.types}
+        if method == "POST" and random.random() < self.late_share:
+            asyncio.create_task(self.later(method, path, body))
+            raise NoAnswer
+        lost = method == "POST" and random.random() < self.lost_share
+        result = self.execute(method, url, body)
+        if lost:
+            raise NoAnswer
+        return result
+
+    async def later(self, method, path, body):
+        await asyncio.sleep(random.uniform(2, 20))
+        self.execute(method, urlsplit(path), body)
+
+    def execute(self, method, url, body):
         if method == "POST" and url.path == "/rentals":
             if body["booking"] not in self.bookings:
                 count = min(body["howMany"], 50, self.capacity - len(self.machines))
@@ -303,7 +325,7 @@
         self.hung = False
         self.deaf = self.mute = False
         self.lease_from = None
-        self.life = 0
+        self.life, self.warning, self.sick = 0, None, False
         self.server = self.task = None
 
     async def live(self, boot):
@@ -333,7 +355,8 @@
     async def report(self):
         world, sent, shift = self.world, now(), (self.life, self.shift)
         host = world.hosts[self.node]
-        if self.mute:
+        if self.mute or (self.hall, host) in world.cut:
+            await asyncio.sleep(4.0)
             status, value = 0, None
         else:
             body = self.state()
@@ -390,7 +413,7 @@
             pieces.append(item)
         return {"box": self.name, "address": self.address, "build": self.build, "hall": self.hall,
                 "standby": self.standby, "shift": self.shift, "tally": self.tally, "mandate": self.mandate,
-                "warningS": None, "pieces": pieces}
+                "warningS": self.warning, "pieces": pieces}
 
     def see(self, token):
         if token > self.mandate:
@@ -406,7 +429,7 @@
             return 200, self.state()
         if path != "/commands":
             return 400, None
-        if self.deaf:
+        if self.deaf or (self.hall, self.world.leader_of(body.get("mandate") or 0)) in self.world.cut:
             raise NoAnswer
         if random.random() < self.world.late_command_share:
             asyncio.create_task(self.late_command(body, random.uniform(2, 16)))
@@ -417,7 +440,10 @@
             return 409, self.state()
         self.see(body["mandate"])
         self.execute(body.get("orders") or [], "command")
-        return 200, self.state()
+        state = self.state()
+        if self.world.late_answer_s:
+            await asyncio.sleep(random.uniform(0, self.world.late_answer_s))
+        return 200, state
 
     async def late_command(self, body, delay):
         await asyncio.sleep(delay)
@@ -526,6 +552,8 @@
             return
         self.world.start(self, key, job)
         p["on"] = True
+        if self.sick:
+            return self.exit(key, "error")
         if key[0] in self.world.results:
             return self.exit(key, "done")
         if job.spec["shape"] == "ensemble" and job.spec["pieces"] > 1:
@@ -620,8 +648,9 @@
         self.jobs, self.results, self.gangs, self.on = {}, set(), {}, {}
         self.broken = []
         self.procs, self.hosts, self.listen, self.settings = {}, [], {}, {}
+        self.cut = set()        # (zone of workers, host) that can't reach each other
         self.peer_block, self.link_delay = set(), {}
-        self.copy_share = self.late_command_share = 0.0
+        self.copy_share = self.late_command_share = self.late_answer_s = 0.0
 
     def note(self, who, what, **more):
         text = " ".join(f"{k}={v}" for k, v in more.items())
@@ -642,32 +671,41 @@
             raise CannotRun("the program is not built")
         with open(os.path.join(ROOT, "deploy", "service.toml"), "rb") as f:
             self.run_command = shlex.split(tomllib.load(f)["run"])
-        ports = iter(free_ports(10 * len(nodes)))
-        self.listen = {h: f"{HOST}:{next(ports)}" for h in self.hosts}
-        inner = {h: f"{HOST}:{next(ports)}" for h in self.hosts}
         self.store = Store(self, self.state)
         self.cloud = Cloud(self, self.types, self.cluster["cloud"]["list_lag_s"], self.boot)
         cloud = await serve(HOST, 0, self.cloud.handle)
-        cloud_address = "%s:%d" % cloud.sockets[0].getsockname()[:2]
         asyncio.create_task(self.store.expire())
         self.temporary = tempfile.TemporaryDirectory()
-        self.proxies = {}
+        for _ in range(3):
+            await self.lay_out("%s:%d" % cloud.sockets[0].getsockname()[:2])
+            await asyncio.sleep(0.3)
+            if all(p.poll() is None for p in self.procs.values()):
+                return
+            # Another process took one of the ports in between.
+            for h in self.hosts:
+                self.kill_node(h)
+        raise CannotRun("the controllers could not be started")
+
+    async def lay_out(self, cloud_address):
+        """Writes the settings files, with free ports, and starts the controllers."""
+        ports = iter(free_ports(2 * len(self.hosts)))
+        self.listen = {h: f"{HOST}:{next(ports)}" for h in self.hosts}
+        inner = {h: f"{HOST}:{next(ports)}" for h in self.hosts}
         for h in self.hosts:
             listener = await serve(HOST, 0, self.store.handler(h))
             address = "%s:%d" % listener.sockets[0].getsockname()[:2]
             seeds = []
             for other in self.hosts:
                 if other != h:
-                    seeds.append({"host_name": other, "zone": zone_of[other],
+                    seeds.append({"host_name": other, "zone": self.zone_of[other],
                                   "address": await self.proxy(h, other, inner[other])})
-            value = {"host_name": h, "zone": zone_of[h], "listen": self.listen[h], "internal_addr": inner[h],
+            value = {"host_name": h, "zone": self.zone_of[h], "listen": self.listen[h], "internal_addr": inner[h],
                      "seeds": seeds, "services": {"cloud": cloud_address, "state": address},
                      "cluster": self.cluster}
             path = os.path.join(self.temporary.name, f"{h}.json")
             with open(path, "w") as f:
                 json.dump(value, f)
             self.settings[h] = path
-        self.logs = {}
         for h in self.hosts:
             self.start_node(h)
 
@@ -714,6 +752,10 @@
                                          stderr=log, stdout=log, stdin=subprocess.DEVNULL)
         self.note(h, "process started", pid=self.procs[h].pid)
 
+    def leader_of(self, mandate):
+        """The host whose shard token a mandate carries."""
+        return self.store.takers.get(mandate >> 28)
+
     def kill_node(self, h):
         self.procs[h].kill()
         self.procs[h].wait()
@@ -962,4 +1004,5 @@
         if "world" in holder:
             holder["world"].end()
             holder["world"].note("test", f"exit {code}")
-    sys.exit(code)
+    sys.stdout.flush()
+    os._exit(code)
