review: case 3, a task of a job with one zone is launched in another after a failover

A job of 65 tasks with `samePlace` has two records. A machine loses the network for 30 s; a task of one record starts anew in another zone, in a transaction that is full then, so that the end of a task of the other record isn't written when the leader ends a second later. Its successor launches that task in the first zone.

Nothing is mended here.

--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -580,7 +580,7 @@
         self.changed.set()
         if job.spec["shape"] == "daemon":
             return
-        await self.pause(job.run_s)
+        await self.pause(job.run_of.get(int(key[0].split("/")[1]), job.run_s))
         if self.present(key, p) and p["phase"] == "running":
             self.world.results.add(key[0])
             job.completed.setdefault(key[0], now())
@@ -630,6 +630,7 @@
         self.completed, self.starts, self.answers = {}, [], []
         self.first_started = None
         self.saved = 0.0
+        self.run_of = {}    # run times of single tasks
 
     def complete(self):
         return len(self.completed) >= self.spec["pieces"]
