Log why a controller leads a shard or does not

Cause: when a shard stays without a leader, nothing in the logs tells the possible reasons apart: a late answer of a peer that put a leader back into the cache, changes read out of order, a shard that counts as ceded, leases that stay unconfirmed after a stall, an acquisition that conflicts for ever, or no store lease.

Change: the state cache logs each change of a shard's leader that it reads, the core each leader that a peer reports, with the cache's revision, and the election its state for each shard whenever it changes (`next_action` is split into a decision with its reason, and the action). What is decided is unchanged.

--- a/crates/coordination/src/election.rs
+++ b/crates/coordination/src/election.rs
@@ -10,6 +10,8 @@
 
 use std::collections::BTreeMap;
 
+use tracing::info;
+
 use crate::{Core, ShardLease};
 use lemonweir_protocol::kv_store::CompareAndSwap;
 use lemonweir_storage::records::advance_record_version;
@@ -42,6 +44,49 @@
     Cede(ShardLease),
 }
 
+/// Where a controller stands in the election of a shard's leader: why it acts or waits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ElectionState {
+    /// The process stalled, and the store has not confirmed its leases since.
+    LeaseUnconfirmed,
+    /// It leads the shard.
+    Leading,
+    /// The state cache names another controller, or another lease, as the leader.
+    LedByOther,
+    /// The shard has no leader, and its home is expected to acquire it.
+    AwaitingHome,
+    /// The shard has no leader, and it is not this controller's turn to acquire it yet.
+    AwaitingTurn,
+    /// The shard has no leader, and this controller cedes it to others.
+    Ceding,
+    /// It acquires the shard.
+    Acquiring,
+    /// It gives the shard up, to its home or to a controller that reaches its machines.
+    Releasing,
+}
+
+/// What a controller does about a shard, and why.
+struct ElectionDecision {
+    state: ElectionState,
+    action: Option<ElectionAction>,
+}
+
+impl ElectionDecision {
+    fn wait(state: ElectionState) -> Self {
+        Self {
+            state,
+            action: None,
+        }
+    }
+
+    fn act(state: ElectionState, action: ElectionAction) -> Self {
+        Self {
+            state,
+            action: Some(action),
+        }
+    }
+}
+
 /// A shard that this controller has ceded.
 #[derive(Clone, Copy, Debug)]
 struct CededShard {
@@ -56,6 +101,8 @@
 pub struct LeaderElection {
     /// For each shard, since when it has been seen without a leader, ms.
     leaderless_since: Vec<Option<u64>>,
+    /// For each shard, the state that was last logged.
+    logged_states: Vec<Option<ElectionState>>,
     /// Shards that this controller has ceded, also those whose time has passed.
     ceded: BTreeMap<u16, CededShard>,
 }
@@ -98,6 +145,7 @@
     pub fn new(shards: usize) -> Self {
         Self {
             leaderless_since: vec![None; shards],
+            logged_states: vec![None; shards],
             ceded: BTreeMap::new(),
         }
     }
@@ -142,49 +190,99 @@
     /// What to do about one shard, judging by the state cache. Call it for each shard in
     /// turn: the number of shards already led counts in the decision on the next.
     pub fn next_action(&mut self, core: &Core, shard: u16, now: u64) -> Option<ElectionAction> {
+        let decision = self.decide(core, shard, now)?;
+        self.log_state(core, shard, decision.state);
+        decision.action
+    }
+
+    /// The decision on one shard; `None` if there is no such shard.
+    fn decide(&mut self, core: &Core, shard: u16, now: u64) -> Option<ElectionDecision> {
+        let candidacy = Candidacy::for_shard(core, shard)?;
+        let slot = usize::from(shard);
+        self.leaderless_since.get(slot)?;
         // After a stall the cache may be out of date.
         if core.lease_unconfirmed() {
-            return None;
+            return Some(ElectionDecision::wait(ElectionState::LeaseUnconfirmed));
         }
-        let candidacy = Candidacy::for_shard(core, shard)?;
         let leases = core.leases();
         let lease = leases.iter().find(|lease| lease.shard == shard).copied();
-        let slot = usize::from(shard);
-        self.leaderless_since.get(slot)?;
-        match (core.cache.shard_leaders.get(&shard), lease) {
-            (None, None) => {
-                let since = *self.leaderless_since[slot].get_or_insert(now);
-                let wait = failover_wait_ms(core, &candidacy, shard, leases.len());
-                let eligible = candidacy.own_home || !candidacy.home_serves && now >= since + wait;
-                // If all living controllers cede it, one of them must lead it all the same.
-                let ceded = candidacy.others_serve && self.ceded(core, now).contains(&shard);
-                (eligible && !ceded).then_some(ElectionAction::Acquire { shard, version: 0 })
-            }
-            // Written by an earlier process on this host, which no longer runs.
-            (Some(leader), None) if leader.host == candidacy.own_host => {
-                Some(ElectionAction::Acquire {
-                    shard,
-                    version: leader.fencing_token,
-                })
-            }
+        let leader = core.cache.shard_leaders.get(&shard);
+        if leader.is_none() && lease.is_none() {
+            return Some(self.decide_leaderless(core, &candidacy, shard, leases.len(), now));
+        }
+        // Written by an earlier process on this host, which no longer runs.
+        if let Some(leader) = leader.filter(|leader| leader.host == candidacy.own_host)
+            && lease.is_none()
+        {
+            let version = leader.fencing_token;
+            return Some(ElectionDecision::act(
+                ElectionState::Acquiring,
+                ElectionAction::Acquire { shard, version },
+            ));
+        }
+        self.leaderless_since[slot] = None;
+        Some(match (leader, lease) {
             (Some(_), Some(lease)) if !candidacy.own_home && candidacy.home_serves => {
-                self.leaderless_since[slot] = None;
-                Some(ElectionAction::ReturnToHome(lease))
+                ElectionDecision::act(
+                    ElectionState::Releasing,
+                    ElectionAction::ReturnToHome(lease),
+                )
             }
             // Only this leader is cut off from the workers: if it kept the shard, all their
             // leases would expire.
             (Some(_), Some(lease))
                 if candidacy.others_serve && core.workers_unreachable(shard, now) =>
             {
-                self.leaderless_since[slot] = None;
                 self.cede(shard, now);
-                Some(ElectionAction::Cede(lease))
-            }
-            _ => {
-                self.leaderless_since[slot] = None;
-                None
+                ElectionDecision::act(ElectionState::Releasing, ElectionAction::Cede(lease))
             }
+            (_, Some(_)) => ElectionDecision::wait(ElectionState::Leading),
+            (_, None) => ElectionDecision::wait(ElectionState::LedByOther),
+        })
+    }
+
+    /// The decision on a shard without a leader, by a controller that leads `led` shards.
+    fn decide_leaderless(
+        &mut self,
+        core: &Core,
+        candidacy: &Candidacy,
+        shard: u16,
+        led: usize,
+        now: u64,
+    ) -> ElectionDecision {
+        let since = *self.leaderless_since[usize::from(shard)].get_or_insert(now);
+        let wait = failover_wait_ms(core, candidacy, shard, led);
+        // If all living controllers cede it, one of them must lead it all the same.
+        let ceded = candidacy.others_serve && self.ceded(core, now).contains(&shard);
+        if !candidacy.own_home && candidacy.home_serves {
+            ElectionDecision::wait(ElectionState::AwaitingHome)
+        } else if !candidacy.own_home && now < since + wait {
+            ElectionDecision::wait(ElectionState::AwaitingTurn)
+        } else if ceded {
+            ElectionDecision::wait(ElectionState::Ceding)
+        } else {
+            ElectionDecision::act(
+                ElectionState::Acquiring,
+                ElectionAction::Acquire { shard, version: 0 },
+            )
+        }
+    }
+
+    /// Logs the state of a shard's election, if it has changed since it was last logged.
+    fn log_state(&mut self, core: &Core, shard: u16, state: ElectionState) {
+        let logged = &mut self.logged_states[usize::from(shard)];
+        if logged.replace(state) == Some(state) {
+            return;
         }
+        let leader = core.cache.shard_leaders.get(&shard);
+        info!(
+            shard,
+            ?state,
+            cached_leader = leader.map(|leader| leader.host.as_str()),
+            fencing_token = leader.map(|leader| leader.fencing_token),
+            revision = core.cache.revision,
+            "election state changed"
+        );
     }
 
     fn cede(&mut self, shard: u16, now: u64) {
--- a/crates/coordination/src/shard_lifecycle.rs
+++ b/crates/coordination/src/shard_lifecycle.rs
@@ -210,6 +210,14 @@
             );
             self.release(by.shard, now);
         }
+        info!(
+            shard = by.shard,
+            leader = by.leader_host,
+            fencing_token = by.fencing_token,
+            cached_token = known,
+            revision = self.cache.revision,
+            "shard leader reported by a peer"
+        );
         self.cache.shard_leaders.insert(
             by.shard,
             ShardLeader {
--- a/crates/storage/src/state_cache.rs
+++ b/crates/storage/src/state_cache.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use base64::prelude::{BASE64_STANDARD, Engine};
+use tracing::info;
 
 use crate::dependencies::{DependencyPage, parse_blocked_job_key};
 use crate::failovers::FailoverHistory;
@@ -177,6 +178,12 @@
         // that leader arrive later and must not replace it.
         if self.leads_since_before(index, version).unwrap_or(true) {
             let fencing_token = version;
+            info!(
+                shard = index,
+                leader = host,
+                fencing_token,
+                "shard leader read"
+            );
             self.shard_leaders.insert(
                 index,
                 ShardLeader {
@@ -267,6 +274,11 @@
         let Ok(index) = index.parse() else { return };
         // A leader that acquired the shard after this deletion stays.
         if self.leads_since_before(index, version).unwrap_or(false) {
+            info!(
+                shard = index,
+                revision = version,
+                "shard leader key deleted"
+            );
             self.shard_leaders.remove(&index);
         }
     }
