Simulator: slow links between controllers, and stalls over them by draw

Cause: no fault of the simulator delayed messages between controllers. A sync that was not lost was answered within milliseconds, so the drawn runs never had an answer that came after what it says had ceased to be true.

Change: the fault `slow_links` (`low_s`, `high_s`, `controller`) delays syncs, gossip, relayed heartbeats, announcements and requests to the store through a peer, each way, each delay drawn on its own; callers give up after the process's own timeouts. Every fault search also names shards that have no leader at the end. Draws of earlier scenarios and seeds are unchanged: nothing is drawn unless the fault is active.

--- a/crates/simulator/src/controller.rs
+++ b/crates/simulator/src/controller.rs
@@ -96,6 +96,35 @@
     pub incarnation: u64,
 }
 
+/// A controller process that waits for another one's answer.
+#[derive(Clone, Copy, Debug)]
+pub struct Caller {
+    /// Process that expects the answer.
+    pub process: ProcessId,
+    /// Time at which it gives up waiting, µs; `None`: it waits for as long as the answer takes.
+    pub gives_up_at: Option<u64>,
+}
+
+impl Caller {
+    /// A caller that gives up at `gives_up_at` if its message is delayed by a slow link, and
+    /// waits for the answer otherwise.
+    pub fn over_link(process: ProcessId, delay_us: u64, gives_up_at: u64) -> Self {
+        Self {
+            process,
+            gives_up_at: (delay_us > 0).then_some(gives_up_at),
+        }
+    }
+
+    /// When the caller learns the outcome of its call, µs, and the answer that arrives at
+    /// `arrives_at`, unless it has given up by then.
+    pub fn outcome<T>(&self, arrives_at: u64, answer: Option<T>) -> (u64, Option<T>) {
+        match self.gives_up_at {
+            Some(limit) if arrives_at > limit => (limit, None),
+            _ => (arrives_at, answer),
+        }
+    }
+}
+
 /// A worker's heartbeat in transit.
 pub struct SentHeartbeat {
     /// Number of the machine; 0: a copy of a heartbeat, whose answer is dropped.
@@ -150,7 +179,7 @@
         /// Heartbeat that is relayed.
         heartbeat: SentHeartbeat,
         /// Controller process that relayed it.
-        relay: ProcessId,
+        relay: Caller,
     },
     /// The leader's answer to a heartbeat that this controller relayed.
     RelayedAnswer {
@@ -166,7 +195,7 @@
     /// Another controller's gossip about the availability of its links.
     Gossip {
         /// Controller process that expects the answer.
-        reply_to: ProcessId,
+        reply_to: Caller,
         /// Availability of links as the sender knows it.
         gossip: Box<AvailabilityGossip>,
     },
@@ -188,7 +217,7 @@
     /// Another controller's sync request.
     SyncRequest {
         /// Controller process that expects the answer; `None`: none does any more.
-        reply_to: Option<ProcessId>,
+        reply_to: Option<Caller>,
         /// Shard lease of the sender.
         lease: ShardLease,
         /// Request, which names the shard that it is for.
--- a/crates/simulator/src/fault_search.rs
+++ b/crates/simulator/src/fault_search.rs
@@ -8,7 +8,7 @@
 
 use lemonweir_model::JobKind;
 use lemonweir_protocol::kv_store::from_value;
-use lemonweir_storage::records::{JobRecord, job_key};
+use lemonweir_storage::records::{JobRecord, job_key, shard_key};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
@@ -17,7 +17,7 @@
 use crate::run_report::run_violations;
 use crate::scenario::Scenario;
 use crate::simulation::Simulation;
-use draw_faults::draw_faults;
+use draw_faults::{draw_faults, draw_stalls_over_slow_links};
 use draw_site::draw_site;
 
 /// Time before the first fault may begin, s: the fleet boots.
@@ -36,6 +36,16 @@
 /// Time that a submitted service is given to start before its replicas must be up, ms.
 const SERVICE_START_GRACE_MS: u64 = 60_000;
 
+/// Which faults are drawn.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, clap::ValueEnum)]
+pub enum FaultMix {
+    /// Pairs of any faults but slow links between controllers.
+    #[default]
+    Any,
+    /// Stalls of controllers while the links between controllers are slow.
+    StallsOverSlowLinks,
+}
+
 /// A drawn run, reduced to the faults that its failure needs, and its result.
 pub struct SearchResult {
     /// Seed of the run.
@@ -58,10 +68,13 @@
 
 /// Runs the site and faults of a seed, with at most about `max_machines` machines. If the run
 /// fails, removes each fault in turn without which it still fails.
-pub fn search_seed(seed: u64, max_machines: u32) -> SearchResult {
+pub fn search_seed(seed: u64, max_machines: u32, mix: FaultMix) -> SearchResult {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let site = draw_site(&mut rng, max_machines);
-    let mut faults = draw_faults(&mut rng, &site);
+    let mut faults = match mix {
+        FaultMix::Any => draw_faults(&mut rng, &site),
+        FaultMix::StallsOverSlowLinks => draw_stalls_over_slow_links(&mut rng, &site),
+    };
     let site = site.text;
     let FaultRunResult {
         mut violations,
@@ -102,7 +115,8 @@
     let load = load_generator::synthetic(&scenario, seed);
     let mut simulation = Simulation::new(scenario, load, seed, History::new(None));
     simulation.run(duration_ms);
-    let mut violations = run_violations(&simulation);
+    let mut violations = leaderless_shards(&simulation);
+    violations.extend(run_violations(&simulation));
     let replicas = replicas_at_end(&simulation, duration_ms);
     if (replicas.up as f64) < MIN_REPLICAS_UP_SHARE * replicas.desired as f64 {
         violations.push(format!(
@@ -116,6 +130,14 @@
     }
 }
 
+/// The shards that no controller leads, each as a violation.
+fn leaderless_shards(simulation: &Simulation) -> Vec<String> {
+    (0..simulation.scenario.controllers)
+        .filter(|shard| simulation.store.get(&shard_key(*shard)).is_none())
+        .map(|shard| format!("shard {shard} has no leader at the end"))
+        .collect()
+}
+
 /// Replicas up and replicas desired, over all services that should be up.
 #[derive(Default)]
 struct ReplicaCounts {
--- a/crates/simulator/src/fault_search/draw_faults.rs
+++ b/crates/simulator/src/fault_search/draw_faults.rs
@@ -2,6 +2,7 @@
 //! so that a seed gives the same run in every version.
 
 use std::fmt::Write;
+use std::ops::Range;
 
 use rand::RngExt;
 use rand::seq::IndexedRandom;
@@ -12,6 +13,15 @@
 
 /// Shortest drawn duration of a fault, s.
 const MIN_FAULT_DURATION_S: f64 = 3.0;
+/// Duration of a stall over slow links, s: from shorter than a store lease to several.
+const STALL_S: Range<f64> = 5.0..35.0;
+/// Time for which the links stay slow after such a stall, s.
+const SLOW_AFTER_STALL_S: Range<f64> = 1.0..15.0;
+/// Smallest delay of a message over slow links, s; two of them take less than the timeout of
+/// a call.
+const LINK_DELAY_S: Range<f64> = 0.02..0.6;
+/// By how much the largest delay exceeds the smallest, s.
+const LINK_JITTER_S: Range<f64> = 0.0..0.2;
 
 /// Draws one or two pairs of faults, of which the second begins while the first lasts, and in
 /// half of the runs another single fault.
@@ -33,6 +43,37 @@
     faults
 }
 
+/// Draws one to three stalls of a controller that may cost it its shards, each while links
+/// between controllers are slow, and in half of the runs another single fault.
+pub(super) fn draw_stalls_over_slow_links(rng: &mut ChaCha8Rng, site: &DrawnSite) -> Vec<String> {
+    let mut faults = Vec::new();
+    for _ in 0..rng.random_range(1..=3) {
+        let at = WARM_UP_S + rng.random::<f64>() * FAULT_WINDOW_S;
+        let controller = rng.random_range(0..site.controllers);
+        let stall = rng.random_range(STALL_S);
+        let slow = stall + rng.random_range(SLOW_AFTER_STALL_S);
+        let low = rng.random_range(LINK_DELAY_S);
+        let high = low + rng.random_range(LINK_JITTER_S);
+        let one_controller = if rng.random::<bool>() {
+            format!("controller = {controller}\n")
+        } else {
+            String::new()
+        };
+        faults.push(format!(
+            "[[fault]]\nat_s = {at:.1}\nkind = 'freeze'\ncontroller = {controller}\nfor_s = {stall:.1}\n"
+        ));
+        faults.push(format!(
+            "[[fault]]\nat_s = {at:.1}\nkind = 'slow_links'\n{one_controller}for_s = {slow:.1}\nlow_s = {low:.3}\nhigh_s = {high:.3}\n"
+        ));
+    }
+    if rng.random::<bool>() {
+        let at = WARM_UP_S + rng.random::<f64>() * FAULT_WINDOW_S;
+        let length = draw_duration(rng);
+        faults.push(draw_fault(rng, site, at, length));
+    }
+    faults
+}
+
 fn draw_duration(rng: &mut ChaCha8Rng) -> f64 {
     rng.random_range(MIN_FAULT_DURATION_S..MAX_FAULT_DURATION_S)
 }
--- a/crates/simulator/src/main.rs
+++ b/crates/simulator/src/main.rs
@@ -109,6 +109,9 @@
         /// Number of runs at a time.
         #[arg(long, default_value_t = 4)]
         jobs: usize,
+        /// Which faults are drawn.
+        #[arg(long, value_enum, default_value_t)]
+        faults: fault_search::FaultMix,
     },
     /// Check, import, show and replay published traces.
     Trace {
@@ -236,7 +239,8 @@
             seeds,
             machines,
             jobs,
-        } => Ok(search_faults(&seeds, machines, jobs)),
+            faults,
+        } => Ok(search_faults(&seeds, machines, jobs, faults)),
         Command::Trace {
             command: TraceCommand::Check { files },
         } => Ok(trace_commands::check(&files)),
@@ -278,9 +282,14 @@
 }
 
 /// Runs the fault search with many seeds and prints the failed runs.
-fn search_faults(seeds: &sweep::Seeds, machines: u32, jobs: usize) -> ExitCode {
+fn search_faults(
+    seeds: &sweep::Seeds,
+    machines: u32,
+    jobs: usize,
+    mix: fault_search::FaultMix,
+) -> ExitCode {
     let results = sweep::map_seeds(seeds, jobs, |seed| {
-        fault_search::search_seed(seed, machines)
+        fault_search::search_seed(seed, machines, mix)
     });
     let task_starts: u64 = results.iter().map(|result| result.task_starts).sum();
     let failed: Vec<&fault_search::SearchResult> = results
--- a/crates/simulator/src/scenario/fault.rs
+++ b/crates/simulator/src/scenario/fault.rs
@@ -121,6 +121,14 @@
         /// Delay of a delayed message.
         seconds: SecondsRange,
     },
+    /// Messages between controllers, and the answers to them, take longer. Each delay is drawn
+    /// on its own, so that messages may arrive in another order.
+    SlowPeerLinks {
+        /// Only links of this controller are slow; `None`: all links between controllers.
+        controller: Option<usize>,
+        /// Delay of a message in one direction.
+        seconds: SecondsRange,
+    },
     /// The state service switches to its upcoming limits for the rest of the run.
     ReducedStoreLimits,
     /// A controller loses its links to the state service and to all other controllers, but
@@ -170,6 +178,7 @@
             | Self::InvalidRequests
             | Self::StoreSlow { .. }
             | Self::DelayedCommands { .. }
+            | Self::SlowPeerLinks { .. }
             | Self::ReducedStoreLimits
             | Self::ControllerIsolated { .. } => false,
         }
@@ -218,6 +227,8 @@
             FaultKind::DelayedDuplicates { seconds, .. }
             | FaultKind::StoreSlow { seconds }
             | FaultKind::DelayedCommands { seconds } => seconds.high,
+            // A message and its answer.
+            FaultKind::SlowPeerLinks { seconds, .. } => 2.0 * seconds.high,
             FaultKind::LateWrites {
                 execute_immediately: false,
             } => LATE_WRITE_DELAY.high,
--- a/crates/simulator/src/scenario/fault_history.rs
+++ b/crates/simulator/src/scenario/fault_history.rs
@@ -65,6 +65,14 @@
                 .debug_struct("StoreSlow")
                 .field("seconds", &HistoryFormat(seconds))
                 .finish(),
+            Self::SlowPeerLinks {
+                controller,
+                seconds,
+            } => f
+                .debug_struct("SlowLinks")
+                .field("host", controller)
+                .field("seconds", &HistoryFormat(seconds))
+                .finish(),
             Self::DelayedCommands { seconds } => f
                 .debug_struct("HeldOrders")
                 .field("seconds", &HistoryFormat(seconds))
--- a/crates/simulator/src/simulation/effects.rs
+++ b/crates/simulator/src/simulation/effects.rs
@@ -80,6 +80,7 @@
         let process = self.current_process(leader);
         for lease in leases {
             let from = lease.shard;
+            let at = at + self.draw_peer_delay(controller, leader);
             self.deliver_at(at, process, Input::WakeShard { shard, from });
         }
     }
--- a/crates/simulator/src/simulation/faults.rs
+++ b/crates/simulator/src/simulation/faults.rs
@@ -89,6 +89,7 @@
             | FaultKind::LateWrites { .. }
             | FaultKind::StoreSlow { .. }
             | FaultKind::DelayedCommands { .. }
+            | FaultKind::SlowPeerLinks { .. }
             | FaultKind::QueryBursts
             | FaultKind::CancelAtCompletion => {
                 self.active_faults.insert(i, BTreeSet::new());
@@ -220,7 +221,8 @@
             | FaultKind::InvalidRequests
             | FaultKind::LateWrites { .. }
             | FaultKind::StoreSlow { .. }
-            | FaultKind::DelayedCommands { .. } => {
+            | FaultKind::DelayedCommands { .. }
+            | FaultKind::SlowPeerLinks { .. } => {
                 self.active_faults.remove(&i);
             }
             FaultKind::CloudDown => self.cloud.down = false,
@@ -292,6 +294,24 @@
         None
     }
 
+    /// Draws the additional delay of a message from one controller to another, µs. Draws nothing
+    /// unless a fault makes their link slow.
+    pub(super) fn draw_peer_delay(&mut self, a: usize, b: usize) -> u64 {
+        let ranges: Vec<_> = self
+            .active_faults
+            .keys()
+            .filter_map(|i| match self.scenario.faults[*i].kind {
+                FaultKind::SlowPeerLinks {
+                    controller,
+                    seconds,
+                } if controller.is_none_or(|only| only == a || only == b) => Some(seconds.micros()),
+                _ => None,
+            })
+            .collect();
+        let delays = ranges.into_iter().map(|range| self.rng.random_range(range));
+        delays.sum()
+    }
+
     /// True if a controller's answer to a machine's heartbeat is lost.
     pub(super) fn answer_dropped(&self, sender: usize, number: usize) -> bool {
         self.faults_on(number).any(|kind| {
--- a/crates/simulator/src/simulation/inputs.rs
+++ b/crates/simulator/src/simulation/inputs.rs
@@ -9,14 +9,14 @@
 use lemonweir_model::constants::TICK_MS;
 use lemonweir_protocol::kv_store::{CompareAndSwap, KeyValue, from_value};
 use lemonweir_protocol::links::{AvailabilityGossip, Service};
-use lemonweir_protocol::peer::{self, ShardView, SyncRequest};
+use lemonweir_protocol::peer::{self, SyncRequest};
 use lemonweir_storage::packed_chunk::read_chunk;
 use lemonweir_storage::records::{ImageLocationsRecord, TaskChunkRecord, parse_task_chunk_key};
 
 use super::Simulation;
 use super::state_reads::read_watched_keys;
 use crate::clock::US_PER_MS;
-use crate::controller::{CasOrigin, Input, ProcessId, RouteResult, SentHeartbeat, UserRequest};
+use crate::controller::{Caller, CasOrigin, Input, RouteResult, SentHeartbeat, UserRequest};
 
 impl Simulation {
     /// Handles one message from a controller's inbox; it is dropped if the controller is down.
@@ -33,7 +33,7 @@
             Input::RelayedHeartbeat { heartbeat, relay } => {
                 let answer = core.handle_relayed_heartbeat(
                     &heartbeat.heartbeat,
-                    relay.controller as u16,
+                    relay.process.controller as u16,
                     now_ms,
                 );
                 self.return_relayed_answer(number, heartbeat.reference(), relay, answer);
@@ -138,24 +138,26 @@
         }
     }
 
-    fn handle_gossip(&mut self, number: usize, reply_to: ProcessId, gossip: AvailabilityGossip) {
+    fn handle_gossip(&mut self, number: usize, reply_to: Caller, gossip: AvailabilityGossip) {
         let now_ms = self.now_ms();
         let Some(core) = self.controllers[number].core.as_mut() else {
             return;
         };
         let answer = Box::new(core.links.handle_gossip(gossip, now_ms));
-        let at = self.departure_time(number) + self.network_delay();
+        let slow_us = self.draw_peer_delay(number, reply_to.process.controller);
+        let at = self.departure_time(number) + self.network_delay() + slow_us;
+        let (at, answer) = reply_to.outcome(at, Some(answer));
         self.deliver_at(
             at,
-            reply_to,
-            Input::GossipAnswer(number as u16, Some(answer)),
+            reply_to.process,
+            Input::GossipAnswer(number as u16, answer),
         );
     }
 
     fn handle_sync(
         &mut self,
         number: usize,
-        reply_to: Option<ProcessId>,
+        reply_to: Option<Caller>,
         lease: ShardLease,
         request: &SyncRequest,
     ) {
@@ -165,32 +167,28 @@
         };
         let answer = core.handle_sync(request, now_ms);
         let Some(reply_to) = reply_to else { return };
+        let sender = reply_to.process;
+        let slow_us = self.draw_peer_delay(number, sender.controller);
         if let Err(SyncError::Superseded(by)) = &answer
-            && !self.controllers_partitioned(reply_to.controller, number)
+            && !self.controllers_partitioned(sender.controller, number)
         {
-            let at = self.departure_time(number) + self.network_delay();
-            self.deliver_at(at, reply_to, Input::Superseded(by.clone()));
+            let at = self.departure_time(number) + self.network_delay() + slow_us;
+            if let (at, Some(by)) = reply_to.outcome(at, Some(by.clone())) {
+                self.deliver_at(at, sender, Input::Superseded(by));
+            }
         }
-        self.answer_sync(number, reply_to, lease, request.to_shard, answer.ok());
-    }
-
-    fn answer_sync(
-        &mut self,
-        number: usize,
-        reply_to: ProcessId,
-        lease: ShardLease,
-        shard: u16,
-        view: Option<ShardView>,
-    ) {
-        let view = view.filter(|_| !self.controllers_partitioned(reply_to.controller, number));
+        let view = answer
+            .ok()
+            .filter(|_| !self.controllers_partitioned(sender.controller, number));
         if let Some(view) = &view {
             self.controllers[number].load.peer_bytes += peer::encoded_len(view) as u64;
         }
-        let at = self.departure_time(number) + self.network_delay();
+        let at = self.departure_time(number) + self.network_delay() + slow_us;
+        let (at, view) = reply_to.outcome(at, view.map(Box::new));
         self.deliver_at(
             at,
-            reply_to,
-            Input::SyncResponse(lease, shard, view.map(Box::new)),
+            sender,
+            Input::SyncResponse(lease, request.to_shard, view),
         );
     }
 
--- a/crates/simulator/src/simulation/network.rs
+++ b/crates/simulator/src/simulation/network.rs
@@ -17,7 +17,7 @@
 use super::routes::estimated_bytes;
 use super::{Simulation, machine_number};
 use crate::clock::US_PER_MS;
-use crate::controller::{CasOrigin, HeartbeatRef, Input, ProcessId, SentHeartbeat};
+use crate::controller::{Caller, CasOrigin, HeartbeatRef, Input, SentHeartbeat};
 
 /// Delay of a late message between controllers, ms.
 const LATE_PEER_MESSAGE_MS: Range<u64> = 2_000..60_000;
@@ -113,14 +113,16 @@
         let faults = self.scenario.message_faults;
         let lost = self.controllers_partitioned(controller, leader)
             || self.draw_per_mille(faults.lost_sync);
+        let slow_us = self.draw_peer_delay(controller, leader);
+        let gives_up_at = at + SYNC_TIMEOUT_MS * US_PER_MS;
         let mut delivery = Input::SyncRequest {
-            reply_to: Some(process),
+            reply_to: Some(Caller::over_link(process, slow_us, gives_up_at)),
             lease,
             request: Box::new(request),
         };
         let leader = self.current_process(leader);
         if !lost {
-            return self.deliver_at(at, leader, delivery);
+            return self.deliver_at(at + slow_us, leader, delivery);
         }
         if self.draw_per_mille(faults.late_sync) {
             // The sender does not wait for the answer to a late request.
@@ -130,7 +132,7 @@
             let delay_us = self.rng.random_range(LATE_PEER_MESSAGE_MS) * US_PER_MS;
             self.deliver_at(at + delay_us, leader, delivery);
         }
-        self.deliver_at(at + SYNC_TIMEOUT_MS * US_PER_MS, process, failed);
+        self.deliver_at(gives_up_at, process, failed);
     }
 
     /// Relays a heartbeat to the leader.
@@ -140,9 +142,12 @@
         leader: usize,
         heartbeat: SentHeartbeat,
     ) {
-        let relay = self.current_process(controller);
+        let process = self.current_process(controller);
         let at =
             self.departure_time(controller) + HEARTBEAT_BATCH_MS * US_PER_MS + self.network_delay();
+        let slow_us = self.draw_peer_delay(controller, leader);
+        let gives_up_at = at + RELAYED_HEARTBEAT_TIMEOUT_MS * US_PER_MS;
+        let relay = Caller::over_link(process, slow_us, gives_up_at);
         let faults = self.scenario.message_faults;
         let lost =
             !self.peer_reachable(controller, leader) || self.draw_per_mille(faults.lost_sync);
@@ -159,14 +164,11 @@
                 from: leader,
                 answer: None,
             };
-            self.deliver_at(
-                at + RELAYED_HEARTBEAT_TIMEOUT_MS * US_PER_MS,
-                relay,
-                unanswered,
-            );
+            self.deliver_at(gives_up_at, process, unanswered);
         } else {
             let leader = self.current_process(leader);
-            self.deliver_at(at, leader, Input::RelayedHeartbeat { heartbeat, relay });
+            let relayed = Input::RelayedHeartbeat { heartbeat, relay };
+            self.deliver_at(at + slow_us, leader, relayed);
         }
     }
 
@@ -175,16 +177,18 @@
         &mut self,
         leader: usize,
         heartbeat: HeartbeatRef,
-        relay: ProcessId,
+        relay: Caller,
         answer: HeartbeatAnswer,
     ) {
-        let at = self.departure_time(leader) + self.network_delay();
+        let slow_us = self.draw_peer_delay(leader, relay.process.controller);
+        let at = self.departure_time(leader) + self.network_delay() + slow_us;
+        let (at, answer) = relay.outcome(at, Some(Box::new(answer)));
         let relayed = Input::RelayedAnswer {
             heartbeat,
             from: leader,
-            answer: Some(Box::new(answer)),
+            answer,
         };
-        self.deliver_at(at, relay, relayed);
+        self.deliver_at(at, relay.process, relayed);
     }
 
     /// Sends gossip about the availability of a controller's links to another controller.
@@ -197,27 +201,29 @@
     ) {
         let process = self.current_process(controller);
         let peer = usize::from(to);
+        let slow_us = self.draw_peer_delay(controller, peer);
+        let gives_up_at = at + SYNC_TIMEOUT_MS * US_PER_MS;
         if self.peer_reachable(controller, peer) {
             let input = Input::Gossip {
-                reply_to: process,
+                reply_to: Caller::over_link(process, slow_us, gives_up_at),
                 gossip: Box::new(gossip),
             };
-            self.deliver_at(at, self.current_process(peer), input);
+            self.deliver_at(at + slow_us, self.current_process(peer), input);
         } else {
             let unanswered = Input::GossipAnswer(to, None);
-            self.deliver_at(at + SYNC_TIMEOUT_MS * US_PER_MS, process, unanswered);
+            self.deliver_at(gives_up_at, process, unanswered);
         }
     }
 
     /// Handles a message to a process that has ended: after the timeout of a sync request, its
     /// sender learns that no answer came. Messages that nobody waits for are dropped.
     pub(super) fn fail_unanswered(&mut self, controller: usize, input: Input) {
-        let (sender, failed) = match input {
+        let (caller, failed) = match input {
             Input::SyncRequest {
-                reply_to: Some(sender),
+                reply_to: Some(caller),
                 lease,
                 request,
-            } => (sender, Input::SyncResponse(lease, request.to_shard, None)),
+            } => (caller, Input::SyncResponse(lease, request.to_shard, None)),
             Input::Gossip { reply_to, .. } => {
                 (reply_to, Input::GossipAnswer(controller as u16, None))
             }
@@ -231,6 +237,6 @@
             ),
             _ => return,
         };
-        self.deliver_in(SYNC_TIMEOUT_MS * US_PER_MS, sender, failed);
+        self.deliver_in(SYNC_TIMEOUT_MS * US_PER_MS, caller.process, failed);
     }
 }
--- a/crates/simulator/src/simulation/routes.rs
+++ b/crates/simulator/src/simulation/routes.rs
@@ -29,6 +29,11 @@
             relay: None,
         }
     }
+
+    /// The controller that relays the request, if any.
+    pub(super) fn relay(&self) -> Option<usize> {
+        self.relay.map(usize::from)
+    }
 }
 
 /// Estimated bytes of a compare-and-swap.
--- a/crates/simulator/src/simulation/store_service.rs
+++ b/crates/simulator/src/simulation/store_service.rs
@@ -74,7 +74,8 @@
     ) {
         let reachable = self.route_works(process.controller, route);
         let delays = if reachable {
-            self.store_delays(&request)
+            let delays = self.store_delays(&request);
+            self.add_relay_delays(delays, process.controller, route)
         } else {
             StoreDelays {
                 execution_us: 0,
@@ -157,6 +158,24 @@
         delays
     }
 
+    /// Adds the delays of the links to and from the controller that relays a request.
+    fn add_relay_delays(
+        &mut self,
+        delays: StoreDelays,
+        controller: usize,
+        route: ServiceRoute,
+    ) -> StoreDelays {
+        let Some(relay) = route.relay() else {
+            return delays;
+        };
+        let request_us = self.draw_peer_delay(controller, relay);
+        let answer_us = self.draw_peer_delay(relay, controller);
+        StoreDelays {
+            execution_us: delays.execution_us + request_us,
+            answer_us: delays.answer_us.map(|us| us + answer_us),
+        }
+    }
+
     fn delays_by_message_faults(&mut self, request: &StoreRequest) -> StoreDelays {
         let faults = self.scenario.message_faults;
         let from_scheduler = request.is_from_scheduler();
--- a/crates/simulator/src/simulation/user_answers.rs
+++ b/crates/simulator/src/simulation/user_answers.rs
@@ -268,7 +268,8 @@
             .filter(|leader| *leader != controller)
         {
             Some(leader) if !self.controllers_partitioned(controller, leader) => {
-                let at = self.departure_time(controller) + self.network_delay();
+                let slow_us = self.draw_peer_delay(controller, leader);
+                let at = self.departure_time(controller) + self.network_delay() + slow_us;
                 self.deliver_at(at, self.current_process(leader), Input::JobAnnounced);
             }
             Some(_) => {}
--- a/crates/simulator/tests/injected_faults.rs
+++ b/crates/simulator/tests/injected_faults.rs
@@ -5,6 +5,7 @@
 
 use lemonweir_model::{AttemptId, JobKind};
 use lemonweir_protocol::kv_store::from_value;
+use lemonweir_protocol::links::LinkState;
 use lemonweir_simulator::fixtures::{id, job};
 use lemonweir_simulator::history::History;
 use lemonweir_simulator::invariants::InvariantChecker;
@@ -292,6 +293,49 @@
     }
 }
 
+/// The link of a controller to a peer: its state, and the 99th percentile of the latency of
+/// recent calls, ms.
+fn peer_link(simulation: &Simulation, from: usize, to: &str) -> (LinkState, u64) {
+    let core = simulation.controllers[from].core.as_ref().expect("it runs");
+    let now_ms = simulation.now / 1_000;
+    core.links
+        .rows(now_ms)
+        .into_iter()
+        .find(|row| row.to == to)
+        .map(|row| (row.state, row.latency_ms.map_or(0, |(_, p99)| p99)))
+        .expect("a row")
+}
+
+/// Slow links delay messages and answers; a caller that waits in vain takes the link for down.
+/// Only links of the named controller are slow.
+#[test]
+fn slow_links_delay_messages_between_controllers_until_calls_time_out() {
+    let slow = |seconds: f64| {
+        let mut simulation = run_with_fault(&format!(
+            "kind = 'slow_links'\ncontroller = 0\nlow_s = {seconds}\nhigh_s = {seconds}"
+        ));
+        simulation.run(99_000);
+        simulation
+    };
+    let simulation = slow(0.4);
+    let (state, latency_ms) = peer_link(&simulation, 0, "h01");
+    assert_eq!(state, LinkState::Up);
+    assert!((800..900).contains(&latency_ms), "{latency_ms} ms");
+    let (_, latency_ms) = peer_link(&simulation, 1, "h02");
+    assert!(latency_ms < 100, "{latency_ms} ms");
+    // A message and its answer take longer than the caller waits.
+    let mut simulation = slow(0.8);
+    let (state, _) = peer_link(&simulation, 0, "h01");
+    assert_ne!(state, LinkState::Up);
+    simulation.run(60_000);
+    assert_eq!(peer_link(&simulation, 0, "h01").0, LinkState::Up);
+    assert!(
+        simulation.workload.checker.violations.is_empty(),
+        "{:?}",
+        simulation.workload.checker.violations
+    );
+}
+
 #[test]
 fn delayed_commands_reach_their_machine_later() {
     let (simulation, marked, ended) =
--- a/crates/simulator/tests/invariants.rs
+++ b/crates/simulator/tests/invariants.rs
@@ -5,6 +5,7 @@
 use lemonweir_model::{JobId, JobKind, JobSpec, Priority, Resources};
 use lemonweir_protocol::kv_store::{CompareAndSwap, Write};
 use lemonweir_protocol::users::JobPhase;
+use lemonweir_simulator::fault_search::{FaultMix, search_seed};
 use lemonweir_simulator::fixtures::{id, job, site};
 use lemonweir_simulator::history::History;
 use lemonweir_simulator::invariants::{InvariantChecker, TaskPlacement, UserAnswer};
@@ -645,7 +646,7 @@
 #[test]
 fn random_faults_violate_no_invariant_and_services_recover() {
     for seed in 1..=12 {
-        let result = lemonweir_simulator::fault_search::search_seed(seed, 90);
+        let result = search_seed(seed, 90, FaultMix::Any);
         assert!(
             result.violations.is_empty(),
             "seed {seed}: {:?} with\n{}",
