Ignore a peer's report of a leader that the state cache has read about

What callers saw: after a controller had stalled for longer than its store lease, over slow links, its shard stayed without a leader. Jobs accepted later never started, and workers of the shard got no answer, so what ran there ended with its lease. Only a restart mended it.

Cause: a controller that goes on after a stall sends syncs under its old token. A peer refuses them and names the leader that has taken the shard over. By the time that answer arrives, the controller may have read from the store that this leader has given the shard up again. `Core::handle_superseded` compared the answer with the leader that the cache shows. There is none then, so any token passed as newer, and the leader that was gone came back into the cache. A change up to the cache's revision is read only once, so nothing ever removed it. The home saw the shard led by another controller; the others waited for the home.

Fix: `StateCache::apply_leader_report` takes a report only if its token is above the cache's revision. All changes up to the revision have been applied, so a report from there says nothing new; one from above it is followed by a read of that acquisition, and of its end. So a reported leader can no longer outlive its key.

The test in `late.rs` that wrote a reported leader into the cache by hand now reports it.

--- a/crates/coordination/src/shard_lifecycle.rs
+++ b/crates/coordination/src/shard_lifecycle.rs
@@ -11,7 +11,7 @@
 use lemonweir_model::JobId;
 use lemonweir_protocol::peer::Superseded;
 use lemonweir_storage::records::{ImageLocationsRecord, TaskChunkRecord};
-use lemonweir_storage::state_cache::ShardLeader;
+use lemonweir_storage::state_cache::{LeaderReport, ShardLeader};
 
 impl Core {
     /// Leases of the shards that this controller leads.
@@ -188,42 +188,39 @@
 
     /// Handles another controller's answer about who leads a shard now. If this controller
     /// leads it under an older fencing token, it releases the shard and redirects the workers.
+    /// The answer may be late: what the cache has read since stands.
     pub fn handle_superseded(&mut self, by: Superseded, now: u64) {
-        let known = self
-            .cache
-            .shard_leaders
-            .get(&by.shard)
-            .map_or(0, |leader| leader.fencing_token);
-        if by.fencing_token <= known || usize::from(by.shard) >= self.config.members.len() {
+        if usize::from(by.shard) >= self.config.members.len() {
+            return;
+        }
+        let leader = ShardLeader {
+            host: by.leader_host,
+            fencing_token: by.fencing_token,
+        };
+        let report = self.cache.apply_leader_report(by.shard, leader.clone());
+        info!(
+            shard = by.shard,
+            leader = leader.host,
+            fencing_token = leader.fencing_token,
+            revision = self.cache.revision,
+            ?report,
+            "shard leader reported by a peer"
+        );
+        if report == LeaderReport::Outdated {
             return;
         }
         if self
             .shards
             .get(&by.shard)
-            .is_some_and(|shard| shard.lease.token < by.fencing_token)
+            .is_some_and(|shard| shard.lease.token < leader.fencing_token)
         {
             info!(
                 shard = by.shard,
-                leader = by.leader_host,
-                fencing_token = by.fencing_token,
+                leader = leader.host,
+                fencing_token = leader.fencing_token,
                 "shard superseded by another controller"
             );
             self.release(by.shard, now);
         }
-        info!(
-            shard = by.shard,
-            leader = by.leader_host,
-            fencing_token = by.fencing_token,
-            cached_token = known,
-            revision = self.cache.revision,
-            "shard leader reported by a peer"
-        );
-        self.cache.shard_leaders.insert(
-            by.shard,
-            ShardLeader {
-                host: by.leader_host,
-                fencing_token: by.fencing_token,
-            },
-        );
     }
 }
--- /dev/null
+++ b/crates/coordination/tests/late_peer_messages.rs
@@ -0,0 +1,81 @@
+//! Messages and answers of other controllers that arrive late, when this controller has learned
+//! something newer. Each test gives the order of the messages by hand.
+
+#[path = "support/cluster.rs"]
+mod cluster;
+
+use cluster::*;
+use lemonweir_coordination::election::ElectionAction;
+use lemonweir_coordination::owner::SyncError;
+use lemonweir_protocol::kv_store::WatchEvent;
+use lemonweir_protocol::peer::Superseded;
+
+/// What a peer that led shard 0 for a while under token 22 answers to a sync that the home sent
+/// under its earlier lease.
+fn superseded_answer() -> Superseded {
+    let mut peer = with_live_peers(1);
+    make_leader(&mut peer, 1, 11, 2_000);
+    refresh(&mut peer, &[released(0, 20)], 20, 8_000);
+    make_leader(&mut peer, 0, 22, 9_000);
+    match peer.handle_sync(&sync(0, 10, 1, 11), 11_100) {
+        Err(SyncError::Superseded(by)) => by,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Shard 0 is lost, acquired by controller 1 under token 22, and given back.
+fn failover_and_failback() -> [WatchEvent; 3] {
+    [released(0, 20), acquired(0, 1, 22), released(0, 30)]
+}
+
+/// Guards against a shard that stays without a leader: a late answer names a leader that has
+/// given the shard up, as this controller has read meanwhile. It must not bring that leader
+/// back into the cache, whose reads show the shard's changes only once.
+#[test]
+fn late_superseded_answer_does_not_restore_a_leader_that_gave_up_the_shard() {
+    let changes = failover_and_failback();
+    // The answer arrives after the first `before` changes were read, in one read or in several.
+    for before in 0..=changes.len() {
+        for read_size in 1..=changes.len() {
+            let mut home = with_live_peers(0);
+            make_leader(&mut home, 0, 10, 2_000);
+            let (read_before, read_after) = changes.split_at(before);
+            for read in read_before.chunks(read_size) {
+                refresh(&mut home, read, read[read.len() - 1].version, 11_200);
+            }
+            home.handle_superseded(superseded_answer(), 11_600);
+            for read in read_after.chunks(read_size) {
+                refresh(&mut home, read, read[read.len() - 1].version, 11_700);
+            }
+            let order = format!("after {before} changes, {read_size} a read");
+            assert_eq!(home.leases(), Vec::new(), "{order}");
+            assert_eq!(home.cache.shard_leaders.get(&0), None, "{order}");
+            assert_eq!(
+                election().next_action(&home, 0, 11_800),
+                Some(ElectionAction::Acquire {
+                    shard: 0,
+                    version: 0
+                }),
+                "{order}"
+            );
+        }
+    }
+}
+
+/// The same if the changes were not read one by one, but the watched keys anew, as after a gap.
+#[test]
+fn late_superseded_answer_does_not_restore_a_leader_from_before_a_full_read() {
+    let mut home = with_live_peers(0);
+    make_leader(&mut home, 0, 10, 2_000);
+    home.cache.load_snapshot(&[], 31);
+    home.cache_refreshed(11_200, true);
+    home.handle_superseded(superseded_answer(), 11_600);
+    assert_eq!(home.cache.shard_leaders.get(&0), None);
+    assert_eq!(
+        election().next_action(&home, 0, 11_800),
+        Some(ElectionAction::Acquire {
+            shard: 0,
+            version: 0
+        })
+    );
+}
--- a/crates/simulator/tests/concurrent_faults.rs
+++ b/crates/simulator/tests/concurrent_faults.rs
@@ -204,6 +204,7 @@
     the_leader_is_isolated_and_then_the_store_is_down "gap-alone" 2
     commands_are_delayed_and_machines_keep_running "held-order" 2
     a_leader_crashes_while_machines_are_away "leader-ends-machines-away" 2
+    a_leader_stalls_while_links_between_controllers_are_slow "stall-slow-links" 2
     writes_are_executed_after_newer_ones "late-writes" 4
     a_leader_is_isolated_while_jobs_are_cancelled "alone-and-cancelled" 2
     a_shard_fails_over_and_back_and_all_controllers_crash "hand-over-and-back" 2
--- a/crates/storage/src/state_cache.rs
+++ b/crates/storage/src/state_cache.rs
@@ -61,6 +61,16 @@
     pub fencing_token: u64,
 }
 
+/// What became of a peer's report of a shard's leader.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LeaderReport {
+    /// The cache shows the reported leader now.
+    Applied,
+    /// The cache has read the reported acquisition, and what became of it since, or shows a
+    /// newer leader.
+    Outdated,
+}
+
 /// Cache of the watched keys and of the ends of jobs.
 #[derive(Default)]
 pub struct StateCache {
@@ -202,6 +212,22 @@
         Some(leader.fencing_token < revision)
     }
 
+    /// Applies a peer's report of a shard's leader, if it is news.
+    ///
+    /// A change up to the cache's revision is not read again. So if the cache has read that the
+    /// reported leader gave up the shard, nothing would ever remove that leader again.
+    pub fn apply_leader_report(&mut self, shard: u16, leader: ShardLeader) -> LeaderReport {
+        let read_already = self.revision >= Some(leader.fencing_token);
+        let newer = self
+            .leads_since_before(shard, leader.fencing_token)
+            .unwrap_or(true);
+        if read_already || !newer {
+            return LeaderReport::Outdated;
+        }
+        self.shard_leaders.insert(shard, leader);
+        LeaderReport::Applied
+    }
+
     fn set_controller(&mut self, host: &str, value: &rmpv::Value) -> Option<()> {
         let record = from_value::<ControllerRecord>(value)?;
         self.controllers.insert(host.to_owned(), record);
--- a/crates/storage/tests/late.rs
+++ b/crates/storage/tests/late.rs
@@ -14,7 +14,7 @@
     JobEndRecord, JobRecord, ShardRecord, acquire_shard, create_job, end_key, job_key,
     release_shard, request_cancellation, shard_key,
 };
-use lemonweir_storage::state_cache::ShardLeader;
+use lemonweir_storage::state_cache::{LeaderReport, ShardLeader};
 
 #[derive(Default)]
 struct Store {
@@ -230,8 +230,8 @@
 fn older_changes_do_not_replace_a_reported_leader() {
     let mut cache = StateCache::default();
     cache.apply_changes(&[leader_set(0, "h0", 10)], 30, 0);
-    // As `Core::handle_superseded` does.
-    cache.shard_leaders.insert(0, leader("h2", 50));
+    let report = cache.apply_leader_report(0, leader("h2", 50));
+    assert_eq!(report, LeaderReport::Applied);
     cache.apply_changes(&[leader_deleted(0, 35), leader_set(0, "h1", 40)], 41, 0);
     assert_eq!(cache.shard_leaders.get(&0), Some(&leader("h2", 50)));
     cache.apply_changes(&[leader_deleted(0, 45)], 46, 0);
