Keep a reported leader when the watched keys are read anew

What callers saw: nothing so far; found while related paths of the last fault were searched, and shown by a test with the order of messages given by hand.

A full read whose first page is from before an acquisition that a peer has reported meanwhile so brought an earlier leader back, for one read. A superseded leader's syncs were taken again, and this controller's placers sent their desired attempts to a former owner, whose late answers then counted again (`Shard::apply_view` ignores them only while the newer owner's token is the one last sent to).

Fix: leaders whose token is above the revision of the first page stay. The changes after that revision bring their acquisition, and their end.

--- a/crates/coordination/tests/late_peer_messages.rs
+++ b/crates/coordination/tests/late_peer_messages.rs
@@ -7,8 +7,11 @@
 use cluster::*;
 use lemonweir_coordination::election::ElectionAction;
 use lemonweir_coordination::owner::SyncError;
-use lemonweir_protocol::kv_store::WatchEvent;
+use lemonweir_coordination::{Core, Effect};
+use lemonweir_model::constants::PEER_VERSION;
+use lemonweir_protocol::kv_store::{KeyValue, WatchEvent, to_value};
 use lemonweir_protocol::peer::Superseded;
+use lemonweir_storage::records::{ShardRecord, shard_key};
 
 /// What a peer that led shard 0 for a while under token 22 answers to a sync that the home sent
 /// under its earlier lease.
@@ -79,3 +82,53 @@
         })
     );
 }
+
+/// Guards against a full read that undoes a report: its first page is from before the reported
+/// acquisition, so it shows an earlier leader. That one must not be taken for the leader again,
+/// and gets no more syncs.
+#[test]
+fn full_read_from_before_a_reported_acquisition_does_not_undo_it() {
+    let mut core = with_live_peers(1);
+    make_leader(&mut core, 1, 11, 2_000);
+    make_leader(&mut core, 0, 12, 2_100);
+    core.handle_superseded(
+        Superseded {
+            version: PEER_VERSION,
+            shard: 0,
+            fencing_token: 50,
+            leader_host: "h2".into(),
+        },
+        2_200,
+    );
+    core.cache
+        .load_snapshot(&[shard_entry(0, 0, 40), shard_entry(1, 1, 11)], 45);
+    core.cache_refreshed(2_300, true);
+    assert!(
+        matches!(core.handle_sync(&sync(0, 40, 1, 11), 2_400), Err(SyncError::Superseded(by)) if by.fencing_token == 50)
+    );
+    let recipients: Vec<u64> = core
+        .flush(4_500)
+        .iter()
+        .filter_map(|effect| match effect {
+            Effect::Sync(_, sync) if sync.to_shard == 0 => Some(sync.to_fencing_token),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(recipients, [50]);
+    // The changes since the first page bring the reported acquisition, and later its end.
+    refresh(&mut core, &[released(0, 48), acquired(0, 2, 50)], 51, 4_600);
+    let token = |core: &Core| core.cache.shard_leaders.get(&0).map(|l| l.fencing_token);
+    assert_eq!(token(&core), Some(50));
+    refresh(&mut core, &[released(0, 60)], 60, 4_700);
+    assert_eq!(token(&core), None);
+}
+
+fn shard_entry(shard: u16, host: u16, version: u64) -> KeyValue {
+    KeyValue {
+        key: shard_key(shard),
+        value: to_value(&ShardRecord {
+            host: format!("h{host}"),
+        }),
+        version,
+    }
+}
--- a/crates/storage/src/state_cache.rs
+++ b/crates/storage/src/state_cache.rs
@@ -116,7 +116,10 @@
         self.blocked_jobs.clear();
         self.dependency_pages.clear();
         self.blocked_job_changes += 1;
-        self.shard_leaders.clear();
+        // A leader that a peer has reported since the first page was read stays: the changes
+        // after `revision` bring its acquisition, and its end.
+        self.shard_leaders
+            .retain(|_, leader| leader.fencing_token > revision);
         self.controllers.clear();
         self.team_shards.clear();
         self.failovers.clear();
