Take the progress in a sync only if the sync is newer than the last

What callers saw: nothing so far; found while related paths were searched. A status answer of a controller that does not place the job could go back from running to queued.

Cause: `Core::handle_sync` took the progress of jobs before the owner checked the token and sequence number of the sync. One that was held up on its way, or came from a former leader, replaced newer progress, which is sent again only when it changes.

Fix: progress is recorded once the owner has accepted the sync. One that is refused is sent again, as the sender counts it as lost.

Test that failed before: `late_sync_does_not_undo_newer_progress`.

--- a/crates/coordination/src/peer_sync.rs
+++ b/crates/coordination/src/peer_sync.rs
@@ -10,7 +10,7 @@
 use crate::shard::STORE_ROUTE_AFTER_FAILURES;
 use crate::{Core, Effect, ShardLease};
 use lemonweir_model::constants::{PEER_VERSION, SHARD_VIEW_REFRESH_MS};
-use lemonweir_protocol::peer::{self, ShardView, Superseded, SyncRequest};
+use lemonweir_protocol::peer::{self, JobProgress, ShardView, Superseded, SyncRequest};
 use lemonweir_storage::records::StoreMessageKind;
 
 /// ms between two syncs with one owner when something changed: batches the tasks of one job
@@ -56,13 +56,20 @@
     pub fn handle_sync(&mut self, sync: &SyncRequest, now: u64) -> Result<ShardView, SyncError> {
         self.detect_stall(now);
         self.check_sender(sync)?;
-        for progress in &sync.progress {
+        let view = self.apply_sync(sync, SYNC_BYTES, now)?;
+        self.record_progress(&sync.progress);
+        Ok(view)
+    }
+
+    /// Records the progress of unfinished jobs that a sync carries, once the owner has accepted
+    /// the sync as newer than all others of its shard.
+    fn record_progress(&mut self, progress: &[JobProgress]) {
+        for progress in progress {
             if self.cache.jobs.contains_key(&progress.job) {
                 self.peer_progress
                     .insert(progress.job.clone(), progress.clone());
             }
         }
-        self.apply_sync(sync, SYNC_BYTES, now)
     }
 
     /// Refuses a sender that has been superseded. A controller that alone is refused by the
--- a/crates/coordination/tests/late_peer_messages.rs
+++ b/crates/coordination/tests/late_peer_messages.rs
@@ -3,15 +3,18 @@
 
 #[path = "support/cluster.rs"]
 mod cluster;
+mod support;
 
 use cluster::*;
 use lemonweir_coordination::election::ElectionAction;
 use lemonweir_coordination::owner::SyncError;
 use lemonweir_coordination::{Core, Effect};
 use lemonweir_model::constants::PEER_VERSION;
+use lemonweir_model::{JobId, JobSpec};
 use lemonweir_protocol::kv_store::{KeyValue, WatchEvent, to_value};
-use lemonweir_protocol::peer::Superseded;
-use lemonweir_storage::records::{ShardRecord, shard_key};
+use lemonweir_protocol::peer::{JobProgress, Superseded, SyncRequest};
+use lemonweir_storage::records::{JobRecord, ShardRecord, job_key, shard_key};
+use support::array_job;
 
 /// What a peer that led shard 0 for a while under token 22 answers to a sync that the home sent
 /// under its earlier lease.
@@ -132,3 +135,68 @@
         version,
     }
 }
+
+/// Guards against progress that goes back: a sync that was held up on its way arrives after a
+/// newer one, or after one of the shard's next leader.
+#[test]
+fn late_sync_does_not_undo_newer_progress() {
+    let mut core = with_live_peers(1);
+    make_leader(&mut core, 1, 11, 2_000);
+    let job = JobId::from("req-000001");
+    refresh(
+        &mut core,
+        &[acquired(0, 0, 12), accepted(&job, 13)],
+        13,
+        2_100,
+    );
+    let sync_with_progress = |token: u64, seq: u64, tasks_running: u32| SyncRequest {
+        seq,
+        progress: vec![JobProgress {
+            job: job.clone(),
+            tasks_done: 0,
+            tasks_running,
+            wait_reason: String::new(),
+        }],
+        ..sync(0, token, 1, 11)
+    };
+    let running = |core: &Core| core.job_progress(&job, 2_500).running;
+    assert!(
+        core.handle_sync(&sync_with_progress(12, 2, 3), 2_200)
+            .is_ok()
+    );
+    assert_eq!(running(&core), 3);
+    assert_eq!(
+        core.handle_sync(&sync_with_progress(12, 1, 0), 2_300),
+        Err(SyncError::Stale)
+    );
+    assert_eq!(running(&core), 3);
+    // The next leader's sync arrives before this controller has read that it leads.
+    assert!(
+        core.handle_sync(&sync_with_progress(20, 1, 5), 2_400)
+            .is_ok()
+    );
+    assert_eq!(
+        core.handle_sync(&sync_with_progress(12, 3, 0), 2_500),
+        Err(SyncError::TokenMismatch)
+    );
+    assert_eq!(running(&core), 5);
+}
+
+/// A job of team red, whose shard another controller leads, is accepted.
+fn accepted(job: &JobId, version: u64) -> WatchEvent {
+    let record = JobRecord {
+        spec: JobSpec {
+            id: job.clone(),
+            ..array_job(8)
+        },
+        submitted_at_ms: 1,
+        cancel_requested: false,
+        dependency_count: 0,
+    };
+    WatchEvent {
+        set: Some(job_key(job)),
+        drop: None,
+        value: Some(to_value(&record)),
+        version,
+    }
+}
