Acknowledge progress only by the answer to the message that carried it

What callers saw: nothing so far; found while related paths were searched. After a cut between two controllers, status answers of one could say queued for a job that the other runs, for as long as the job's progress did not change.

Cause: any view acknowledged all progress sent (`OwnerChannel::acknowledge`). While two controllers reach each other only through the store, a direct sync is retried every 4 s and carries progress; the answer to a later message through the store, which carries none, acknowledged it although the direct one was lost.

Fix: a channel keeps the sequence number of the last message that carried progress; only the answer to that one acknowledges it. The desired and observed states name what they acknowledge and are not concerned.

Test that failed before: `answer_to_another_message_does_not_acknowledge_lost_progress`.

--- a/crates/coordination/src/placer/owner_channel.rs
+++ b/crates/coordination/src/placer/owner_channel.rs
@@ -33,6 +33,8 @@
     /// Newest change of the jobs' progress that was sent, and that the owner's node has.
     pub(super) progress_sent: u64,
     pub(super) progress_acked: u64,
+    /// Sequence number of the last message that carried progress.
+    pub(super) progress_seq: u64,
     /// Fencing token of the owner whose views are applied, the sequence number of the
     /// newest one, and the revisions that it led to.
     pub(super) observed_token: u64,
@@ -67,8 +69,10 @@
         }
     }
 
-    /// Applies an acknowledgement of `desired` up to a change, and of all progress sent.
-    pub(super) fn acknowledge(&mut self, desired_at: u64) {
+    /// Applies the answer to message `seq`, which acknowledges `desired` up to a change. It
+    /// acknowledges the progress sent only if that message carried it: answers to messages
+    /// through the store arrive while a direct one is still out.
+    pub(super) fn acknowledge(&mut self, seq: u64, desired_at: u64) {
         // An owner that has less than it once acknowledged is sent everything again.
         self.desired_acked = if desired_at < self.desired_acked {
             0
@@ -76,7 +80,9 @@
             desired_at
         };
         self.desired.compact(self.desired_acked);
-        self.progress_acked = self.progress_acked.max(self.progress_sent);
+        if seq == self.progress_seq {
+            self.progress_acked = self.progress_acked.max(self.progress_sent);
+        }
         if self.desired_acked == 0 {
             self.desired_sent = 0;
         }
@@ -224,6 +230,7 @@
             self.job_progress
                 .changes_since(channel.progress_acked, &mut budget, |_, _| PROGRESS_BYTES);
         channel.progress_sent = range.until;
+        channel.progress_seq = channel.last_sent_seq;
         changes
             .into_iter()
             .filter_map(|(job, progress)| {
--- a/crates/coordination/src/placer/reconciliation.rs
+++ b/crates/coordination/src/placer/reconciliation.rs
@@ -22,7 +22,7 @@
 
         let channel = &mut self.owner_channels[usize::from(shard)];
         if view.fencing_token == channel.recipient_token {
-            channel.acknowledge(view.desired_revision);
+            channel.acknowledge(view.seq, view.desired_revision);
         }
         let machines = view
             .machines_range
--- a/crates/coordination/tests/sync_changes.rs
+++ b/crates/coordination/tests/sync_changes.rs
@@ -748,3 +748,29 @@
     );
     assert!(view.is_ok_and(|v| v.machines.is_empty() && v.attempts.is_empty()));
 }
+
+/// Guards against progress that a peer never gets: a direct message with it is lost, and the
+/// answer to a later message that came through the store must not acknowledge it.
+#[test]
+fn answer_to_another_message_does_not_acknowledge_lost_progress() {
+    let mut owner = owner_with_machines(0);
+    let mut placer = Placer::new(0, TOKEN, 1, placer_config(), 0);
+    submit(&mut placer, array_job(4), 0, 10);
+    let lost = placer.sync_request(0, TOKEN, MAX_MESSAGE_BYTES, true, 20);
+    assert_eq!(lost.progress.len(), 1);
+    let stored = placer.sync_request(0, TOKEN, MAX_MESSAGE_BYTES, false, 30);
+    let view = owner
+        .sync(&stored, MAX_MESSAGE_BYTES, 40)
+        .expect("a newer message");
+    placer.apply_view(view, 50);
+    placer.message_lost(0);
+    let next = placer.sync_request(0, TOKEN, MAX_MESSAGE_BYTES, true, 60);
+    assert_eq!(next.progress, lost.progress);
+    // The answer to the message that carried it does.
+    let view = owner
+        .sync(&next, MAX_MESSAGE_BYTES, 70)
+        .expect("a newer message");
+    placer.apply_view(view, 80);
+    let later = placer.sync_request(0, TOKEN, MAX_MESSAGE_BYTES, true, 90);
+    assert_eq!(later.progress, Vec::new());
+}
