--- a/crates/coordination/tests/late_peer_messages.rs
+++ b/crates/coordination/tests/late_peer_messages.rs
@@ -1,5 +1,5 @@
-//! Messages and answers of other controllers that arrive late, when this controller has learned
-//! something newer. Each test gives the order of the messages by hand.
+//! Messages, answers and writes that arrive late, when this controller has learned something
+//! newer. Each test gives the order by hand.
 
 #[path = "support/cluster.rs"]
 mod cluster;
@@ -8,12 +8,14 @@
 use cluster::*;
 use lemonweir_coordination::election::ElectionAction;
 use lemonweir_coordination::owner::SyncError;
-use lemonweir_coordination::{Core, Effect};
+use lemonweir_coordination::{Core, Effect, STORE_ROUTE_AFTER_FAILURES};
 use lemonweir_model::constants::PEER_VERSION;
 use lemonweir_model::{JobId, JobSpec};
 use lemonweir_protocol::kv_store::{KeyValue, WatchEvent, to_value};
 use lemonweir_protocol::peer::{JobProgress, Superseded, SyncRequest};
-use lemonweir_storage::records::{JobRecord, ShardRecord, job_key, shard_key};
+use lemonweir_storage::records::{
+    ControllerRecord, JobRecord, ShardRecord, controller_key, job_key, shard_key,
+};
 use support::array_job;
 
 /// What a peer that led shard 0 for a while under token 22 answers to a sync that the home sent
@@ -200,3 +202,46 @@
         version,
     }
 }
+
+/// Guards against outcomes of calls that were made under an earlier lease of the shard: syncs
+/// that failed then do not make the present lease's syncs go through the store.
+#[test]
+fn late_outcomes_for_an_earlier_lease_change_nothing() {
+    let mut core = with_live_peers(0);
+    make_leader(&mut core, 0, 10, 2_000);
+    let earlier = core.leases()[0];
+    refresh(&mut core, &[released(0, 20)], 20, 2_100);
+    make_leader(&mut core, 0, 30, 2_200);
+    let later = core.leases()[0];
+    assert_ne!(earlier, later);
+    for lease in [earlier, later] {
+        for _ in 0..STORE_ROUTE_AFTER_FAILURES {
+            core.sync_completed(lease, 1, None, 2_300);
+        }
+        assert_eq!(core.uses_store_messages(), lease == later);
+    }
+}
+
+/// Guards against a shard that peers take for ceded: an earlier process of the host wrote its
+/// controller record, and the store executed that late.
+#[test]
+fn late_write_of_a_controller_record_is_corrected() {
+    let mut core = with_live_peers(0);
+    make_leader(&mut core, 0, 10, 2_000);
+    let election = election();
+    assert_eq!(election.unpublished_ceded(&core, 2_100), None);
+    let late = ControllerRecord {
+        zone: "north".into(),
+        peer_version: PEER_VERSION,
+        ceded_shards: vec![0],
+        record_version: 0,
+    };
+    let change = WatchEvent {
+        set: Some(controller_key("h0")),
+        drop: None,
+        value: Some(to_value(&late)),
+        version: 21,
+    };
+    refresh(&mut core, &[change], 21, 2_200);
+    assert_eq!(election.unpublished_ceded(&core, 2_300), Some(Vec::new()));
+}
