Release jobs one at a time after the store has rejected a release for its size

Cause: `commit_dependent_jobs` took the store's 400 for an unknown outcome, so the same transaction was repeated for ever. The placer's transactions are split after a 400; that rule stood in one path and not in the other.

Fix: a 400 is reported as rejected. The changes are then tried one at a time; a job whose release is rejected by itself backs off for 5 s and is tried again on its own, behind all others, and its status says why it waits.

--- a/crates/coordination/src/dependencies/batch.rs
+++ b/crates/coordination/src/dependencies/batch.rs
@@ -19,6 +19,8 @@
     pub(super) cancelled: Vec<JobId>,
     /// Jobs whose final states it verifies.
     pub(super) verified: Vec<JobId>,
+    /// Number of jobs and pages that it changes.
+    pub(super) change_count: usize,
 }
 
 /// A compare-and-swap that is filled up to its limits.
@@ -27,17 +29,20 @@
     pub(super) pending: PendingCas,
     max_writes: usize,
     max_conditions: usize,
+    /// Maximum number of changes, each of one job or page.
+    max_changes: usize,
     verification_only: bool,
 }
 
 impl CasBatch {
-    /// Creates an empty batch of at most `max_writes` writes.
-    pub(super) fn new(max_writes: usize) -> Self {
+    /// Creates an empty batch of at most `max_writes` writes for `max_changes` jobs and pages.
+    pub(super) fn new(max_writes: usize, max_changes: usize) -> Self {
         Self {
             cas: CompareAndSwap::default(),
             pending: PendingCas::default(),
             max_writes,
             max_conditions: CONDITIONS_PER_WRITE * max_writes,
+            max_changes,
             verification_only: false,
         }
     }
@@ -126,7 +131,8 @@
     /// Merges a compare-and-swap into this one; false if they don't fit together. Always
     /// succeeds while this one has no writes.
     fn try_append(&mut self, next: CompareAndSwap) -> bool {
-        let fits = self.cas.writes.len() + next.writes.len() <= self.max_writes
+        let fits = self.pending.change_count < self.max_changes
+            && self.cas.writes.len() + next.writes.len() <= self.max_writes
             && self.cas.conditions.len() + next.conditions.len() <= self.max_conditions;
         if !fits && self.has_writes() {
             return false;
@@ -146,6 +152,7 @@
             }
         }
         self.cas.writes.extend(next.writes);
+        self.pending.change_count += 1;
         true
     }
 }
--- a/crates/coordination/src/dependencies/mod.rs
+++ b/crates/coordination/src/dependencies/mod.rs
@@ -16,9 +16,9 @@
 mod batch;
 mod graph;
 
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
-use tracing::info;
+use tracing::{info, warn};
 
 use crate::placer::CompareAndSwapOutcome;
 use crate::{Config, Core, Effect};
@@ -40,6 +40,9 @@
 /// ms until a compare-and-swap for blocked jobs that was not committed, or a read of final
 /// states that found nothing, is retried: long enough for a read of the store in between.
 const CAS_RETRY_MS: u64 = 300;
+/// ms after which the release of a job whose record the store rejected is tried again: the
+/// store's limits may have been raised by then.
+const REJECTED_RELEASE_BACKOFF_MS: u64 = 5_000;
 /// Minimum ms between two scans of all blocked jobs. Short compared with the fetch of an
 /// image, and long enough to scan thousands of jobs on a tenth of a core.
 const MIN_SCAN_INTERVAL_MS: u64 = 50;
@@ -60,7 +63,7 @@
 
 impl DependencyState {
     /// Reason shown to users for why the job waits.
-    pub(crate) fn wait_reason(&self) -> String {
+    fn wait_reason(&self) -> String {
         let Self::Waiting(ids) = self else {
             return "all jobs that it awaits are done; it is about to be placed".into();
         };
@@ -107,7 +110,7 @@
 }
 
 /// Dependency tracking of one controller.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct DependencyGraph {
     /// Value of the cache's change counter that `inherited` was computed from.
     applied_changes: u64,
@@ -124,9 +127,62 @@
     /// must be retried.
     retry_at: u64,
     last_scan: Option<Scan>,
+    /// Maximum number of jobs and pages that a compare-and-swap changes; 1 after the store has
+    /// rejected one for its size.
+    max_changes_per_cas: usize,
+    /// Jobs whose release the store rejected for its size, each with the time before which it
+    /// is not tried again, ms.
+    rejected_until: BTreeMap<JobId, u64>,
+}
+
+impl Default for DependencyGraph {
+    fn default() -> Self {
+        Self {
+            applied_changes: 0,
+            inherited: HashMap::new(),
+            pending: None,
+            reads_in_flight: BTreeSet::new(),
+            verified: HashSet::new(),
+            retry_at: 0,
+            last_scan: None,
+            max_changes_per_cas: usize::MAX,
+            rejected_until: BTreeMap::new(),
+        }
+    }
 }
 
 impl DependencyGraph {
+    /// Reason shown to users for why a blocked job in this state waits.
+    pub(crate) fn wait_reason(&self, id: &JobId, state: &DependencyState) -> String {
+        if self.rejected_until.contains_key(id) {
+            return "the state service refuses its record for its size; it is tried again every few seconds".into();
+        }
+        state.wait_reason()
+    }
+
+    /// Handles a compare-and-swap that the store rejected for its size: its changes are retried
+    /// one at a time, and a job whose release is rejected on its own backs off.
+    ///
+    /// Guards against one oversized record that keeps all other jobs from being released.
+    fn back_off_rejected(&mut self, pending: &PendingCas, now: u64) {
+        if pending.change_count > 1 {
+            self.max_changes_per_cas = 1;
+            return;
+        }
+        if pending.released.is_empty() {
+            self.retry_at = now + CAS_RETRY_MS;
+        }
+        for id in &pending.released {
+            warn!(
+                job_id = %id,
+                backoff_ms = REJECTED_RELEASE_BACKOFF_MS,
+                "store rejected a record for its size"
+            );
+            self.rejected_until
+                .insert(id.clone(), now + REJECTED_RELEASE_BACKOFF_MS);
+        }
+    }
+
     /// The highest priority of the blocked jobs that depend on a job.
     pub(crate) fn inherited_priority(&self, id: &JobId) -> Option<Priority> {
         self.inherited.get(id).copied()
@@ -274,9 +330,13 @@
             return;
         }
         self.dependencies.last_scan = Some(Scan { changes, at: now });
+        let blocked = &self.cache.blocked_jobs;
+        self.dependencies
+            .rejected_until
+            .retain(|id, _| blocked.contains_key(id));
         let found = self.scan_blocked_jobs();
         self.read_final_states(&found.unread, effects);
-        if let Some(batch) = self.next_dependency_cas(&found) {
+        if let Some(batch) = self.next_dependency_cas(&found, now) {
             self.dependencies.pending = Some(batch.pending);
             effects.push(Effect::DependencyCompareAndSwap(batch.cas));
         }
@@ -318,16 +378,38 @@
     }
 
     /// Batches the changes of blocked jobs into one compare-and-swap: jobs that may start come
-    /// first, then cancelled jobs, then pages of jobs that are no longer blocked.
-    fn next_dependency_cas(&self, found: &ScanResult) -> Option<CasBatch> {
-        let mut batch = CasBatch::new(self.config.cas_max_changes);
-        batch.add_ready(&self.cache, &found.ready, &self.dependencies.verified);
+    /// first, then cancelled jobs, then pages of jobs that are no longer blocked. If there are
+    /// none, a job whose release was rejected is tried on its own.
+    fn next_dependency_cas(&self, found: &ScanResult, now: u64) -> Option<CasBatch> {
+        let DependencyGraph {
+            verified,
+            max_changes_per_cas,
+            rejected_until,
+            ..
+        } = &self.dependencies;
+        let max_writes = self.config.cas_max_changes;
+        let (rejected, ready): (Vec<_>, Vec<_>) = found
+            .ready
+            .iter()
+            .cloned()
+            .partition(|(id, _)| rejected_until.contains_key(id));
+        let mut batch = CasBatch::new(max_writes, *max_changes_per_cas);
+        batch.add_ready(&self.cache, &ready, verified);
         if batch.is_verification_only() {
             return Some(batch);
         }
         batch.add_cancelled(&self.cache, &found.cancelled);
         batch.add_orphaned_pages(&self.cache);
-        batch.has_writes().then_some(batch)
+        if !batch.has_writes() {
+            let due: Vec<_> = rejected
+                .into_iter()
+                .filter(|(id, _)| rejected_until.get(id).is_none_or(|until| now >= *until))
+                .take(1)
+                .collect();
+            batch = CasBatch::new(max_writes, 1);
+            batch.add_ready(&self.cache, &due, verified);
+        }
+        (batch.has_writes() || batch.is_verification_only()).then_some(batch)
     }
 
     /// Handles the outcome of [`Effect::DependencyCompareAndSwap`].
@@ -336,11 +418,19 @@
             return;
         };
         self.dependencies.last_scan = None;
-        let CompareAndSwapOutcome::Committed(revision) = outcome else {
+        let revision = match outcome {
+            CompareAndSwapOutcome::Committed(revision) => revision,
+            CompareAndSwapOutcome::Rejected => {
+                return self.dependencies.back_off_rejected(&pending, now);
+            }
             // On a conflict, the next read of the store brings the changed keys into the cache.
-            self.dependencies.retry_at = now + CAS_RETRY_MS;
-            return;
+            CompareAndSwapOutcome::Conflict(_) | CompareAndSwapOutcome::Indeterminate => {
+                self.dependencies.retry_at = now + CAS_RETRY_MS;
+                return;
+            }
         };
+        let max_changes = &mut self.dependencies.max_changes_per_cas;
+        *max_changes = max_changes.saturating_mul(2);
         for id in &pending.released {
             info!(job_id = %id, "all dependencies done, job released");
             self.cache.blocked_jobs.remove(id);
--- a/crates/coordination/src/job_status.rs
+++ b/crates/coordination/src/job_status.rs
@@ -87,7 +87,8 @@
                 JobStatusAnswer::NeedsRefresh
             }
             state @ (DependencyState::Waiting(_) | DependencyState::Ready(_)) => {
-                JobStatusAnswer::Unfinished(JobProgressReport::queued(state.wait_reason()))
+                let reason = self.dependencies.wait_reason(id, &state);
+                JobStatusAnswer::Unfinished(JobProgressReport::queued(reason))
             }
         }
     }
--- a/crates/coordination/tests/dependencies.rs
+++ b/crates/coordination/tests/dependencies.rs
@@ -441,3 +441,57 @@
         assert!(puts_key(&cas_list[0], &end_key(&id(9))));
     }
 }
+
+/// Guards against a job that waits behind another's size: the store rejects the release of one
+/// job for its record, alone or together with others, and the others are released all the same.
+#[test]
+fn rejected_release_of_one_job_does_not_delay_the_others() {
+    let mut leader = Leader::new();
+    leader.accept(&spec(1, &[]));
+    let waiting = [3, 4, 5];
+    for n in waiting {
+        leader.accept(&spec(n, &[1]));
+    }
+    leader.finish(1);
+    let released = |cas: &CompareAndSwap| -> Vec<usize> {
+        let is_released = |n: &usize| puts_key(cas, &job_key(&id(*n)));
+        waiting.into_iter().filter(is_released).collect()
+    };
+    // The store takes every record but that of job 3.
+    let mut attempts = Vec::new();
+    for _ in 0..8 {
+        let Some(cas) = leader.next_work().0 else {
+            continue;
+        };
+        let jobs = released(&cas);
+        let outcome = if jobs.contains(&3) {
+            CompareAndSwapOutcome::Rejected
+        } else {
+            CompareAndSwapOutcome::Committed(leader.commit(&cas))
+        };
+        leader.core.dependency_cas_completed(outcome, leader.now);
+        attempts.push((leader.now, jobs));
+    }
+    let jobs: Vec<Vec<usize>> = attempts.iter().map(|(_, jobs)| jobs.clone()).collect();
+    assert_eq!(
+        jobs,
+        [vec![3, 4, 5], vec![3], vec![4], vec![5], vec![3]],
+        "each on its own, and the rejected one again after a pause: {attempts:?}"
+    );
+    assert!(attempts[4].0 >= attempts[1].0 + 5_000, "{attempts:?}");
+    assert!(matches!(
+        leader.core.job_status(&id(3), leader.now),
+        JobStatusAnswer::Unfinished(JobProgressReport { reason, .. })
+            if reason.contains("refuses its record for its size")
+    ));
+    // Once the store takes it, it is released.
+    leader.now += 5_000;
+    let cas = leader.next_work().0.expect("another try");
+    assert_eq!(released(&cas), [3]);
+    let revision = leader.commit(&cas);
+    leader
+        .core
+        .dependency_cas_completed(CompareAndSwapOutcome::Committed(revision), leader.now);
+    assert!(leader.core.cache.jobs.contains_key(&id(3)));
+    assert_eq!(leader.next_work(), (None, Vec::new()));
+}
--- a/crates/node/src/effect_executor.rs
+++ b/crates/node/src/effect_executor.rs
@@ -143,6 +143,7 @@
             let _ = node.refresh_cache().await;
             CompareAndSwapOutcome::Conflict(keys)
         }
+        Err(KvError::Refused) => CompareAndSwapOutcome::Rejected,
         Err(fault) => {
             debug!(%fault, "compare-and-swap of dependent jobs failed");
             CompareAndSwapOutcome::Indeterminate
