Tests: one fixture for cores, refusals and runs by seed

Cause: supervision.rs held a copy of the core of the cluster fixture, four tests spelled out a peer's refusal, and two soaks ran seeds on threads by loops of their own. Same seeds, bounds and assertions.

--- a/crates/coordination/tests/elections.rs
+++ b/crates/coordination/tests/elections.rs
@@ -10,9 +10,8 @@
 };
 use lemonweir_coordination::owner::SyncError;
 use lemonweir_coordination::{Core, ShardLease};
-use lemonweir_model::constants::{PEER_VERSION, RELAYED_SHARD_TIMEOUT_MS};
+use lemonweir_model::constants::RELAYED_SHARD_TIMEOUT_MS;
 use lemonweir_protocol::kv_store::{KeyValue, WatchEvent, to_value};
-use lemonweir_protocol::peer::Superseded;
 use lemonweir_protocol::worker::Heartbeat;
 use lemonweir_storage::records::{ShardRecord, controller_key, shard_key};
 
@@ -163,15 +162,7 @@
     let mut core = with_live_peers(1);
     make_leader(&mut core, 1, 10, 2_000);
     refresh(&mut core, &[acquired(0, 0, 11)], 11, 2_100);
-    core.handle_superseded(
-        Superseded {
-            version: PEER_VERSION,
-            shard: 0,
-            fencing_token: 50,
-            leader_host: "h2".into(),
-        },
-        2_200,
-    );
+    core.handle_superseded(superseded_by(2, 0, 50), 2_200);
     refresh(&mut core, &[released(0, 20), acquired(0, 0, 30)], 31, 2_300);
     assert!(
         matches!(core.handle_sync(&sync(0, 30, 1, 10), 2_400), Err(SyncError::Superseded(by)) if by.fencing_token == 50)
@@ -189,28 +180,12 @@
 fn superseded_leader_does_not_lead_again_by_its_earlier_acquisition() {
     let mut core = with_live_peers(0);
     make_leader(&mut core, 0, 10, 2_000);
-    core.handle_superseded(
-        Superseded {
-            version: PEER_VERSION,
-            shard: 0,
-            fencing_token: 50,
-            leader_host: "h1".into(),
-        },
-        2_100,
-    );
+    core.handle_superseded(superseded_by(1, 0, 50), 2_100);
     assert_eq!(core.leases(), Vec::new());
     refresh(&mut core, &[released(0, 20), acquired(0, 0, 30)], 31, 2_200);
     assert_eq!(election().next_action(&core, 0, 2_300), None);
     // A late notice of an earlier leader changes nothing.
-    core.handle_superseded(
-        Superseded {
-            version: PEER_VERSION,
-            shard: 0,
-            fencing_token: 40,
-            leader_host: "h2".into(),
-        },
-        2_400,
-    );
+    core.handle_superseded(superseded_by(2, 0, 40), 2_400);
     assert_eq!(
         core.cache.shard_leaders.get(&0).map(|h| h.fencing_token),
         Some(50)
--- a/crates/coordination/tests/late_peer_messages.rs
+++ b/crates/coordination/tests/late_peer_messages.rs
@@ -96,15 +96,7 @@
     let mut core = with_live_peers(1);
     make_leader(&mut core, 1, 11, 2_000);
     make_leader(&mut core, 0, 12, 2_100);
-    core.handle_superseded(
-        Superseded {
-            version: PEER_VERSION,
-            shard: 0,
-            fencing_token: 50,
-            leader_host: "h2".into(),
-        },
-        2_200,
-    );
+    core.handle_superseded(superseded_by(2, 0, 50), 2_200);
     core.cache
         .load_snapshot(&[shard_entry(0, 0, 40), shard_entry(1, 1, 11)], 45);
     core.cache_refreshed(2_300, true);
--- a/crates/coordination/tests/supervision.rs
+++ b/crates/coordination/tests/supervision.rs
@@ -2,20 +2,21 @@
 //! (stale reads, lost answers, delayed compare-and-swaps, processes that end), and services
 //! under supervision against their whole histories.
 
+#[path = "support/cluster.rs"]
+mod cluster;
+
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::LazyLock;
 
+use cluster::{HOSTS, core};
 use lemonweir_coordination::election::{ElectionAction, LeaderElection};
 use lemonweir_coordination::supervision::failover::{COMPLETION_RETRY_MS, COMPLETION_TIMEOUT_MS};
 use lemonweir_coordination::supervision::services::{
     EscalationStep, RECOVERY_ATTEMPTS_KEPT, RecoveryActivity, RecoveryAttempt, ServiceObservation,
     SupervisedServices,
 };
-use lemonweir_coordination::{Config, Core, Effect, ShardLease};
+use lemonweir_coordination::{Core, Effect, ShardLease};
 use lemonweir_model::JobId;
 use lemonweir_model::constants::FAILOVER_RECORDS_KEPT;
-use lemonweir_model::policy::Policy;
-use lemonweir_model::settings::Settings;
 use lemonweir_protocol::kv_store::{
     CompareAndSwap, KeyValue, WatchEvent, Write, from_value, to_value,
 };
@@ -26,30 +27,6 @@
 use lemonweir_storage::records::{ShardRecord, register_controller, shard_key};
 use rmpv::Value;
 
-const HOSTS: u16 = 3;
-
-fn core(me: u16) -> Core {
-    static POLICY: LazyLock<Policy> =
-        LazyLock::new(|| lemonweir_policy::embedded().expect("policy"));
-    let seed = |n: u16| serde_json::json!({"host_name": format!("h{n}"), "zone": "north", "address": format!("10.0.0.{n}:8081")});
-    let seeds: Vec<_> = (0..HOSTS).filter(|n| *n != me).map(seed).collect();
-    let value = serde_json::json!({
-        "host_name": format!("h{me}"), "zone": "north", "listen": "10.0.0.9:8080", "internal_addr": "10.0.0.9:8081",
-        "seeds": seeds,
-        "services": {"cloud": "10.2.0.2:8443", "state": "10.2.0.1:2379"},
-        "cluster": {
-            "zones": ["north"], "teams": [{"name": "red"}], "objectives": [],
-            "workers": {"report_s": 3.0, "lease_s": 14.0, "gang_wait_s": 50.0, "gang_peer_s": 8.0, "cancel_s": 34.0},
-            "state": {"rps": 200.0, "write_rps": 80.0, "value_kb": 8.0, "txn_ops": 4},
-            "cloud": {"rps": 4.0, "list_lag_s": 10.0},
-            "limits": {"cpu_share": 0.12, "mem_mb": 104.0, "fd_limit": 1800},
-            "clock_off_ms": 250.0
-        }
-    });
-    let settings: Settings = serde_json::from_value(value).expect("settings");
-    Core::new(Config::new(&settings), POLICY.clone())
-}
-
 // ---- the model of the store -----------------------------------------------------------
 
 /// Whether a compare-and-swap that is sent reaches the store, and its answer the sender.
--- a/crates/coordination/tests/support/cluster.rs
+++ b/crates/coordination/tests/support/cluster.rs
@@ -10,7 +10,7 @@
 use lemonweir_model::policy::Policy;
 use lemonweir_model::settings::Settings;
 use lemonweir_protocol::kv_store::{WatchEvent, to_value};
-use lemonweir_protocol::peer::{ChangeRange, ObservedState, SyncRequest};
+use lemonweir_protocol::peer::{ChangeRange, ObservedState, Superseded, SyncRequest};
 use lemonweir_storage::records::{ControllerRecord, ShardRecord, controller_key, shard_key};
 
 pub const HOSTS: u16 = 3;
@@ -125,3 +125,13 @@
         progress: Vec::new(),
     }
 }
+
+/// A peer's refusal of a sync, since controller `host` leads the shard under this token.
+pub fn superseded_by(host: u16, shard: u16, fencing_token: u64) -> Superseded {
+    Superseded {
+        version: PEER_VERSION,
+        shard,
+        fencing_token,
+        leader_host: format!("h{host}"),
+    }
+}
--- a/crates/simulator/tests/quota_limits.rs
+++ b/crates/simulator/tests/quota_limits.rs
@@ -2,10 +2,10 @@
 
 use std::path::Path;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 
 use lemonweir_simulator::run::{self, LoadSource, Placer};
 use lemonweir_simulator::scenario::Scenario;
+use lemonweir_simulator::sweep::{Seeds, map_seeds};
 
 /// Number of runs, with the seeds from 1 on.
 const SEEDS: u64 = 80;
@@ -37,27 +37,13 @@
 #[test]
 fn quota_limits_hold_while_leaders_crash_repeatedly() {
     let scenario = scenario();
-    let next = AtomicU64::new(1);
-    let work = || {
-        let mut failures = Vec::new();
-        loop {
-            let seed = next.fetch_add(1, Ordering::Relaxed);
-            if seed > SEEDS {
-                return failures;
-            }
-            let found = violations(&scenario, seed);
-            if !found.is_empty() {
-                failures.push(format!("seed {seed}: {found:?}"));
-            }
-        }
-    };
-    let failures: Vec<String> = std::thread::scope(|s| {
-        let threads: Vec<_> = (0..THREADS).map(|_| s.spawn(work)).collect();
-        threads
-            .into_iter()
-            .flat_map(|thread| thread.join().expect("no panic"))
-            .collect()
-    });
+    let seeds = Seeds((1..=SEEDS).collect());
+    let found = map_seeds(&seeds, THREADS, |seed| violations(&scenario, seed));
+    let failures: Vec<String> = (1..=SEEDS)
+        .zip(found)
+        .filter(|(_, found)| !found.is_empty())
+        .map(|(seed, found)| format!("seed {seed}: {found:?}"))
+        .collect();
     assert!(
         failures.is_empty(),
         "{} seeds with violations:\n{}",
