Log which limit a rejected transaction exceeded; one outcome for the core's writes

The state service answers 400 when a value, the number of changes or conditions, or the whole transaction is over a limit. The log named only the job, so that these could not be told apart. The client now logs the key, the sizes and the service's answer.

The two writers of the core (task records, jobs that wait for others) turned the client's results into outcomes each for itself; `effect_executor::commit` does it for both.

`value_size` counts a value as the service does: as JSON, with what is not ASCII escaped.

--- a/crates/node/src/effect_executor.rs
+++ b/crates/node/src/effect_executor.rs
@@ -65,15 +65,28 @@
     }
 }
 
+/// Commits a compare-and-swap of the core.
+async fn commit(node: &Node, cas: &CompareAndSwap) -> CompareAndSwapOutcome {
+    match node.kv_store.cas(cas).await {
+        Ok(CompareAndSwapResult::Committed(revision)) => CompareAndSwapOutcome::Committed(revision),
+        Ok(CompareAndSwapResult::Conflict(keys)) => CompareAndSwapOutcome::Conflict(keys),
+        Err(KvError::Refused) => CompareAndSwapOutcome::Rejected,
+        Err(fault) => {
+            debug!(%fault, "outcome of a compare-and-swap unknown");
+            CompareAndSwapOutcome::Indeterminate
+        }
+    }
+}
+
 /// Commits task records of a shard, and reports the outcome to the core.
 async fn commit_task_records(node: &Node, lease: ShardLease, cas: &CompareAndSwap) {
-    let outcome = match node.kv_store.cas(cas).await {
-        Ok(CompareAndSwapResult::Committed(revision)) => CompareAndSwapOutcome::Committed(revision),
-        Ok(CompareAndSwapResult::Conflict(keys)) => {
+    let outcome = commit(node, cas).await;
+    match &outcome {
+        CompareAndSwapOutcome::Conflict(keys) => {
             // An earlier compare-and-swap whose response was lost may have changed these
             // keys. Their versions are reread before this one counts as completed, so that
             // no placement is based on stale versions.
-            let versions = reread_versions(node, lease, &keys).await;
+            let versions = reread_versions(node, lease, keys).await;
             info!(
                 shard = lease.shard,
                 fencing_token = lease.token,
@@ -87,23 +100,12 @@
                     }
                 }
             });
-            CompareAndSwapOutcome::Conflict(keys)
-        }
-        Err(KvError::Refused) => {
-            error!(
-                shard = lease.shard,
-                writes = cas.writes.len(),
-                "compare-and-swap refused as malformed by the key-value store"
-            );
-            CompareAndSwapOutcome::Rejected
-        }
-        Err(_) => {
-            // Unknown whether it was committed: the same change is retried under the same
-            // conditions, and a conflict then shows that it was.
-            sleep_ms(STORE_RETRY_MS).await;
-            CompareAndSwapOutcome::Indeterminate
         }
-    };
+        // The same change is retried under the same conditions, and a conflict then shows
+        // whether it was committed.
+        CompareAndSwapOutcome::Indeterminate => sleep_ms(STORE_RETRY_MS).await,
+        CompareAndSwapOutcome::Committed(_) | CompareAndSwapOutcome::Rejected => {}
+    }
     let ownership = node.with_core(|core, now| core.cas_completed(lease, outcome, now));
     if ownership == ShardOwnership::Lost {
         let _ = node.refresh_cache().await;
@@ -133,22 +135,17 @@
 /// Commits a change of jobs that depend on others. After a commit or a conflict the cache is
 /// refreshed, so that jobs that may now start are placed at once.
 async fn commit_dependent_jobs(node: &Node, cas: &CompareAndSwap) {
-    let outcome = match node.kv_store.cas(cas).await {
-        Ok(CompareAndSwapResult::Committed(revision)) => {
+    let outcome = commit(node, cas).await;
+    match &outcome {
+        CompareAndSwapOutcome::Committed(_) => {
             let _ = node.refresh_cache().await;
-            CompareAndSwapOutcome::Committed(revision)
         }
-        Ok(CompareAndSwapResult::Conflict(keys)) => {
+        CompareAndSwapOutcome::Conflict(keys) => {
             info!(?keys, "compare-and-swap conflict of dependent jobs");
             let _ = node.refresh_cache().await;
-            CompareAndSwapOutcome::Conflict(keys)
         }
-        Err(KvError::Refused) => CompareAndSwapOutcome::Rejected,
-        Err(fault) => {
-            debug!(%fault, "compare-and-swap of dependent jobs failed");
-            CompareAndSwapOutcome::Indeterminate
-        }
-    };
+        CompareAndSwapOutcome::Rejected | CompareAndSwapOutcome::Indeterminate => {}
+    }
     node.with_core(|core, now| core.dependency_cas_completed(outcome, now));
 }
 
--- a/crates/node/src/kv_client.rs
+++ b/crates/node/src/kv_client.rs
@@ -6,6 +6,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use tracing::warn;
+
 use crate::rate_limit_share::RateLimitShare;
 use crate::router::{Router, ServiceCall};
 use lemonweir_coordination::rate_limit::RequestBudget;
@@ -13,7 +15,7 @@
 use lemonweir_model::settings::KvStoreLimits;
 use lemonweir_protocol::kv_store::{
     CompareAndSwap, CompareAndSwapResponse, KeyValue, LeaseRequest, LeaseResponse, ListResponse,
-    WatchResponse,
+    WatchResponse, Write,
 };
 use lemonweir_protocol::links::Service;
 use lemonweir_protocol::{decode, encode};
@@ -250,7 +252,20 @@
             400 if String::from_utf8_lossy(&response.body).contains("no such lease") => {
                 Err(KvError::LeaseExpired)
             }
-            _ => Err(KvError::Refused),
+            status => {
+                // Shows which of the store's limits it exceeded.
+                warn!(
+                    status,
+                    error = %String::from_utf8_lossy(&response.body),
+                    key = cas.writes.first().map(Write::key),
+                    writes = cas.writes.len(),
+                    conditions = cas.conditions.len(),
+                    largest_value_bytes = cas.largest_value_size(),
+                    value_bytes = cas.total_value_size(),
+                    "compare-and-swap rejected by the key-value store"
+                );
+                Err(KvError::Refused)
+            }
         }
     }
 
--- a/crates/protocol/src/kv_store.rs
+++ b/crates/protocol/src/kv_store.rs
@@ -74,6 +74,13 @@
             lease: None,
         }
     }
+
+    /// The key that it sets or deletes.
+    pub fn key(&self) -> &str {
+        match self {
+            Write::Put { key, .. } | Write::Delete { key } => key,
+        }
+    }
 }
 
 /// A transaction: all of its writes are made if all of its conditions hold, else none.
@@ -154,3 +161,62 @@
     rmpv::encode::write_value(&mut bytes, value).ok()?;
     rmp_serde::from_slice(&bytes).ok()
 }
+
+/// Size of a value as the store's limits count it: as JSON without spaces, bytes. Characters
+/// outside of ASCII count as escaped, which is the longer of their two forms.
+pub fn value_size(value: &Value) -> usize {
+    let list_size =
+        |items: &[usize]| 2 + items.iter().sum::<usize>() + items.len().saturating_sub(1);
+    match value {
+        Value::Nil => 4,
+        Value::Boolean(true) => 4,
+        Value::Boolean(false) => 5,
+        Value::Integer(number) => number.to_string().len(),
+        Value::F32(number) => format!("{number:?}").len(),
+        Value::F64(number) => format!("{number:?}").len(),
+        Value::String(text) => text.as_str().map_or(0, text_size),
+        Value::Array(items) => {
+            let sizes: Vec<usize> = items.iter().map(value_size).collect();
+            list_size(&sizes)
+        }
+        Value::Map(entries) => {
+            let sizes: Vec<usize> = entries
+                .iter()
+                .map(|(key, value)| value_size(key) + ":".len() + value_size(value))
+                .collect();
+            list_size(&sizes)
+        }
+        // Records hold neither.
+        Value::Binary(_) | Value::Ext(..) => 0,
+    }
+}
+
+/// Size of a text in a value with its quotes, bytes; see [`value_size`].
+pub fn text_size(text: &str) -> usize {
+    const UNICODE_ESCAPE_BYTES: usize = "\\u0000".len();
+    let character_size = |character: char| match character {
+        '"' | '\\' | '\n' | '\r' | '\t' | '\u{8}' | '\u{c}' => 2,
+        ' '..='~' => 1,
+        _ => UNICODE_ESCAPE_BYTES * character.len_utf16(),
+    };
+    2 + text.chars().map(character_size).sum::<usize>()
+}
+
+impl CompareAndSwap {
+    /// Size of the largest value that it writes, bytes; see [`value_size`].
+    pub fn largest_value_size(&self) -> usize {
+        self.value_sizes().max().unwrap_or(0)
+    }
+
+    /// Size of all values that it writes, bytes; see [`value_size`].
+    pub fn total_value_size(&self) -> usize {
+        self.value_sizes().sum()
+    }
+
+    fn value_sizes(&self) -> impl Iterator<Item = usize> + '_ {
+        self.writes.iter().map(|write| match write {
+            Write::Put { value, .. } => value_size(value),
+            Write::Delete { .. } => 0,
+        })
+    }
+}
