Simulator: drawn runs with large records under lowered limits

The store lowers its limits to those announced (values of 2 KB, 4 changes) at any instant from the start on, beside up to three other faults. Besides the usual checks, an accepted job whose dependencies are done must begin, and a cancellation be confirmed, within 90 s.

--- a/crates/simulator/src/fault_search.rs
+++ b/crates/simulator/src/fault_search.rs
@@ -3,6 +3,7 @@
 
 mod draw_faults;
 mod draw_site;
+mod liveness;
 
 use std::sync::Arc;
 
@@ -17,8 +18,9 @@
 use crate::run_report::run_violations;
 use crate::scenario::Scenario;
 use crate::simulation::Simulation;
-use draw_faults::{draw_faults, draw_stalls_over_slow_links};
-use draw_site::draw_site;
+use draw_faults::{draw_faults, draw_lowered_limits, draw_stalls_over_slow_links};
+use draw_site::{DrawnSite, draw_site, draw_site_of_large_records};
+use liveness::{jobs_that_never_begin, unconfirmed_cancellations};
 
 /// Time before the first fault may begin, s: the fleet boots.
 const WARM_UP_S: f64 = 90.0;
@@ -44,6 +46,37 @@
     Any,
     /// Stalls of controllers while the links between controllers are slow.
     StallsOverSlowLinks,
+    /// The store lowers its limits as announced, beside other faults, while there are jobs whose
+    /// records the lower limits do not allow.
+    LoweredLimits,
+}
+
+impl FaultMix {
+    /// Draws the site and the faults of a run.
+    fn draw(self, rng: &mut ChaCha8Rng, max_machines: u32) -> (DrawnSite, Vec<String>) {
+        let site = match self {
+            Self::Any | Self::StallsOverSlowLinks => draw_site(rng, max_machines),
+            Self::LoweredLimits => draw_site_of_large_records(rng, max_machines),
+        };
+        let faults = match self {
+            Self::Any => draw_faults(rng, &site),
+            Self::StallsOverSlowLinks => draw_stalls_over_slow_links(rng, &site),
+            Self::LoweredLimits => draw_lowered_limits(rng, &site),
+        };
+        (site, faults)
+    }
+
+    /// Checks of the end of a run that hold only for the sites of this mix.
+    fn violations_at_end(self, simulation: &Simulation) -> Vec<String> {
+        match self {
+            Self::Any | Self::StallsOverSlowLinks => Vec::new(),
+            Self::LoweredLimits => [
+                jobs_that_never_begin(simulation),
+                unconfirmed_cancellations(simulation),
+            ]
+            .concat(),
+        }
+    }
 }
 
 /// A drawn run, reduced to the faults that its failure needs, and its result.
@@ -70,21 +103,17 @@
 /// fails, removes each fault in turn without which it still fails.
 pub fn search_seed(seed: u64, max_machines: u32, mix: FaultMix) -> SearchResult {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let site = draw_site(&mut rng, max_machines);
-    let mut faults = match mix {
-        FaultMix::Any => draw_faults(&mut rng, &site),
-        FaultMix::StallsOverSlowLinks => draw_stalls_over_slow_links(&mut rng, &site),
-    };
+    let (site, mut faults) = mix.draw(&mut rng, max_machines);
     let site = site.text;
     let FaultRunResult {
         mut violations,
         task_starts,
-    } = run_with_faults(&site, &faults, seed);
+    } = run_with_faults(mix, &site, &faults, seed);
     let mut index = 0;
     while !violations.is_empty() && index < faults.len() {
         let mut reduced = faults.clone();
         reduced.remove(index);
-        let remaining = run_with_faults(&site, &reduced, seed).violations;
+        let remaining = run_with_faults(mix, &site, &reduced, seed).violations;
         if remaining.is_empty() {
             index += 1;
         } else {
@@ -101,7 +130,7 @@
 }
 
 /// Runs a site with faults and checks the result.
-fn run_with_faults(site: &str, faults: &[String], seed: u64) -> FaultRunResult {
+fn run_with_faults(mix: FaultMix, site: &str, faults: &[String], seed: u64) -> FaultRunResult {
     let scenario = match Scenario::parse("hunt", &format!("{site}{}", faults.concat())) {
         Ok(scenario) => Arc::new(scenario),
         Err(violations) => {
@@ -116,6 +145,7 @@
     let mut simulation = Simulation::new(scenario, load, seed, History::new(None));
     simulation.run(duration_ms);
     let mut violations = leaderless_shards(&simulation);
+    violations.extend(mix.violations_at_end(&simulation));
     violations.extend(run_violations(&simulation));
     let replicas = replicas_at_end(&simulation, duration_ms);
     if (replicas.up as f64) < MIN_REPLICAS_UP_SHARE * replicas.desired as f64 {
--- a/crates/simulator/src/fault_search/draw_faults.rs
+++ b/crates/simulator/src/fault_search/draw_faults.rs
@@ -74,6 +74,21 @@
     faults
 }
 
+/// Draws the time at which the store lowers its limits, before or between up to three other
+/// faults.
+pub(super) fn draw_lowered_limits(rng: &mut ChaCha8Rng, site: &DrawnSite) -> Vec<String> {
+    let lowered_at = rng.random::<f64>() * (WARM_UP_S + FAULT_WINDOW_S);
+    let mut faults = vec![format!(
+        "[[fault]]\nat_s = {lowered_at:.1}\nkind = 'state_limits'\nfor_s = 1\n"
+    )];
+    for _ in 0..rng.random_range(0..=3) {
+        let at = WARM_UP_S + rng.random::<f64>() * FAULT_WINDOW_S;
+        let length = draw_duration(rng);
+        faults.push(draw_fault(rng, site, at, length));
+    }
+    faults
+}
+
 fn draw_duration(rng: &mut ChaCha8Rng) -> f64 {
     rng.random_range(MIN_FAULT_DURATION_S..MAX_FAULT_DURATION_S)
 }
--- a/crates/simulator/src/fault_search/draw_site.rs
+++ b/crates/simulator/src/fault_search/draw_site.rs
@@ -24,6 +24,42 @@
 /// Draws a site with its load. Small sites are drawn more often than large ones: the logarithm
 /// of the number of machines is uniform up to that of `max_machines`.
 pub(super) fn draw_site(rng: &mut ChaCha8Rng, max_machines: u32) -> DrawnSite {
+    let mut site = draw_infrastructure(rng, max_machines);
+    write_load(&mut site, rng);
+    site
+}
+
+/// Draws a site with more room than work, whose jobs have records of some 0.3 to 7.8 KB as JSON.
+pub(super) fn draw_site_of_large_records(rng: &mut ChaCha8Rng, max_machines: u32) -> DrawnSite {
+    let mut site = draw_infrastructure(rng, max_machines);
+    let per_min = 1.0 + f64::from(site.machines) / 40.0;
+    let classes = [
+        "name = 'serve'\nshape = 'service'\npriority = 'production'\ntasks = 2\nrun_s = 100000\nat_start = 4".to_owned(),
+        format!("name = 'brief'\nshape = 'service'\npriority = 'production'\ntasks = 2\nrun_s = 60\nper_min = {per_min:.2}"),
+        format!(
+            "name = 'batch'\nrun_s = 30\nper_min = {per_min:.2}\ncancelled = 0.2\ntasks = {{ dist = 'uniform', low = 1, high = 8 }}"
+        ),
+        format!(
+            "name = 'gang'\nshape = 'gang'\nrun_s = 30\nper_min = {per_min:.2}\ncancelled = 0.2\ntasks = {{ dist = 'uniform', low = 2, high = 4 }}"
+        ),
+        format!("name = 'first'\nrun_s = 20\nper_min = {per_min:.2}\ncancelled = 0.15\ntasks = {{ dist = 'uniform', low = 1, high = 4 }}"),
+        "name = 'second'\nrun_s = 15\nawaits = ['first']\ncancelled = 0.1".to_owned(),
+        "name = 'third'\nrun_s = 15\nawaits = ['first']".to_owned(),
+        "name = 'last'\nrun_s = 10\nawaits = ['first', 'second']\nlater_s = { dist = 'uniform', low = 0, high = 40 }".to_owned(),
+    ];
+    for class in classes {
+        // Writing to a `String` can't fail.
+        let _ = write!(
+            site.text,
+            "[[class]]\nteams = ['red', 'blue']\n{class}\ncpus = 1\nmemory_gb = 2\n\
+             submission_bytes = {{ dist = 'uniform', low = 200, high = 7_700 }}\n"
+        );
+    }
+    site
+}
+
+/// Draws the size of a site, and its infrastructure.
+fn draw_infrastructure(rng: &mut ChaCha8Rng, max_machines: u32) -> DrawnSite {
     let range = f64::from(max_machines.max(41)) / MIN_MACHINES;
     let machines = (MIN_MACHINES * range.powf(rng.random::<f64>())) as u32;
     let zones = rng.random_range(1..=8usize).min(1 + machines as usize / 10);
@@ -37,7 +73,6 @@
         lease_s,
     };
     write_infrastructure(&mut site, rng);
-    write_load(&mut site, rng);
     site
 }
 
--- a/crates/simulator/src/load_generator.rs
+++ b/crates/simulator/src/load_generator.rs
@@ -11,6 +11,12 @@
 use crate::job::{PlannedSubmission, SimulatedJob};
 use crate::scenario::{JobClass, Scenario, ValueDistribution};
 
+/// Size of a submission that names no machine types, as JSON, bytes.
+const PLAIN_SUBMISSION_BYTES: f64 = 350.0;
+/// Length of the name of a machine type that no machine has: a hundred of them, as many as a
+/// submission may name, take 8 KB.
+const UNUSED_TYPE_NAME_BYTES: usize = 78;
+
 /// Time from the submission of a job with a mistake to its withdrawal, s.
 const BROKEN_JOB_WITHDRAWAL_S: std::ops::Range<f64> = 20.0..200.0;
 /// Time from the submission of a cancelled job to its withdrawal, as a share of its mean run
@@ -42,7 +48,7 @@
         for (n, &at_us) in times.iter().enumerate() {
             jobs.push(DrawnJob {
                 class: number,
-                planned: draw_job(class, n, at_us, &mut rng),
+                planned: draw_job(scenario, class, n, at_us, &mut rng),
             });
         }
         times_of_class.push(times);
@@ -147,7 +153,13 @@
 }
 
 /// Draws the n-th job of a class, without its final id and dependencies.
-fn draw_job(class: &JobClass, n: usize, at_us: u64, rng: &mut ChaCha8Rng) -> PlannedSubmission {
+fn draw_job(
+    scenario: &Scenario,
+    class: &JobClass,
+    n: usize,
+    at_us: u64,
+    rng: &mut ChaCha8Rng,
+) -> PlannedSubmission {
     let tasks = (class.tasks.draw(rng).round() as u64).clamp(1, MAX_TASKS);
     let service = class.shape == JobKind::Service;
     let gang = class.shape == JobKind::Gang;
@@ -166,7 +178,7 @@
         cpus: class.task_resources.cpus,
         gpus: class.task_resources.gpus,
         memory_gb: class.task_resources.memory_gb,
-        machine_types: None,
+        machine_types: draw_machine_types(scenario, class, rng),
         zone: class.zone.clone(),
         same_zone: class.one_zone,
         spread: class.spread,
@@ -194,6 +206,26 @@
     }
 }
 
+/// Draws the machine types that a job names: all types of the scenario, and as many others as
+/// its submission has room for.
+fn draw_machine_types(
+    scenario: &Scenario,
+    class: &JobClass,
+    rng: &mut ChaCha8Rng,
+) -> Option<Vec<String>> {
+    let bytes = class.submission_bytes.as_ref()?.draw(rng);
+    let json_overhead = "\"\",".len();
+    let unused_types =
+        (bytes - PLAIN_SUBMISSION_BYTES) / (UNUSED_TYPE_NAME_BYTES + json_overhead) as f64;
+    let unused = (0..unused_types.max(0.0) as usize)
+        .map(|n| format!("{n:0>width$}", width = UNUSED_TYPE_NAME_BYTES));
+    let known = scenario
+        .machine_kinds
+        .iter()
+        .map(|kind| kind.machine.name.clone());
+    Some(known.chain(unused).collect())
+}
+
 /// Draws the user's estimate of the run time, s: too long or too short with equal probability.
 fn draw_estimate(class: &JobClass, mean_run_s: f64, rng: &mut ChaCha8Rng) -> f64 {
     let error = 1.0 + class.estimate_error * rng.random::<f64>();
--- a/crates/simulator/src/scenario.rs
+++ b/crates/simulator/src/scenario.rs
@@ -101,6 +101,9 @@
     pub dependency_delay_s: ValueDistribution,
     /// Share of its jobs that are withdrawn while they wait or run.
     pub cancelled_share: f64,
+    /// Approximate size of a submission as JSON, bytes, reached by naming further machine types;
+    /// `None`: its jobs name no machine types.
+    pub submission_bytes: Option<ValueDistribution>,
 }
 
 /// Probabilities of faults of single messages, in thousandths.
--- a/crates/simulator/src/scenario/reader.rs
+++ b/crates/simulator/src/scenario/reader.rs
@@ -266,6 +266,9 @@
         dependencies: table.strings("awaits"),
         dependency_delay_s: ValueDistribution::read(table, "later_s", Some(0.0)),
         cancelled_share: table.number("cancelled", 0.0, 1.0, Some(0.0)),
+        submission_bytes: table
+            .has("submission_bytes")
+            .then(|| ValueDistribution::read(table, "submission_bytes", None)),
     }
 }
 
--- a/crates/simulator/src/simulation/users.rs
+++ b/crates/simulator/src/simulation/users.rs
@@ -220,6 +220,17 @@
         self.schedule_in(WITHDRAWAL_INTERVAL_US, Event::Withdraw(id));
     }
 
+    /// Jobs whose users asked for their withdrawal at or before `since`, µs, and do not know yet
+    /// that they have ended.
+    pub(crate) fn cancellations_awaited_since(&self, since: u64) -> Vec<JobId> {
+        self.users
+            .iter()
+            .filter(|(_, user)| !user.finished)
+            .filter(|(_, user)| user.withdrawal_requested.is_some_and(|at| at <= since))
+            .map(|(id, _)| id.clone())
+            .collect()
+    }
+
     // ---- answers ---------------------------------------------------------------
 
     pub(super) fn user_receives(&mut self, reply: UserReply) {
