Store a large specification once, in pages, so that its job can always be changed

Cause: a job's record held what its user asked for, which never changes and may take 64 KiB, beside the release and the request to cancel it, which do change. Each change wrote all of it anew.

Change: the specification of a record over 1.5 KB is written once, in pages of 1.6 KB (`w/spec/<id>/<digest>/<n>`), before the record that names them. `JobRecordWriter::fit` does that for every change of a job's record: creation, release, cancellation. Keys with a digest make a page that is written late, twice or by another controller harmless; the pages have the conditions of their change, so that none is written after the end. A whole record of the version before gets its pages with its next change. Record version 2: until all controllers read it, records are written whole as before. One controller deletes the pages of ended jobs. Small records cost what they did. The simulator's users send their transactions one after the other now, as the process does.

Ruled out: refusing large submissions (the pages allow 64 KiB); a marker key for each change (the conditions on the job's key, on which starts and ends rest, would need a second key each).

The golden samples of the version before are unchanged but for `reads` 2 in w/node; new ones are added.

--- a/crates/coordination/src/dependencies/batch.rs
+++ b/crates/coordination/src/dependencies/batch.rs
@@ -15,6 +15,8 @@
 pub(super) struct PendingCas {
     /// Jobs that it unblocks.
     pub(super) released: Vec<JobId>,
+    /// Jobs of which it writes pages of the specification, before they can be released.
+    pub(super) paged: Vec<JobId>,
     /// Jobs that it records as cancelled.
     pub(super) cancelled: Vec<JobId>,
     /// Jobs whose final states it verifies.
@@ -59,13 +61,16 @@
 
     /// Adds the release of jobs whose dependencies are done. Each job comes with its
     /// dependencies and the versions of their final states; dependencies in `verified` need no
-    /// further check.
+    /// further check. Pages that a large record still lacks are added last, so that no release
+    /// waits behind them.
     pub(super) fn add_ready(
         &mut self,
         cache: &StateCache,
         ready: &[(JobId, Vec<(JobId, u64)>)],
         verified: &HashSet<JobId>,
     ) {
+        let writer = cache.job_record_writer(self.max_writes);
+        let mut missing_pages: Vec<(&JobId, CompareAndSwap)> = Vec::new();
         for (id, done) in ready {
             let Some(blocked) = cache.blocked_jobs.get(id) else {
                 continue;
@@ -84,11 +89,23 @@
                 return;
             }
             let release = unblock_job(&blocked.record, blocked.version, &unverified);
-            if !self.try_append(release) {
+            let mut steps = writer.fit(release).into_iter();
+            let Some(next) = steps.next() else { continue };
+            if steps.next().is_some() {
+                missing_pages.push((id, next));
+                continue;
+            }
+            if !self.try_append(next) {
                 return;
             }
             self.pending.released.push(id.clone());
         }
+        for (id, pages) in missing_pages {
+            if !self.try_append(pages) {
+                return;
+            }
+            self.pending.paged.push(id.clone());
+        }
     }
 
     fn verify(&mut self, done: &[(JobId, u64)]) {
@@ -110,6 +127,20 @@
         }
     }
 
+    /// Adds the deletion of the specification pages of jobs that have ended. Neither a job nor a
+    /// page is ever created again then, so that the deletions need no condition.
+    pub(super) fn add_orphaned_spec_pages(&mut self, cache: &StateCache) {
+        for page in cache.orphaned_spec_pages() {
+            let deletion = CompareAndSwap {
+                conditions: Vec::new(),
+                writes: vec![Write::Delete { key: page.key() }],
+            };
+            if cache.job_end(&page.job).is_some() && !self.try_append(deletion) {
+                return;
+            }
+        }
+    }
+
     /// Adds the deletion of dependency pages whose jobs are no longer blocked.
     pub(super) fn add_orphaned_pages(&mut self, cache: &StateCache) {
         for (id, page) in cache.orphaned_dependency_pages() {
--- a/crates/coordination/src/dependencies/mod.rs
+++ b/crates/coordination/src/dependencies/mod.rs
@@ -37,6 +37,9 @@
 const MAX_DEPENDENCIES_IN_REASON: usize = 5;
 /// Maximum number of final states requested from the store after one scan.
 const MAX_FINAL_STATE_READS_PER_SCAN: usize = 16;
+/// ms between two reads of the ends of jobs whose specification pages may be deleted; nothing
+/// waits for that.
+const ORPHAN_READ_INTERVAL_MS: u64 = 10_000;
 /// ms until a compare-and-swap for blocked jobs that was not committed, or a read of final
 /// states that found nothing, is retried: long enough for a read of the store in between.
 const CAS_RETRY_MS: u64 = 300;
@@ -120,6 +123,10 @@
     pending: Option<PendingCas>,
     /// Jobs whose final states are being read.
     reads_in_flight: BTreeSet<JobId>,
+    /// Jobs with orphaned specification pages whose ends are being read.
+    orphan_reads: BTreeSet<JobId>,
+    /// Time before which no ends of jobs with orphaned pages are read, ms.
+    orphans_read_at: u64,
     /// Dependencies whose final states the store has verified, for jobs with too many
     /// dependencies for one compare-and-swap.
     verified: HashSet<JobId>,
@@ -142,6 +149,8 @@
             inherited: HashMap::new(),
             pending: None,
             reads_in_flight: BTreeSet::new(),
+            orphan_reads: BTreeSet::new(),
+            orphans_read_at: 0,
             verified: HashSet::new(),
             retry_at: 0,
             last_scan: None,
@@ -169,10 +178,10 @@
             self.max_changes_per_cas = 1;
             return;
         }
-        if pending.released.is_empty() {
+        if pending.released.is_empty() && pending.paged.is_empty() {
             self.retry_at = now + CAS_RETRY_MS;
         }
-        for id in &pending.released {
+        for id in pending.released.iter().chain(&pending.paged) {
             warn!(
                 job_id = %id,
                 backoff_ms = REJECTED_RELEASE_BACKOFF_MS,
@@ -237,6 +246,11 @@
         } else {
             create_blocked_job(&record, self.config.cas_max_changes)
         };
+        let writer = self.cache.job_record_writer(self.config.cas_max_changes);
+        let cas_list = cas_list
+            .into_iter()
+            .flat_map(|cas| writer.fit(cas))
+            .collect();
         DependencyAdmission::Accept(cas_list, JobPhase::Queued)
     }
 
@@ -254,17 +268,18 @@
             .is_some()
     }
 
-    /// The compare-and-swap that cancels an unfinished job for its user; `None` if its
-    /// cancellation is already requested or the job is not known here.
-    pub fn cancellation_cas(&self, id: &JobId) -> Option<CompareAndSwap> {
+    /// The compare-and-swaps, in this order, that cancel an unfinished job for its user; `None` if
+    /// its cancellation is already requested or the job is not known here.
+    pub fn cancellation_cas_list(&self, id: &JobId) -> Option<Vec<CompareAndSwap>> {
         if let Some(job) = self.cache.jobs.get(id) {
+            let writer = self.cache.job_record_writer(self.config.cas_max_changes);
             return (!job.record.cancel_requested)
-                .then(|| request_cancellation(&job.record, job.version));
+                .then(|| writer.fit(request_cancellation(&job.record, job.version)));
         }
         self.cache
             .blocked_jobs
             .get(id)
-            .map(|blocked| cancel_blocked_job(id, blocked.version))
+            .map(|blocked| vec![cancel_blocked_job(id, blocked.version)])
     }
 
     /// The effective priority of a job, if this controller places it.
@@ -303,20 +318,50 @@
         let shard = Self::team_shard(&self.cache, &self.config, team);
         match self.cache.shard_leaders.get(&shard) {
             Some(_) => self.shards.contains_key(&shard),
-            None => self
-                .cache
-                .controllers
-                .keys()
-                .next()
-                .is_some_and(|host| *host == own_host(&self.config)),
+            None => self.is_first_live_controller(),
         }
     }
 
+    /// True if this controller is the first live one by host name, which does what only one of
+    /// them needs to do.
+    fn is_first_live_controller(&self) -> bool {
+        self.cache
+            .controllers
+            .keys()
+            .next()
+            .is_some_and(|host| *host == own_host(&self.config))
+    }
+
+    /// Jobs with orphaned specification pages whose end has to be read before the pages may be
+    /// deleted: the job may still be in submission.
+    fn unread_ends_of_orphaned_pages(&mut self, now: u64) -> BTreeSet<JobId> {
+        if !self.is_first_live_controller() || now < self.dependencies.orphans_read_at {
+            return BTreeSet::new();
+        }
+        let unread: BTreeSet<JobId> = self
+            .cache
+            .orphaned_spec_pages()
+            .map(|page| &page.job)
+            .filter(|job| self.cache.job_end(job).is_none())
+            .take(MAX_FINAL_STATE_READS_PER_SCAN)
+            .cloned()
+            .collect();
+        if !unread.is_empty() {
+            self.dependencies.orphans_read_at = now + ORPHAN_READ_INTERVAL_MS;
+            self.dependencies
+                .orphan_reads
+                .extend(unread.iter().cloned());
+        }
+        unread
+    }
+
     /// Emits the effects due for blocked jobs: reads of final states, and one compare-and-swap
     /// at a time.
     pub(crate) fn flush_dependencies(&mut self, now: u64, effects: &mut Vec<Effect>) {
+        let deletes_pages = self.is_first_live_controller() && self.cache.has_spec_pages();
         let nothing_to_do = self.cache.blocked_jobs.is_empty()
-            && self.cache.orphaned_dependency_pages().next().is_none();
+            && self.cache.orphaned_dependency_pages().next().is_none()
+            && !deletes_pages;
         if nothing_to_do || now < self.dependencies.retry_at {
             return;
         }
@@ -334,7 +379,8 @@
         self.dependencies
             .rejected_until
             .retain(|id, _| blocked.contains_key(id));
-        let found = self.scan_blocked_jobs();
+        let mut found = self.scan_blocked_jobs();
+        found.unread.extend(self.unread_ends_of_orphaned_pages(now));
         self.read_final_states(&found.unread, effects);
         if let Some(batch) = self.next_dependency_cas(&found, now) {
             self.dependencies.pending = Some(batch.pending);
@@ -400,6 +446,9 @@
         }
         batch.add_cancelled(&self.cache, &found.cancelled);
         batch.add_orphaned_pages(&self.cache);
+        if self.is_first_live_controller() {
+            batch.add_orphaned_spec_pages(&self.cache);
+        }
         if !batch.has_writes() {
             let due: Vec<_> = rejected
                 .into_iter()
@@ -433,11 +482,11 @@
         *max_changes = max_changes.saturating_mul(2);
         for id in &pending.released {
             info!(job_id = %id, "all dependencies done, job released");
-            self.cache.blocked_jobs.remove(id);
+            self.cache.forget_blocked_job(id);
         }
         for id in &pending.cancelled {
             info!(job_id = %id, "job cancelled with a dependency");
-            self.cache.blocked_jobs.remove(id);
+            self.cache.forget_blocked_job(id);
             self.cache
                 .record_end(id, JobPhase::Withdrawn, revision, now);
         }
@@ -453,7 +502,8 @@
         for id in ids {
             self.dependencies.reads_in_flight.remove(id);
             self.dependencies.last_scan = None;
-            if !self.cache.is_known(id) {
+            let is_orphan = self.dependencies.orphan_reads.remove(id);
+            if !is_orphan && !self.cache.is_known(id) {
                 self.dependencies.retry_at = now + CAS_RETRY_MS;
             }
         }
--- a/crates/model/src/constants.rs
+++ b/crates/model/src/constants.rs
@@ -95,14 +95,16 @@
 /// Share of its request budget at the store that a controller uses, percent. The rest is left
 /// to bursts of other controllers.
 pub const STORE_BUDGET_PERCENT: u64 = 90;
-/// Maximum size of the task records in one transaction, bytes: below the limit of 64 KiB for a
-/// transaction, which leaves space for conditions.
+/// Maximum size of the values in one transaction, bytes: below the limit of 64 KiB for a
+/// transaction, which leaves space for keys and conditions.
 pub const MAX_CAS_BYTES: usize = 40_000;
 /// Tasks in one task record: a full chunk of live attempts stays well below the smallest value
 /// limit that the settings allow.
 pub const TASKS_PER_CHUNK: u32 = 64;
 /// Record version from which task records are written in the packed encoding.
 pub const PACKED_RECORD_VERSION: u32 = 1;
+/// Record version from which a large specification is stored in pages of its own.
+pub const PAGED_SPEC_VERSION: u32 = 2;
 /// Maximum number of conditions of a transaction for each of its writes (protocol
 /// specification).
 pub const CONDITIONS_PER_WRITE: usize = 4;
--- a/crates/node/src/public_api/cancel.rs
+++ b/crates/node/src/public_api/cancel.rs
@@ -5,10 +5,10 @@
 
 use tracing::info;
 
+use super::commit::{UserCommit, commit_in_order};
 use super::job_status::find_status;
 use super::replies::{answer, not_found, refuse};
 use super::submit::notify_leader;
-use crate::kv_client::{CompareAndSwapResult, KvError};
 use crate::{Node, sleep_ms};
 use lemonweir_coordination::query_admission::{QueryKind, QueryRefusal};
 use lemonweir_model::JobId;
@@ -31,8 +31,8 @@
     ToWrite {
         /// Team of the job, whose shard's leader is notified of the cancellation.
         team: String,
-        /// The compare-and-swap that writes the cancellation.
-        cas: CompareAndSwap,
+        /// The compare-and-swaps that write the cancellation, in this order.
+        cas_list: Vec<CompareAndSwap>,
     },
 }
 
@@ -65,25 +65,23 @@
                 }
                 sleep_ms(TICK_MS).await;
             }
-            PendingCancellation::ToWrite { team, cas } => {
+            PendingCancellation::ToWrite { team, cas_list } => {
                 // Refuses rather than making the user wait behind a long queue of writes.
                 if node.kv_store.write_wait() > Duration::from_millis(SUBMISSION_TIMEOUT_MS) {
                     return refused(QueryRefusal::WriteQueueFull);
                 }
-                match node.kv_store.cas(&cas).await {
-                    Ok(CompareAndSwapResult::Committed(_)) => {
+                match commit_in_order(node, &cas_list, deadline_ms).await {
+                    UserCommit::Committed => {
                         info!(job_id = %id, "job cancellation requested");
                         notify_leader(node, &team);
                         wait_until_ms = Some(node.now_ms() + CANCELLED_WAIT_MS);
                         // Otherwise the next iteration would write the cancellation again.
                         let _ = node.refresh_cache().await;
                     }
-                    Ok(CompareAndSwapResult::Conflict(_)) | Err(KvError::Unknown)
-                        if node.now_ms() < deadline_ms =>
-                    {
+                    UserCommit::Conflict if node.now_ms() < deadline_ms => {
                         let _ = node.refresh_cache().await;
                     }
-                    Ok(CompareAndSwapResult::Conflict(_)) | Err(_) => {
+                    UserCommit::Conflict | UserCommit::Unavailable => {
                         return refused(QueryRefusal::StoreFailed);
                     }
                 }
@@ -98,9 +96,9 @@
             return PendingCancellation::NotCached;
         };
         let team = spec.team.clone();
-        match core.cancellation_cas(id) {
+        match core.cancellation_cas_list(id) {
             None => PendingCancellation::Requested,
-            Some(cas) => PendingCancellation::ToWrite { team, cas },
+            Some(cas_list) => PendingCancellation::ToWrite { team, cas_list },
         }
     })
 }
--- a/crates/node/src/public_api/mod.rs
+++ b/crates/node/src/public_api/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP API for users, the load balancer, workers and operators: its routes and handlers.
 
 mod cancel;
+mod commit;
 mod heartbeat;
 mod job_status;
 mod operator_pages;
--- a/crates/node/src/public_api/submit.rs
+++ b/crates/node/src/public_api/submit.rs
@@ -6,10 +6,10 @@
 
 use tracing::{debug, info};
 
+use super::commit::{UserCommit, commit_in_order};
 use super::job_status::{find_status, lookup_refusal};
 use super::replies::{RETRY_AFTER_S, answer, refuse, refuse_for, unprocessable};
 use crate::job_lookup::{StoredJob, look_up_job};
-use crate::kv_client::{CompareAndSwapResult, KvError};
 use crate::shared_core::wall_clock_ms;
 use crate::{Node, peer_api};
 use lemonweir_coordination::dependencies::DependencyAdmission;
@@ -42,16 +42,6 @@
     phase: JobPhase,
 }
 
-/// Outcome of committing an admitted job.
-enum Commit {
-    /// The job is accepted.
-    Accepted,
-    /// The keys already exist: the job was accepted before.
-    AlreadyAccepted,
-    /// The store refused a write or confirmed it too late; the job may have been accepted.
-    StoreUnavailable,
-}
-
 /// Handles a submission: validates the job, commits it, and notifies its shard's leader.
 pub(super) async fn submit(node: &Rc<Node>, body: &[u8]) -> Reply {
     let spec = match decode_submission(body) {
@@ -83,10 +73,11 @@
         Ok(admitted) => admitted,
         Err(reply) => return reply,
     };
-    match commit(node, &admitted.cas_list).await {
-        Commit::Accepted => {}
-        Commit::AlreadyAccepted => return answer_known_job(node, &id).await,
-        Commit::StoreUnavailable => return refuse_submission(node, &id, QueryRefusal::StoreFailed),
+    let deadline_ms = node.now_ms() + USER_TIMEOUT_MS;
+    match commit_in_order(node, &admitted.cas_list, deadline_ms).await {
+        UserCommit::Committed => {}
+        UserCommit::Conflict => return answer_known_job(node, &id).await,
+        UserCommit::Unavailable => return refuse_submission(node, &id, QueryRefusal::StoreFailed),
     }
     info!(
         job_id = %id,
@@ -223,24 +214,6 @@
     }
 }
 
-/// Commits the writes that accept a job, within the time that its user waits.
-async fn commit(node: &Node, cas_list: &[CompareAndSwap]) -> Commit {
-    let deadline_ms = node.now_ms() + USER_TIMEOUT_MS;
-    for cas in cas_list {
-        loop {
-            match node.kv_store.cas(cas).await {
-                Ok(CompareAndSwapResult::Committed(_)) => break,
-                Ok(CompareAndSwapResult::Conflict(_)) => return Commit::AlreadyAccepted,
-                // It may have been committed: the same compare-and-swap then fails its
-                // conditions, which shows it.
-                Err(KvError::Unknown) if node.now_ms() < deadline_ms => {}
-                Err(_) => return Commit::StoreUnavailable,
-            }
-        }
-    }
-    Commit::Accepted
-}
-
 /// Notifies the leader of a team's shard that a job of the team was accepted or cancelled.
 pub(super) fn notify_leader(node: &Rc<Node>, team: &str) {
     let leader = node.with_core(|core, _| {
--- a/crates/simulator/src/controller.rs
+++ b/crates/simulator/src/controller.rs
@@ -40,21 +40,33 @@
     pub request: UserRequest,
 }
 
+/// One of the compare-and-swaps of a user's request.
+#[derive(Clone, Debug)]
+pub struct UserCas {
+    /// Job that the request is about.
+    pub job: JobId,
+    /// What the user asked for.
+    pub request: UserRequest,
+    /// When the request arrived, µs.
+    pub asked_at: u64,
+    /// The compare-and-swaps that follow once this one is committed, in order.
+    pub remaining: VecDeque<CompareAndSwap>,
+}
+
 /// Part of a controller that issued a compare-and-swap and handles its result.
 #[derive(Clone, Debug)]
 pub enum CasOrigin {
     /// The scheduling core, under a shard's lease.
     Scheduler(ShardLease),
-    /// Hints, messages sent through the store, and further pages of a submission. The result
-    /// is ignored.
+    /// Hints and messages sent through the store. The result is ignored.
     Unattended,
     /// The loop that renews the store lease and bids for shards: one of its election actions, or
     /// `None` for a write of team assignments, the records version or the membership entry.
     LeaseKeeper(Option<ElectionAction>),
     /// The same loop, writing the membership entry under this new store lease.
     Membership(u64),
-    /// A user's request concerning a job, with its time of arrival, µs.
-    User(JobId, UserRequest, u64),
+    /// A user's request concerning a job.
+    User(UserCas),
     /// Jobs that wait for their dependencies.
     Dependencies,
 }
--- a/crates/simulator/src/fault_search.rs
+++ b/crates/simulator/src/fault_search.rs
@@ -8,8 +8,8 @@
 use std::sync::Arc;
 
 use lemonweir_model::JobKind;
-use lemonweir_protocol::kv_store::from_value;
-use lemonweir_storage::records::{JobRecord, job_key, shard_key};
+use lemonweir_storage::records::{job_key, shard_key};
+use lemonweir_storage::spec_pages::StoredJobRecord;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
@@ -187,12 +187,12 @@
         .iter()
         .filter(|(_, job)| job.spec.kind == JobKind::Service && !job.broken)
     {
-        let record: Option<JobRecord> = simulation
+        let record = simulation
             .store
             .get(&job_key(id))
-            .and_then(|(value, _)| from_value(value));
-        let should_be_up = |record: JobRecord| {
-            !record.cancel_requested && record.submitted_at_ms + SERVICE_START_GRACE_MS < end_ms
+            .and_then(|(value, _)| StoredJobRecord::read(value));
+        let should_be_up = |record: StoredJobRecord| {
+            !record.cancel_requested() && record.submitted_at_ms() + SERVICE_START_GRACE_MS < end_ms
         };
         if record.is_some_and(should_be_up) {
             let desired = job.spec.tasks as usize;
--- a/crates/simulator/src/load_generator.rs
+++ b/crates/simulator/src/load_generator.rs
@@ -217,8 +217,8 @@
     let json_overhead = "\"\",".len();
     let unused_types =
         (bytes - PLAIN_SUBMISSION_BYTES) / (UNUSED_TYPE_NAME_BYTES + json_overhead) as f64;
-    let unused = (0..unused_types.max(0.0) as usize)
-        .map(|n| format!("{n:0>width$}", width = UNUSED_TYPE_NAME_BYTES));
+    let unused =
+        (0..unused_types.max(0.0) as usize).map(|n| format!("{n:0>UNUSED_TYPE_NAME_BYTES$}"));
     let known = scenario
         .machine_kinds
         .iter()
--- a/crates/simulator/src/simulation/inputs.rs
+++ b/crates/simulator/src/simulation/inputs.rs
@@ -290,9 +290,7 @@
                 }
                 self.request_state_read(number);
             }
-            CasOrigin::User(id, request, asked_at) => {
-                self.user_cas_finished(number, id, request, asked_at, cas, outcome);
-            }
+            CasOrigin::User(request) => self.user_cas_finished(number, request, cas, outcome),
         }
     }
 }
--- a/crates/simulator/src/simulation/user_answers.rs
+++ b/crates/simulator/src/simulation/user_answers.rs
@@ -14,7 +14,7 @@
 use super::Simulation;
 use super::events::{Event, UserReply};
 use crate::clock::US_PER_MS;
-use crate::controller::{CasOrigin, Input, PendingQuery, UserRequest};
+use crate::controller::{CasOrigin, Input, PendingQuery, UserCas, UserRequest};
 
 impl Simulation {
     pub(super) fn handle_submission(&mut self, number: usize, id: JobId) {
@@ -50,24 +50,25 @@
         } else {
             match core.admit_job(&spec, now_ms) {
                 DependencyAdmission::Accept(cas_list, _) => {
-                    self.send_submission(number, id, &cas_list);
+                    let submission = UserCas {
+                        job: id,
+                        request: UserRequest::Query,
+                        asked_at: now,
+                        remaining: cas_list.into(),
+                    };
+                    self.send_user_cas(number, submission);
                 }
                 DependencyAdmission::Unknown(ids) => self.resolve_dependencies(number, id, &ids),
             }
         }
     }
 
-    /// Sends the compare-and-swaps of a submission. The last one accepts the job; the others
-    /// write further pages of its dependencies, which have no effect on their own.
-    fn send_submission(&mut self, number: usize, id: JobId, cas_list: &[CompareAndSwap]) {
-        let (last, pages) = cas_list
-            .split_last()
-            .expect("a submission has at least one compare-and-swap");
-        for page in pages {
-            self.send_cas(number, CasOrigin::Unattended, page.clone());
+    /// Sends the first of the compare-and-swaps that a user's request still needs; the others
+    /// follow, each once the one before it is committed.
+    fn send_user_cas(&mut self, number: usize, mut request: UserCas) {
+        if let Some(cas) = request.remaining.pop_front() {
+            self.send_cas(number, CasOrigin::User(request), cas);
         }
-        let origin = CasOrigin::User(id, UserRequest::Query, self.now);
-        self.send_cas(number, origin, last.clone());
     }
 
     /// Looks up in the store the dependencies of a submission that its controller does not know.
@@ -157,8 +158,16 @@
         if let Some(JobStatusAnswer::Unfinished(report)) = core.unfinished_status(&id, now_ms) {
             return match request {
                 UserRequest::Query => self.reply_to(number, id, Some(report.phase), 200, asked_at),
-                UserRequest::Withdrawal => match core.cancellation_cas(&id) {
-                    Some(cas) => self.send_cas(number, CasOrigin::User(id, request, asked_at), cas),
+                UserRequest::Withdrawal => match core.cancellation_cas_list(&id) {
+                    Some(cas_list) => {
+                        let withdrawal = UserCas {
+                            job: id,
+                            request,
+                            asked_at,
+                            remaining: cas_list.into(),
+                        };
+                        self.send_user_cas(number, withdrawal);
+                    }
                     None => self.reply_to(number, id, None, 503, asked_at),
                 },
             };
@@ -180,14 +189,17 @@
     pub(super) fn user_cas_finished(
         &mut self,
         number: usize,
-        id: JobId,
-        request: UserRequest,
-        asked_at: u64,
+        user_cas: UserCas,
         cas: &CompareAndSwap,
         outcome: Option<CompareAndSwapOutcome>,
     ) {
-        let in_time = self.now < asked_at + USER_TIMEOUT_MS * US_PER_MS;
+        let in_time = self.now < user_cas.asked_at + USER_TIMEOUT_MS * US_PER_MS;
+        let is_step = !user_cas.remaining.is_empty();
+        let (id, request) = (user_cas.job.clone(), user_cas.request);
         match (outcome, request) {
+            (Some(CompareAndSwapOutcome::Committed(_)), _) if is_step => {
+                self.send_user_cas(number, user_cas);
+            }
             (Some(CompareAndSwapOutcome::Committed(_)), UserRequest::Withdrawal) => {
                 // The end of the job is the answer to a later request.
                 self.announce(number, &id);
@@ -212,8 +224,7 @@
             (Some(CompareAndSwapOutcome::Conflict(_)), _) => self.queue_query(number, id, request),
             (None, UserRequest::Withdrawal) if in_time => self.queue_query(number, id, request),
             (None, UserRequest::Query) if in_time => {
-                let origin = CasOrigin::User(id, request, asked_at);
-                self.send_cas(number, origin, cas.clone());
+                self.send_cas(number, CasOrigin::User(user_cas), cas.clone());
             }
             _ => self.reply(number, id, None, 503),
         }
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod failovers;
 pub mod packed_chunk;
 pub mod records;
+pub mod spec_pages;
 pub mod state_cache;
 mod watched_key;
 
--- a/crates/storage/src/records.rs
+++ b/crates/storage/src/records.rs
@@ -8,12 +8,15 @@
 //! | `w/version` | [`VersionRecord`] | permanent |
 //! | `w/team/<name>` | [`TeamAssignmentRecord`] | permanent |
 //! | `w/chain/<id>` | [`JobRecord`] | while blocked ([`crate::dependencies`]) |
+//! | `w/spec/<id>/<digest>/<n>` | [`crate::spec_pages::SpecPage`] | until the job has ended |
 //! | `end/<id>` | [`JobEndRecord`] | permanent |
 //! | `run/<shard>/<id>/<chunk>` | [`TaskChunkRecord`] | until job and attempts have ended |
 //! | `img/<shard>/<page>` | [`ImageLocationsRecord`] | permanent; a hint only |
 //! | `w/mail/<kind>/<from>/<to>/<chunk>` | [`StoreMessageRecord`] | the sender's store lease |
 //! | `w/hand/<shard>/<slot>` | [`crate::failovers::FailoverRecord`] | until overwritten |
 //!
+//! A large [`JobRecord`] is stored with its specification in pages ([`crate::spec_pages`]).
+//!
 //! Every controller watches `w/`. A job's key there is deleted in the transaction that writes
 //! its end record, so the snapshot read at start-up stays small as finished jobs accumulate.
 
@@ -22,7 +25,7 @@
 
 use crate::dependencies::job_absent_conditions;
 use crate::failovers::NewFailover;
-use lemonweir_model::constants::{PACKED_RECORD_VERSION, PEER_VERSION};
+use lemonweir_model::constants::{PAGED_SPEC_VERSION, PEER_VERSION};
 use lemonweir_model::{JobId, JobSpec, MachineId, Resources};
 use lemonweir_protocol::kv_store::{CompareAndSwap, Condition, Write, to_value};
 use lemonweir_protocol::users::JobPhase;
@@ -360,7 +363,7 @@
         zone: zone.to_owned(),
         peer_version: PEER_VERSION,
         ceded_shards: ceded,
-        record_version: PACKED_RECORD_VERSION,
+        record_version: PAGED_SPEC_VERSION,
     };
     CompareAndSwap {
         conditions: Vec::new(),
--- a/crates/storage/src/state_cache.rs
+++ b/crates/storage/src/state_cache.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use base64::prelude::{BASE64_STANDARD, Engine};
-use tracing::info;
+use tracing::{info, warn};
 
 use crate::dependencies::{DependencyPage, parse_blocked_job_key};
 use crate::failovers::FailoverHistory;
@@ -14,6 +14,10 @@
     ControllerRecord, JobRecord, ShardRecord, StoreMessageRecord, StoreMessageRoute,
     TeamAssignmentRecord, VersionRecord, parse_store_message_key,
 };
+use crate::spec_pages::{
+    CachedSpecPages, JobRecordWriter, PagedJobRecord, SpecPage, SpecPageId, StoredJobRecord,
+    assemble,
+};
 use crate::watched_key::WatchedKey;
 use lemonweir_model::{JobId, JobSpec};
 use lemonweir_protocol::kv_store::{KeyValue, WatchEvent, from_value};
@@ -71,6 +75,15 @@
     Outdated,
 }
 
+/// The key that holds a job's record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum JobKey {
+    /// `w/job/<id>`.
+    Job,
+    /// `w/chain/<id>`.
+    BlockedJob,
+}
+
 /// Cache of the watched keys and of the ends of jobs.
 #[derive(Default)]
 pub struct StateCache {
@@ -82,7 +95,11 @@
     pub blocked_jobs: BTreeMap<JobId, BlockedJob>,
     /// Further pages of the dependencies of blocked jobs.
     dependency_pages: BTreeMap<(JobId, usize), Vec<JobId>>,
-    /// Number of changes of blocked jobs and their dependency pages.
+    /// Pages of the specifications of jobs with large records.
+    spec_pages: CachedSpecPages,
+    /// Records whose specifications are in pages, each with the version of its key.
+    paged_records: BTreeMap<(JobId, JobKey), (PagedJobRecord, u64)>,
+    /// Number of changes of blocked jobs and of pages.
     pub blocked_job_changes: u64,
     /// Number of ends learned and of jobs deleted.
     ended_job_changes: u64,
@@ -115,6 +132,8 @@
             .extend(std::mem::take(&mut self.jobs).into_keys());
         self.blocked_jobs.clear();
         self.dependency_pages.clear();
+        self.spec_pages.clear();
+        self.paged_records.clear();
         self.blocked_job_changes += 1;
         // A leader that a peer has reported since the first page was read stays: the changes
         // after `revision` bring its acquisition, and its end.
@@ -127,9 +146,24 @@
         for entry in entries {
             self.set(&entry.key, &entry.value, entry.version);
         }
+        self.warn_of_missing_pages();
         self.revision = Some(revision);
     }
 
+    /// Warns of records whose specifications are incomplete after a full listing: normally those
+    /// of jobs that ended while it was read, whose deletions follow.
+    fn warn_of_missing_pages(&self) {
+        for (id, key) in self.paged_records.keys() {
+            let is_cached = match key {
+                JobKey::Job => self.jobs.contains_key(id),
+                JobKey::BlockedJob => self.blocked_jobs.contains_key(id),
+            };
+            if !is_cached {
+                warn!(job_id = %id, "pages of a job's specification are missing");
+            }
+        }
+    }
+
     /// Applies changes in their order, learned at `now`, ms.
     pub fn apply_changes(&mut self, changes: &[WatchEvent], revision: u64, now: u64) {
         for change in changes {
@@ -146,6 +180,7 @@
         let applied = WatchedKey::parse(key).and_then(|kind| match kind {
             WatchedKey::Job(id) => self.set_job(id, value, version),
             WatchedKey::BlockedJob(rest) => self.set_blocked_job(rest, value, version),
+            WatchedKey::SpecPage(rest) => self.set_spec_page(rest, value),
             WatchedKey::Shard(index) => self.set_shard_leader(index, value, version),
             WatchedKey::Controller(host) => self.set_controller(host, value),
             WatchedKey::Version => self.set_records_version(value, version),
@@ -162,20 +197,72 @@
     }
 
     fn set_job(&mut self, id: &str, value: &rmpv::Value, version: u64) -> Option<()> {
-        let id = JobId::parse(id)?;
-        let record = Arc::new(from_value::<JobRecord>(value)?);
-        self.changed_jobs.insert(id.clone());
-        self.jobs.insert(id, CachedJob { record, version });
+        self.set_job_record(JobKey::Job, JobId::parse(id)?, value, version)
+    }
+
+    /// Caches a job's record. One whose specification is in pages is cached once all of them are.
+    fn set_job_record(
+        &mut self,
+        key: JobKey,
+        id: JobId,
+        value: &rmpv::Value,
+        version: u64,
+    ) -> Option<()> {
+        match StoredJobRecord::read(value)? {
+            StoredJobRecord::Whole(record) => {
+                self.paged_records.remove(&(id.clone(), key));
+                self.insert_job(key, id, record, version);
+            }
+            StoredJobRecord::Paged(record) => {
+                self.paged_records
+                    .insert((id.clone(), key), (record, version));
+                self.assemble_job(key, id);
+            }
+        }
+        Some(())
+    }
+
+    fn insert_job(&mut self, key: JobKey, id: JobId, record: JobRecord, version: u64) {
+        let record = Arc::new(record);
+        match key {
+            JobKey::Job => {
+                self.changed_jobs.insert(id.clone());
+                self.jobs.insert(id, CachedJob { record, version });
+            }
+            JobKey::BlockedJob => {
+                self.blocked_job_changes += 1;
+                self.blocked_jobs.insert(id, BlockedJob { record, version });
+            }
+        }
+    }
+
+    /// Caches a job whose specification is in pages, unless one of them is not cached yet: a
+    /// listing holds the pages after the record.
+    fn assemble_job(&mut self, key: JobKey, id: JobId) {
+        let Some((paged, version)) = self.paged_records.get(&(id.clone(), key)) else {
+            return;
+        };
+        let version = *version;
+        if let Some(record) = assemble(&id, paged, &self.spec_pages) {
+            self.insert_job(key, id, record, version);
+        }
+    }
+
+    fn set_spec_page(&mut self, rest: &str, value: &rmpv::Value) -> Option<()> {
+        let page_id = SpecPageId::parse(rest)?;
+        let SpecPage { text } = from_value(value)?;
+        self.blocked_job_changes += 1;
+        let job = page_id.job.clone();
+        self.spec_pages.insert(page_id, text);
+        self.assemble_job(JobKey::Job, job.clone());
+        self.assemble_job(JobKey::BlockedJob, job);
         Some(())
     }
 
     fn set_blocked_job(&mut self, rest: &str, value: &rmpv::Value, version: u64) -> Option<()> {
         self.blocked_job_changes += 1;
         match parse_blocked_job_key(rest)? {
-            (id, 0) => {
-                let record = Arc::new(from_value::<JobRecord>(value)?);
-                self.blocked_jobs.insert(id, BlockedJob { record, version });
-            }
+            (id, 0) => self.set_job_record(JobKey::BlockedJob, id, value, version)?,
             page => {
                 let DependencyPage { depends_on } = from_value(value)?;
                 self.dependency_pages.insert(page, depends_on);
@@ -261,6 +348,7 @@
         match WatchedKey::parse(key) {
             Some(WatchedKey::Job(id)) => self.remove_job(JobId::from(id), version, now),
             Some(WatchedKey::BlockedJob(rest)) => self.remove_blocked_job(rest),
+            Some(WatchedKey::SpecPage(rest)) => self.remove_spec_page(rest),
             Some(WatchedKey::Shard(index)) => self.remove_shard_leader(index, version),
             Some(WatchedKey::Controller(host)) => {
                 self.controllers.remove(host);
@@ -281,6 +369,7 @@
 
     fn remove_job(&mut self, id: JobId, version: u64, now: u64) {
         self.ended_job_changes += 1;
+        self.paged_records.remove(&(id.clone(), JobKey::Job));
         let removed = self.jobs.remove(&id);
         // The key of a job that nobody asked to cancel is deleted only when the job is done,
         // so its end needs no read. It was written in the same transaction, at this revision.
@@ -293,12 +382,22 @@
     fn remove_blocked_job(&mut self, rest: &str) {
         self.blocked_job_changes += 1;
         match parse_blocked_job_key(rest) {
-            Some((id, 0)) => drop(self.blocked_jobs.remove(&id)),
+            Some((id, 0)) => {
+                self.blocked_jobs.remove(&id);
+                self.paged_records.remove(&(id, JobKey::BlockedJob));
+            }
             Some(page) => drop(self.dependency_pages.remove(&page)),
             None => {}
         }
     }
 
+    fn remove_spec_page(&mut self, rest: &str) {
+        self.blocked_job_changes += 1;
+        if let Some(id) = SpecPageId::parse(rest) {
+            self.spec_pages.remove(&id);
+        }
+    }
+
     fn remove_shard_leader(&mut self, index: &str, version: u64) {
         let Ok(index) = index.parse() else { return };
         // A leader that acquired the shard after this deletion stays.
@@ -312,6 +411,13 @@
         }
     }
 
+    /// Removes a blocked job that a committed compare-and-swap has released or ended, before the
+    /// change of its key is read.
+    pub fn forget_blocked_job(&mut self, id: &JobId) {
+        self.blocked_jobs.remove(id);
+        self.paged_records.remove(&(id.clone(), JobKey::BlockedJob));
+    }
+
     /// The dependencies of a blocked job, if all of their pages are cached.
     pub fn dependencies(&self, id: &JobId) -> Option<Vec<JobId>> {
         let record = &self.blocked_jobs.get(id)?.record;
@@ -337,6 +443,33 @@
             .filter(|(id, _)| !self.blocked_jobs.contains_key(id))
     }
 
+    /// True if any page of a specification is cached.
+    pub fn has_spec_pages(&self) -> bool {
+        !self.spec_pages.is_empty()
+    }
+
+    /// Pages of the specifications of jobs that have neither an unfinished nor a blocked record:
+    /// those of a job that has ended, and of one whose submission was not completed.
+    pub fn orphaned_spec_pages(&self) -> impl Iterator<Item = &SpecPageId> {
+        self.spec_pages.keys().filter(|page| {
+            let has_record = |key| self.paged_records.contains_key(&(page.job.clone(), key));
+            !self.jobs.contains_key(&page.job)
+                && !self.blocked_jobs.contains_key(&page.job)
+                && !has_record(JobKey::Job)
+                && !has_record(JobKey::BlockedJob)
+        })
+    }
+
+    /// Writes job records in the form that all controllers read, with at most `max_cas_ops`
+    /// writes in a compare-and-swap.
+    pub fn job_record_writer(&self, max_cas_ops: usize) -> JobRecordWriter<'_> {
+        JobRecordWriter {
+            record_version: self.records_version.0,
+            max_cas_ops,
+            stored_pages: &self.spec_pages,
+        }
+    }
+
     /// Number of changes that may affect which blocked jobs can start.
     pub fn dependency_changes(&self) -> u64 {
         self.blocked_job_changes + self.ended_job_changes
--- a/crates/storage/src/watched_key.rs
+++ b/crates/storage/src/watched_key.rs
@@ -9,6 +9,8 @@
     Job(&'a str),
     /// `w/chain/<id>` or `w/chain/<id>/<page>`: a blocked job, or more of its dependencies.
     BlockedJob(&'a str),
+    /// `w/spec/<id>/<digest>/<page>`: a page of a job's specification.
+    SpecPage(&'a str),
     /// `w/part/<shard>`: the leader of a shard.
     Shard(&'a str),
     /// `w/node/<host>`: a live controller.
@@ -33,6 +35,7 @@
         match kind {
             "job" => Some(Self::Job(rest)),
             "chain" => Some(Self::BlockedJob(rest)),
+            "spec" => Some(Self::SpecPage(rest)),
             "part" => Some(Self::Shard(rest)),
             "node" => Some(Self::Controller(rest)),
             "team" => Some(Self::Team(rest)),
--- a/crates/storage/tests/golden_records.rs
+++ b/crates/storage/tests/golden_records.rs
@@ -7,7 +7,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use lemonweir_model::constants::{
-    DEPENDENCIES_PER_PAGE, FAILOVER_RECORDS_KEPT, PACKED_RECORD_VERSION, TASKS_PER_CHUNK,
+    DEPENDENCIES_PER_PAGE, FAILOVER_RECORDS_KEPT, PACKED_RECORD_VERSION, PAGED_SPEC_VERSION,
+    TASKS_PER_CHUNK,
 };
 use lemonweir_model::{JobId, JobKind, JobSpec, MachineId, Priority, Resources};
 use lemonweir_protocol::kv_store::{CompareAndSwap, from_value, to_value};
@@ -20,6 +21,9 @@
 };
 use lemonweir_storage::packed_chunk::{chunk_value, read_chunk};
 use lemonweir_storage::records::*;
+use lemonweir_storage::spec_pages::{
+    CachedSpecPages, JobRecordWriter, PagedJobRecord, SpecPage, SpecPageId, SpecPages,
+};
 use rmpv::Value;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -246,6 +250,26 @@
         depends_on: vec![id(41), id(42)],
     };
     assert_eq!(golden.record("page of awaited jobs", &page), page);
+    let page = SpecPage {
+        text: "g6RuYW1l".into(),
+    };
+    assert_eq!(golden.record("page of a specification", &page), page);
+    for (name, dependencies, cancelled) in [
+        ("job, specification in pages", 0, true),
+        ("job that waits, specification in pages", 2, false),
+    ] {
+        let paged = PagedJobRecord {
+            spec_pages: SpecPages {
+                count: 3,
+                digest: "0123456789abcdef".into(),
+            },
+            submitted_at_ms: NOW,
+            cancel_requested: cancelled,
+            dependency_count: dependencies,
+            depends_on: (1..=dependencies).map(id).collect(),
+        };
+        assert_eq!(golden.record(name, &paged), paged);
+    }
     for (name, phase) in [
         ("end, done", JobPhase::Done),
         ("end, withdrawn", JobPhase::Withdrawn),
@@ -398,6 +422,17 @@
     assert_eq!(parse_image_locations_key("img/2/3"), Some(3));
     assert_eq!(parse_blocked_job_key("req-000412"), Some((id(412), 0)));
     assert_eq!(parse_blocked_job_key("req-000412/3"), Some((id(412), 3)));
+    let page = SpecPageId {
+        job: id(412),
+        digest: "0123456789abcdef".into(),
+        page: 3,
+    };
+    assert_eq!(page.key(), "w/spec/req-000412/0123456789abcdef/3");
+    assert_eq!(
+        SpecPageId::parse("req-000412/0123456789abcdef/3"),
+        Some(page)
+    );
+    assert_eq!(SpecPageId::parse("req-000412/0123456789abcdef"), None);
     assert_eq!(parse_failover_key("2/3"), Some((2, 3)));
     for (rest, kind) in [
         ("sync/1/2/3", StoreMessageKind::Sync),
@@ -474,5 +509,21 @@
         &unblock_job(&job(2, false), 52, &done),
     );
     golden.cas("ask whether ends stand", &check_ends_unchanged(&done));
+    // A specification of two pages, and the record that names them.
+    let mut large = job(2, false);
+    large.spec.machine_types = Some((0..60).map(|n| format!("grachtbak-{n:0>18}")).collect());
+    let writer = JobRecordWriter {
+        record_version: PAGED_SPEC_VERSION,
+        max_cas_ops: 4,
+        stored_pages: &CachedSpecPages::new(),
+    };
+    let accepted: Vec<CompareAndSwap> = create_blocked_job(&large, 4)
+        .into_iter()
+        .flat_map(|cas| writer.fit(cas))
+        .collect();
+    assert_eq!(accepted.len(), 2);
+    for (i, cas) in accepted.iter().enumerate() {
+        golden.cas(&format!("accept a large job that waits, {i}"), cas);
+    }
     golden.assert_all_compared();
 }
