One answer to a rejection for size

The placer and the jobs that wait for others each kept their own back-off after a 400 (`back_off_rejected` stood twice, with a constant and a map each). `SizeRejection` answers for both: a rejected transaction is never repeated as it is, its changes are tried one at a time, and one that is rejected on its own waits 5 s while all others go on. Behaviour is as before, but that a job is forgotten once its change is committed.

--- a/crates/coordination/src/dependencies/batch.rs
+++ b/crates/coordination/src/dependencies/batch.rs
@@ -25,6 +25,13 @@
     pub(super) change_count: usize,
 }
 
+impl PendingCas {
+    /// Jobs of which it writes a record or pages, whose size depends on the job.
+    pub(super) fn sized_jobs(&self) -> impl Iterator<Item = &JobId> {
+        self.released.iter().chain(&self.paged)
+    }
+}
+
 /// A compare-and-swap that is filled up to its limits.
 pub(super) struct CasBatch {
     pub(super) cas: CompareAndSwap,
--- a/crates/coordination/src/dependencies/mod.rs
+++ b/crates/coordination/src/dependencies/mod.rs
@@ -16,11 +16,12 @@
 mod batch;
 mod graph;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 
-use tracing::{info, warn};
+use tracing::info;
 
 use crate::placer::CompareAndSwapOutcome;
+use crate::size_rejection::SizeRejection;
 use crate::{Config, Core, Effect};
 use batch::{CasBatch, PendingCas};
 use lemonweir_model::constants::SHARD_VIEW_REFRESH_MS;
@@ -43,9 +44,6 @@
 /// ms until a compare-and-swap for blocked jobs that was not committed, or a read of final
 /// states that found nothing, is retried: long enough for a read of the store in between.
 const CAS_RETRY_MS: u64 = 300;
-/// ms after which the release of a job whose record the store rejected is tried again: the
-/// store's limits may have been raised by then.
-const REJECTED_RELEASE_BACKOFF_MS: u64 = 5_000;
 /// Minimum ms between two scans of all blocked jobs. Short compared with the fetch of an
 /// image, and long enough to scan thousands of jobs on a tenth of a core.
 const MIN_SCAN_INTERVAL_MS: u64 = 50;
@@ -113,7 +111,7 @@
 }
 
 /// Dependency tracking of one controller.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct DependencyGraph {
     /// Value of the cache's change counter that `inherited` was computed from.
     applied_changes: u64,
@@ -134,62 +132,26 @@
     /// must be retried.
     retry_at: u64,
     last_scan: Option<Scan>,
-    /// Maximum number of jobs and pages that a compare-and-swap changes; 1 after the store has
-    /// rejected one for its size.
-    max_changes_per_cas: usize,
-    /// Jobs whose release the store rejected for its size, each with the time before which it
-    /// is not tried again, ms.
-    rejected_until: BTreeMap<JobId, u64>,
-}
-
-impl Default for DependencyGraph {
-    fn default() -> Self {
-        Self {
-            applied_changes: 0,
-            inherited: HashMap::new(),
-            pending: None,
-            reads_in_flight: BTreeSet::new(),
-            orphan_reads: BTreeSet::new(),
-            orphans_read_at: 0,
-            verified: HashSet::new(),
-            retry_at: 0,
-            last_scan: None,
-            max_changes_per_cas: usize::MAX,
-            rejected_until: BTreeMap::new(),
-        }
-    }
+    size_rejection: SizeRejection,
 }
 
 impl DependencyGraph {
     /// Reason shown to users for why a blocked job in this state waits.
     pub(crate) fn wait_reason(&self, id: &JobId, state: &DependencyState) -> String {
-        if self.rejected_until.contains_key(id) {
+        if self.size_rejection.is_rejected(id) {
             return "the state service refuses its record for its size; it is tried again every few seconds".into();
         }
         state.wait_reason()
     }
 
-    /// Handles a compare-and-swap that the store rejected for its size: its changes are retried
-    /// one at a time, and a job whose release is rejected on its own backs off.
-    ///
-    /// Guards against one oversized record that keeps all other jobs from being released.
-    fn back_off_rejected(&mut self, pending: &PendingCas, now: u64) {
-        if pending.change_count > 1 {
-            self.max_changes_per_cas = 1;
-            return;
-        }
-        if pending.released.is_empty() && pending.paged.is_empty() {
+    /// Handles a compare-and-swap that the store rejected for its size.
+    fn rejected(&mut self, pending: &PendingCas, now: u64) {
+        if pending.change_count <= 1 && pending.sized_jobs().next().is_none() {
+            // No record of it has a size that could change.
             self.retry_at = now + CAS_RETRY_MS;
         }
-        for id in pending.released.iter().chain(&pending.paged) {
-            warn!(
-                job_id = %id,
-                backoff_ms = REJECTED_RELEASE_BACKOFF_MS,
-                "store rejected a record for its size"
-            );
-            self.rejected_until
-                .insert(id.clone(), now + REJECTED_RELEASE_BACKOFF_MS);
-        }
+        self.size_rejection
+            .rejected(pending.change_count, pending.sized_jobs(), now);
     }
 
     /// The highest priority of the blocked jobs that depend on a job.
@@ -377,8 +339,8 @@
         self.dependencies.last_scan = Some(Scan { changes, at: now });
         let blocked = &self.cache.blocked_jobs;
         self.dependencies
-            .rejected_until
-            .retain(|id, _| blocked.contains_key(id));
+            .size_rejection
+            .retain(|id| blocked.contains_key(id));
         let mut found = self.scan_blocked_jobs();
         found.unread.extend(self.unread_ends_of_orphaned_pages(now));
         self.read_final_states(&found.unread, effects);
@@ -429,8 +391,7 @@
     fn next_dependency_cas(&self, found: &ScanResult, now: u64) -> Option<CasBatch> {
         let DependencyGraph {
             verified,
-            max_changes_per_cas,
-            rejected_until,
+            size_rejection,
             ..
         } = &self.dependencies;
         let max_writes = self.config.cas_max_changes;
@@ -438,8 +399,8 @@
             .ready
             .iter()
             .cloned()
-            .partition(|(id, _)| rejected_until.contains_key(id));
-        let mut batch = CasBatch::new(max_writes, *max_changes_per_cas);
+            .partition(|(id, _)| size_rejection.is_rejected(id));
+        let mut batch = CasBatch::new(max_writes, size_rejection.max_changes());
         batch.add_ready(&self.cache, &ready, verified);
         if batch.is_verification_only() {
             return Some(batch);
@@ -452,7 +413,7 @@
         if !batch.has_writes() {
             let due: Vec<_> = rejected
                 .into_iter()
-                .filter(|(id, _)| rejected_until.get(id).is_none_or(|until| now >= *until))
+                .filter(|(id, _)| !size_rejection.is_backing_off(id, now))
                 .take(1)
                 .collect();
             batch = CasBatch::new(max_writes, 1);
@@ -470,7 +431,7 @@
         let revision = match outcome {
             CompareAndSwapOutcome::Committed(revision) => revision,
             CompareAndSwapOutcome::Rejected => {
-                return self.dependencies.back_off_rejected(&pending, now);
+                return self.dependencies.rejected(&pending, now);
             }
             // On a conflict, the next read of the store brings the changed keys into the cache.
             CompareAndSwapOutcome::Conflict(_) | CompareAndSwapOutcome::Indeterminate => {
@@ -478,8 +439,9 @@
                 return;
             }
         };
-        let max_changes = &mut self.dependencies.max_changes_per_cas;
-        *max_changes = max_changes.saturating_mul(2);
+        self.dependencies
+            .size_rejection
+            .committed(pending.sized_jobs());
         for id in &pending.released {
             info!(job_id = %id, "all dependencies done, job released");
             self.cache.forget_blocked_job(id);
--- a/crates/coordination/src/job.rs
+++ b/crates/coordination/src/job.rs
@@ -148,8 +148,6 @@
     /// Version of the job's key at which a write failed: the key has changed since, and the
     /// state cache will show the change.
     pub(super) conflicting_version: Option<u64>,
-    /// When it may be written again after the store rejected its record, ms.
-    pub(super) write_backoff_until: u64,
     /// Why its tasks wait, as shown to users.
     pub(super) pending_reason: &'static str,
     /// Whether its attempts run beyond the guaranteed quota of their team; `None` if they
@@ -192,7 +190,6 @@
             avoided_machines: Vec::new(),
             unresponsive_machines: Vec::new(),
             conflicting_version: None,
-            write_backoff_until: 0,
             pending_reason: "",
             uniform_over_quota: None,
             queue_position: None,
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod rate_limit;
 mod shard;
 mod shard_lifecycle;
+mod size_rejection;
 pub mod socket_shares;
 pub mod supervision;
 mod team_usage;
--- a/crates/coordination/src/placer/mod.rs
+++ b/crates/coordination/src/placer/mod.rs
@@ -55,6 +55,7 @@
 use crate::image_locality::usage::ImageUsage;
 use crate::job::Job;
 use crate::placement::PlacementIndex;
+use crate::size_rejection::SizeRejection;
 use crate::supervision::services::SupervisedServices;
 use accounting::TaskKey;
 use owner_channel::OwnerChannel;
@@ -224,9 +225,7 @@
     /// Number of passes so far. Provisioning is planned at most once per pass.
     pub placement_passes: u64,
     max_cas_operations: usize,
-    /// Maximum number of records in one compare-and-swap. Reduced to 1 when the store rejects
-    /// several records for their size, and doubled with each committed compare-and-swap.
-    max_records_per_cas: usize,
+    size_rejection: SizeRejection,
     /// Newest record format that every controller can read.
     pub(crate) record_format_version: u32,
     /// Store writes per second allowed for low-priority work, and when the next one is
@@ -324,7 +323,7 @@
             unmet_demand: Vec::new(),
             placement_passes: 0,
             max_cas_operations,
-            max_records_per_cas: usize::MAX,
+            size_rejection: SizeRejection::default(),
             record_format_version: 0,
             low_priority_writes_per_s: low_priority_writes_per_s.max(1),
             low_priority_writes_resume_at: 0,
--- a/crates/coordination/src/placer/records.rs
+++ b/crates/coordination/src/placer/records.rs
@@ -8,16 +8,12 @@
 use lemonweir_protocol::peer::PreemptionScope;
 use lemonweir_protocol::users::JobPhase;
 use lemonweir_storage::records::{TaskChunkRecord, job_key, shard_key};
-use tracing::{info, warn};
+use tracing::info;
 
 use super::write_queue::{InFlightCas, JobEndWrite, JobVersion};
 use super::{CompareAndSwapOutcome, Placer, ShardOwnership};
 use crate::job::{Job, LiveAttempt, TaskChunk};
 
-/// ms after which a record that the store rejected for its size is written again: it may
-/// hold fewer live attempts by then.
-const REJECTED_RECORD_BACKOFF_MS: u64 = 5_000;
-
 impl Placer {
     /// Loads one chunk of a task record, as an earlier leader of the shard left it.
     pub fn load_chunk(&mut self, id: &JobId, chunk: u32, record: &TaskChunkRecord, version: u64) {
@@ -87,7 +83,7 @@
         };
         match outcome {
             CompareAndSwapOutcome::Committed(revision) => {
-                self.max_records_per_cas = self.max_records_per_cas.saturating_mul(2);
+                self.size_rejection.committed(in_flight.jobs());
                 self.apply_written(&in_flight, revision, now);
                 let ends = self.apply_written_ends(in_flight.job_ends, now);
                 return (ShardOwnership::Held, ends);
@@ -99,7 +95,12 @@
                 self.drop_uncommitted_starts(&in_flight);
                 self.mark_stale_copies(in_flight.job_versions, &keys, now);
             }
-            CompareAndSwapOutcome::Rejected => self.back_off_rejected(&in_flight, now),
+            CompareAndSwapOutcome::Rejected => {
+                let jobs = &self.jobs;
+                self.size_rejection.retain(|id| jobs.contains_key(id));
+                self.size_rejection
+                    .rejected(in_flight.record_count(), in_flight.jobs(), now);
+            }
             CompareAndSwapOutcome::Indeterminate => {
                 self.mark_indeterminate(&in_flight);
                 self.drop_uncommitted_starts(&in_flight);
@@ -184,28 +185,4 @@
             self.update_indexes(&id, self.last_pass_at);
         }
     }
-
-    /// Handles a compare-and-swap that the store rejected for its size: its records are
-    /// retried one at a time, and a record that is rejected on its own backs off.
-    ///
-    /// Guards against one oversized record that keeps all others from being written.
-    fn back_off_rejected(&mut self, in_flight: &InFlightCas, now: u64) {
-        if in_flight.record_count() > 1 {
-            self.max_records_per_cas = 1;
-            return;
-        }
-        let chunks = in_flight.chunks.iter().map(|write| &write.job);
-        let ends = in_flight.job_ends.iter().map(|end| &end.job);
-        for id in chunks.chain(ends) {
-            warn!(
-                job_id = %id,
-                shard = self.shard,
-                backoff_ms = REJECTED_RECORD_BACKOFF_MS,
-                "store rejected a record for its size"
-            );
-            if let Some(job) = self.jobs.get_mut(id) {
-                job.write_backoff_until = now + REJECTED_RECORD_BACKOFF_MS;
-            }
-        }
-    }
 }
--- a/crates/coordination/src/placer/write_queue.rs
+++ b/crates/coordination/src/placer/write_queue.rs
@@ -94,6 +94,12 @@
         self.chunks.len() + self.job_ends.len()
     }
 
+    /// Jobs whose chunks or ends it writes; one with several records is named several times.
+    pub(super) fn jobs(&self) -> impl Iterator<Item = &JobId> {
+        let chunks = self.chunks.iter().map(|write| &write.job);
+        chunks.chain(self.job_ends.iter().map(|end| &end.job))
+    }
+
     /// True if it writes this chunk.
     pub(super) fn writes_chunk(&self, job: &JobId, index: u32) -> bool {
         self.chunks
@@ -161,7 +167,7 @@
                 let job = self
                     .jobs
                     .get(id)
-                    .filter(|job| now >= job.write_backoff_until)?;
+                    .filter(|_| !self.size_rejection.is_backing_off(id, now))?;
                 let write_priority = self.write_priority(job, since, now)?;
                 // Ends of cancelled jobs go by age, whatever their priority.
                 let (priority, urgency) = if write_priority == WritePriority::CancelledJob {
@@ -304,7 +310,7 @@
     /// ended.
     fn add_end(&mut self, id: &JobId, job: &Job, phase: JobPhase) -> AddResult {
         if self.cas.writes.len() + 2 > self.placer.max_cas_operations
-            || self.in_flight.record_count() >= self.placer.max_records_per_cas
+            || self.in_flight.record_count() >= self.placer.size_rejection.max_changes()
         {
             return AddResult::Full;
         }
@@ -392,7 +398,7 @@
         self.cas.writes.len() + 1 > max_operations
             || self.cas.conditions.len() + 2 > CONDITIONS_PER_WRITE * max_operations
             || self.bytes > MAX_CAS_BYTES
-            || self.in_flight.record_count() >= self.placer.max_records_per_cas
+            || self.in_flight.record_count() >= self.placer.size_rejection.max_changes()
     }
 
     /// Low-priority chunks that a compare-and-swap may hold when a chunk of this write
