Bound a batch of releases by the size of a transaction

Cause: releases of jobs that become ready together were bounded by changes and conditions only. Where the settings allow many changes, the records of some 160 jobs take more than the 64 KiB that a transaction may have: it is refused, and the jobs are tried one at a time.

Failed before (175,659 bytes in one transaction): `releases_fit_the_size_of_a_transaction`. Seen by no caller.

--- a/crates/coordination/src/dependencies/batch.rs
+++ b/crates/coordination/src/dependencies/batch.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashSet};
 
 use lemonweir_model::JobId;
-use lemonweir_model::constants::CONDITIONS_PER_WRITE;
+use lemonweir_model::constants::{CONDITIONS_PER_WRITE, MAX_CAS_BYTES};
 use lemonweir_protocol::kv_store::{CompareAndSwap, Condition, Write};
 use lemonweir_storage::StateCache;
 use lemonweir_storage::dependencies::{
@@ -38,6 +38,8 @@
     pub(super) pending: PendingCas,
     max_writes: usize,
     max_conditions: usize,
+    /// Size of the values that it writes, bytes.
+    value_bytes: usize,
     /// Maximum number of changes, each of one job or page.
     max_changes: usize,
     verification_only: bool,
@@ -51,6 +53,7 @@
             pending: PendingCas::default(),
             max_writes,
             max_conditions: CONDITIONS_PER_WRITE * max_writes,
+            value_bytes: 0,
             max_changes,
             verification_only: false,
         }
@@ -169,7 +172,9 @@
     /// Merges a compare-and-swap into this one; false if they don't fit together. Always
     /// succeeds while this one has no writes.
     fn try_append(&mut self, next: CompareAndSwap) -> bool {
+        let value_bytes = next.total_value_size();
         let fits = self.pending.change_count < self.max_changes
+            && self.value_bytes + value_bytes <= MAX_CAS_BYTES
             && self.cas.writes.len() + next.writes.len() <= self.max_writes
             && self.cas.conditions.len() + next.conditions.len() <= self.max_conditions;
         if !fits && self.has_writes() {
@@ -190,6 +195,7 @@
             }
         }
         self.cas.writes.extend(next.writes);
+        self.value_bytes += value_bytes;
         self.pending.change_count += 1;
         true
     }
--- a/crates/coordination/tests/dependencies.rs
+++ b/crates/coordination/tests/dependencies.rs
@@ -12,7 +12,7 @@
 use lemonweir_coordination::dependencies::{DependencyAdmission, DependencyState};
 use lemonweir_coordination::job_status::{FINAL_STATE_DELAY_MS, JobStatusAnswer};
 use lemonweir_coordination::placer::CompareAndSwapOutcome;
-use lemonweir_model::constants::CONDITIONS_PER_WRITE;
+use lemonweir_model::constants::{CONDITIONS_PER_WRITE, MAX_BODY_BYTES};
 use lemonweir_model::{JobSpec, Priority};
 use lemonweir_protocol::kv_store::{CompareAndSwap, Condition, Write};
 use lemonweir_protocol::users::JobPhase;
@@ -342,3 +342,29 @@
     assert!(leader.core.cache.jobs.contains_key(&id(3)));
     assert_eq!(leader.next_work(), (None, Vec::new()));
 }
+
+/// Guards against releases that are refused together: the store allows many changes in a
+/// transaction, and 64 KiB.
+#[test]
+fn releases_fit_the_size_of_a_transaction() {
+    const JOBS: usize = 400;
+    let mut leader = Leader::new();
+    leader.core.config.cas_max_changes = 2_000;
+    leader.accept(&spec(1, &[]));
+    for n in 2..2 + JOBS {
+        leader.accept(&spec(n, &[1]));
+    }
+    leader.finish(1);
+    let mut transactions = 0;
+    while let Some(cas) = leader.next_work().0 {
+        let bytes = serde_json::to_vec(&cas).expect("JSON").len();
+        assert!(bytes <= MAX_BODY_BYTES, "{bytes} bytes");
+        let revision = leader.commit(&cas);
+        leader
+            .core
+            .dependency_cas_completed(CompareAndSwapOutcome::Committed(revision), leader.now);
+        transactions += 1;
+    }
+    assert!((2..JOBS / 10).contains(&transactions), "{transactions}");
+    assert!(leader.core.cache.blocked_jobs.is_empty());
+}
