Bound the gaps in a failover's record by their size

Cause: a completed failover record names up to eight classes, and users choose these names (200 bytes each; as JSON up to three times that). The transaction that hands a shard back, or cedes it, writes the completed record too: over the value limit it is refused in each round of the election, and the shard stays where it is. Now the longest gaps are recorded as far as they fit into 1 KB.

Seen by no caller.

--- a/crates/coordination/src/supervision/failover.rs
+++ b/crates/coordination/src/supervision/failover.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use lemonweir_model::JobId;
+use lemonweir_protocol::kv_store::{to_value, value_size};
 use lemonweir_storage::failovers::FailoverCompletion;
 
 /// Time after a failover at which its record is completed even if services still lack replicas,
@@ -11,8 +12,11 @@
 /// Interval between two attempts to complete a record, ms: each is a write to the store, and
 /// nothing waits for it.
 pub const COMPLETION_RETRY_MS: u64 = 5_000;
-/// Number of classes whose longest gaps are recorded, longest first: keeps a record below 1 KiB.
+/// Number of classes whose longest gaps are recorded, longest first.
 const GAPS_RECORDED: usize = 8;
+/// Size of the recorded gaps, bytes: users choose the names of classes, and the record must stay
+/// within the lowest value limit, since the transaction that releases a shard may hold it.
+const MAX_GAPS_BYTES: usize = 1_024;
 
 /// Leader that started a task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -178,7 +182,8 @@
         }
     }
 
-    /// Returns the longest downtimes by class, ms, longest first.
+    /// Returns the longest downtimes by class, ms, longest first, without those that no longer
+    /// fit into [`MAX_GAPS_BYTES`].
     fn worst_gaps(&self) -> Vec<(String, u64)> {
         let mut gaps: Vec<(String, u64)> = self
             .longest_gap_ms
@@ -187,6 +192,12 @@
             .collect();
         gaps.sort_by(|a, b| b.1.cmp(&a.1).then_with(|| a.0.cmp(&b.0)));
         gaps.truncate(GAPS_RECORDED);
+        let mut bytes_left = MAX_GAPS_BYTES;
+        gaps.retain(|gap| {
+            let rest = bytes_left.checked_sub(value_size(&to_value(gap)));
+            bytes_left = rest.unwrap_or(bytes_left);
+            rest.is_some()
+        });
         gaps
     }
 
