Keep a page of image locations within the value limit, whatever the images are called

The store refuses that page, and with it all pages of the same transaction, while the owner takes them for written: a successor starts without the hint. Now the most recently used images of such a machine are recorded, sizes count names as JSON, and a reference counts four bytes.

Seen by no caller.

--- a/crates/coordination/src/owner/image_pages.rs
+++ b/crates/coordination/src/owner/image_pages.rs
@@ -2,16 +2,19 @@
 //! owner's successor.
 
 use super::*;
+use lemonweir_protocol::kv_store::text_size;
 
 /// ms between two writes of the record. It is only a hint, so it is written rarely to save
 /// the write budget.
 const IMAGE_PAGES_INTERVAL_MS: u64 = 8_000;
 /// Bytes of a page that are reserved for its encoding.
 const IMAGE_PAGE_OVERHEAD_BYTES: usize = 256;
-/// Bytes that an image takes in a page besides its name.
+/// Bytes that an image takes in a page besides its name with its quotes.
 const IMAGE_ENTRY_OVERHEAD_BYTES: usize = 12;
 /// Bytes that a machine's reference to an image takes in a page.
-const IMAGE_REFERENCE_BYTES: usize = 3;
+const IMAGE_REFERENCE_BYTES: usize = 4;
+/// Bytes that a machine takes in a page besides its references, with a name of 32 characters.
+const MACHINE_ENTRY_BYTES: usize = 48;
 
 /// A page to write, with its index; `None` deletes the page.
 pub type ImagePage = (usize, Option<ImageLocationsRecord>);
@@ -80,6 +83,23 @@
     }
 }
 
+/// Bytes that an image takes in a page.
+fn entry_bytes((name, _): &(String, u64)) -> usize {
+    text_size(name) + IMAGE_ENTRY_OVERHEAD_BYTES
+}
+
+/// The images of a machine, most recently used first, as far as they fit into a page on their
+/// own.
+fn fitting_images(images: &VecDeque<(String, u64)>, capacity: usize) -> Vec<&(String, u64)> {
+    let mut bytes_left = capacity.saturating_sub(MACHINE_ENTRY_BYTES);
+    let fits = |image: &&(String, u64)| {
+        let rest = bytes_left.checked_sub(entry_bytes(image) + IMAGE_REFERENCE_BYTES);
+        bytes_left = rest.unwrap_or(0);
+        rest.is_some()
+    };
+    images.iter().take_while(fits).collect()
+}
+
 impl Owner {
     /// Returns the pages of the image record that changed since the last write, if that
     /// was long enough ago: `max_pages` at most, each below `max_page_bytes`. `None` in
@@ -98,35 +118,35 @@
         self.image_record.update(&pages, max_pages)
     }
 
-    /// Builds the whole record, in pages of at most `max_page_bytes` each.
+    /// Builds the whole record, in pages of at most `max_page_bytes` each. Of a machine whose
+    /// images alone take more, it holds the most recently used ones.
     fn image_pages(&self, max_page_bytes: usize) -> Vec<ImageLocationsRecord> {
         let mut pages = vec![ImageLocationsRecord::default()];
+        let capacity = max_page_bytes.saturating_sub(IMAGE_PAGE_OVERHEAD_BYTES);
         let mut bytes = 0;
         for (id, m) in self.machines.iter().filter(|(_, m)| !m.images.is_empty()) {
-            let image_bytes: usize = m
-                .images
-                .iter()
-                .map(|(name, _)| name.len() + IMAGE_ENTRY_OVERHEAD_BYTES)
-                .sum();
-            if bytes + image_bytes + IMAGE_PAGE_OVERHEAD_BYTES > max_page_bytes {
+            let images = fitting_images(&m.images, capacity);
+            let machine_bytes = text_size(id.as_str()) + IMAGE_REFERENCE_BYTES * (images.len() + 2);
+            let image_bytes: usize = images.iter().map(|image| entry_bytes(image)).sum();
+            if bytes + image_bytes + machine_bytes > capacity {
                 pages.push(ImageLocationsRecord::default());
                 bytes = 0;
             }
             let Some(page) = pages.last_mut() else { break };
-            let mut image_indices = Vec::with_capacity(m.images.len());
-            for image in &m.images {
+            let mut image_indices = Vec::with_capacity(images.len());
+            for image in images {
                 let index = page
                     .images
                     .iter()
                     .position(|i| i == image)
                     .unwrap_or_else(|| {
-                        bytes += image.0.len() + IMAGE_ENTRY_OVERHEAD_BYTES;
+                        bytes += entry_bytes(image);
                         page.images.push(image.clone());
                         page.images.len() - 1
                     });
                 image_indices.push(index as u16);
             }
-            bytes += id.as_str().len() + IMAGE_REFERENCE_BYTES * (image_indices.len() + 2);
+            bytes += machine_bytes;
             page.machines.push((id.clone(), image_indices));
         }
         pages
--- a/crates/coordination/tests/limits.rs
+++ b/crates/coordination/tests/limits.rs
@@ -30,9 +30,17 @@
 
 /// Starts a task on every machine; machine n gets image n % 40 of this round.
 fn run_on_all(owner: &mut Owner, machines: usize, round: u32) {
+    run_images(owner, machines, round, |n| {
+        format!("img-{round}-{:02}", n % 40)
+    });
+}
+
+/// Starts a task on every machine, with the image that `image` names for the machine.
+fn run_images(owner: &mut Owner, machines: usize, round: u32, image: impl Fn(usize) -> String) {
     let wants: Vec<DesiredAttempt> = (0..machines)
         .map(|n| DesiredAttempt {
-            image: format!("img-{round}-{:02}", n % 40),
+            image: image(n),
+            image_mb: 500,
             ..desired_attempt(round * machines as u32 + n as u32, n)
         })
         .collect();
@@ -164,3 +172,41 @@
         }
     }
 }
+
+/// Lowest size limit of a stored value, bytes.
+const LOWEST_VALUE_BYTES: usize = 2 * 1024;
+/// Rounds after which a machine holds as many images as are recorded of it.
+const ROUNDS: u32 = 24;
+
+/// An image name as long as a submission may have it.
+fn long_image_name(n: usize) -> String {
+    format!("img-reader-sha256-{n:0>182}")
+}
+
+/// Guards against a page that the store refuses for ever, with all pages of the same write: the
+/// images of one machine alone take more than a value may.
+#[test]
+fn images_of_one_machine_fit_the_lowest_value_limit() {
+    let mut owner = owner_with_machines(3);
+    for round in 1..=ROUNDS {
+        run_images(&mut owner, 3, round, |n| {
+            long_image_name(100 * n + round as usize)
+        });
+    }
+    let pages = owner.changed_image_pages(60_000, LOWEST_VALUE_BYTES, 10);
+    let mut recorded = 0;
+    for (_, page) in pages {
+        let page = page.expect("a page");
+        let bytes = serde_json::to_vec(&page).expect("JSON").len();
+        assert!(bytes <= LOWEST_VALUE_BYTES, "{bytes} bytes");
+        recorded += page
+            .machines
+            .iter()
+            .filter(|(_, images)| images.len() > 4)
+            .count();
+    }
+    assert_eq!(
+        recorded, 3,
+        "each machine with its most recently used images"
+    );
+}
