Keep a view through the store within a message, whatever images a machine holds

Cause: a message holds at least one change, and a machine's view names its images. Through the store a view may be larger than a transaction there (4.6 KB at 4 changes of 2 KB): it was dropped each time, and none of the owner's later changes arrived while the direct link was down. Now such a machine is sent without its least recently used images, which only tell where a task may start sooner.

--- a/crates/coordination/src/owner/published_state.rs
+++ b/crates/coordination/src/owner/published_state.rs
@@ -3,6 +3,20 @@
 use super::*;
 use lemonweir_model::constants::{ENCODED_ATTEMPT_BYTES, PEER_VERSION};
 
+/// A machine as a message of `max_bytes` can hold it: without its least recently used images if
+/// these take more. They only tell where a task may start sooner.
+///
+/// Guards against a machine that keeps all changes after it from being sent through the store.
+fn within_message(view: &MachineView, max_bytes: usize) -> MachineView {
+    let mut view = view.clone();
+    while encoded_len(&view) > max_bytes {
+        if view.cached_images.pop().is_none() && view.pulling_images.pop().is_none() {
+            break;
+        }
+    }
+    view
+}
+
 impl Owner {
     /// Updates the published state of the machines that changed and of their attempts.
     pub(super) fn refresh(&mut self) {
@@ -86,6 +100,7 @@
         sync: &SyncRequest,
         mut max_bytes: usize,
     ) -> ShardView {
+        let message_bytes = max_bytes;
         self.refresh();
         if self.placers.len() >= usize::from(self.shards) {
             // All placers are known. One that starts anew is sent the whole state, which
@@ -121,7 +136,7 @@
         let (mut machines, mut removed) = (Vec::new(), Vec::new());
         for (id, m) in changes {
             match m {
-                Some(m) => machines.push(m.clone()),
+                Some(m) => machines.push(within_message(m, message_bytes)),
                 None => removed.push(id.clone()),
             }
         }
--- a/crates/coordination/tests/limits.rs
+++ b/crates/coordination/tests/limits.rs
@@ -6,11 +6,11 @@
 
 use std::collections::BTreeMap;
 
-use lemonweir_coordination::Config;
 use lemonweir_coordination::owner::Owner;
+use lemonweir_coordination::{Config, store_message_piece_bytes};
 use lemonweir_model::MachineId;
 use lemonweir_model::constants::{MAX_BODY_BYTES, MAX_CAS_BYTES};
-use lemonweir_protocol::peer::{ChangeRange, DesiredAttempt, ObservedState};
+use lemonweir_protocol::peer::{ChangeRange, DesiredAttempt, ObservedState, encoded_len};
 use lemonweir_storage::records::ImageLocationsRecord;
 use support::*;
 
@@ -210,3 +210,46 @@
         "each machine with its most recently used images"
     );
 }
+
+/// Guards against an owner whose changes never arrive through the store: the image names of one
+/// machine take more than a message there may hold.
+#[test]
+fn machine_with_many_images_fits_a_message_through_the_store() {
+    let mut settings = controllers::settings(1);
+    settings.cluster.kv_store.max_value_kib = LOWEST_VALUE_BYTES as f64 / 1_024.0;
+    settings.cluster.kv_store.max_cas_ops = 4;
+    let config = Config::new(&settings);
+    let capacity = store_message_piece_bytes(config.value_bytes) * config.cas_max_changes;
+    let mut owner = owner_with_machines(3);
+    for round in 1..=ROUNDS {
+        run_images(&mut owner, 3, round, |n| {
+            long_image_name(100 * n + round as usize)
+        });
+    }
+    let mut observed = ObservedState::default();
+    let mut seen = Vec::new();
+    for seq in 100..200 {
+        let unchanged = ChangeRange {
+            since: u64::from(ROUNDS + 1) * 3,
+            until: u64::from(ROUNDS + 1) * 3,
+            complete: true,
+        };
+        let request = sync_request(seq, unchanged, Vec::new(), observed);
+        let view = owner
+            .sync(&request, config.store_message_bytes, 60_000)
+            .expect("sync accepted");
+        let bytes = encoded_len(&view);
+        assert!(bytes <= capacity, "{bytes} of {capacity} bytes");
+        seen.extend(view.machines.iter().map(|machine| machine.id.clone()));
+        observed = ObservedState {
+            machines_revision: view.machines_range.until,
+            attempts_revision: view.attempts_range.until,
+        };
+        if view.machines_range.complete && view.attempts_range.complete {
+            break;
+        }
+    }
+    for n in 0..3 {
+        assert!(seen.contains(&machine_id(n)));
+    }
+}
