Accept submissions with any number of machine types

A submission with more than 100 machine types got 400, "name or list too long", which users don't repeat.

--- a/crates/protocol/src/users.rs
+++ b/crates/protocol/src/users.rs
@@ -94,8 +94,8 @@
         .chain(spec.machine_types.iter().flatten())
         .chain(spec.zone.iter())
         .any(|s| s.len() > 200);
-    if has_long_name || spec.machine_types.as_ref().is_some_and(|t| t.len() > 100) {
-        return invalid("name or list too long");
+    if has_long_name {
+        return invalid("name too long");
     }
     if spec.depends_on.len() > MAX_DEPENDENCIES {
         return invalid("awaits names too many jobs");
