Settings: name a value limit below 2 KiB

Task records of 64 attempts, pages and the records that name them fit a value of 2 KiB. A lower limit was taken without a word, and a full task record could then never be written. `lemonweir check`, and the start, now name it, for today's limit and for the one that `state.next` announces, as they do for transactions of fewer than 4 changes.

--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -84,6 +84,9 @@
     pub cancellation_deadline_s: f64,
 }
 
+/// Smallest limit of a value, KiB: a full task record and a page of any other record fit.
+const SMALLEST_MAX_VALUE_KIB: f64 = 2.0;
+
 /// Limits of the store. Rates are those of all controllers together.
 #[derive(Clone, Debug, Deserialize)]
 #[allow(missing_docs)]
@@ -305,7 +308,6 @@
             ("workers.cancel_s", w.cancellation_deadline_s),
             ("state.rps", c.kv_store.requests_per_s),
             ("state.write_rps", c.kv_store.writes_per_s),
-            ("state.value_kb", c.kv_store.max_value_kib),
             ("cloud.rps", c.cloud.requests_per_s),
             ("limits.cpu_share", c.process_limits.cpu_share),
             ("limits.mem_mb", c.process_limits.memory_mb),
@@ -319,7 +321,6 @@
         for (what, value) in [
             ("rps", next.requests_per_s),
             ("write_rps", next.writes_per_s),
-            ("value_kb", next.max_value_kib),
         ] {
             check(
                 value.is_none_or(|value| value.is_finite() && value > 0.0),
@@ -338,6 +339,15 @@
             w.cancellation_deadline_s > w.lease_s,
             "cluster.workers.cancel_s must be over lease_s".into(),
         );
+        check(
+            c.kv_store.max_value_kib >= SMALLEST_MAX_VALUE_KIB,
+            format!("cluster.state.value_kb must be {SMALLEST_MAX_VALUE_KIB} or more"),
+        );
+        check(
+            next.max_value_kib
+                .is_none_or(|kib| kib >= SMALLEST_MAX_VALUE_KIB),
+            format!("cluster.state.next.value_kb must be {SMALLEST_MAX_VALUE_KIB} or more"),
+        );
         check(
             c.kv_store.max_cas_ops >= 4,
             "cluster.state.txn_ops must be 4 or more".into(),
--- a/tests/malformed_input.rs
+++ b/tests/malformed_input.rs
@@ -424,3 +424,24 @@
     assert_eq!(Settings::parse("[1]").expect_err("not a map").len(), 1);
     assert!(Settings::parse("{").expect_err("truncated")[0].contains("not JSON"));
 }
+
+/// Limits under which a task record might never be written are named before they come.
+#[test]
+fn settings_errors_name_store_limits_that_are_too_low() {
+    let limits = |value_kb: &str, next: &str| {
+        let text = settings_text(0, 3).replace(
+            r#""value_kb":8.0"#,
+            &format!(r#""value_kb":{value_kb},"next":{next}"#),
+        );
+        Settings::parse(&text)
+    };
+    assert!(limits("2.0", r#"{"value_kb":2.0,"txn_ops":4}"#).is_ok());
+    assert_eq!(
+        limits("1.5", r#"{"value_kb":1.9,"txn_ops":3}"#).expect_err("errors"),
+        [
+            "cluster.state.value_kb must be 2 or more",
+            "cluster.state.next.value_kb must be 2 or more",
+            "cluster.state.next.txn_ops must be 4 or more"
+        ]
+    );
+}
