Tests: drawn runs, golden samples and a core with its catalog stand once

The three tests that search drawn runs, the two that compare golden samples and three that build a core with its catalog each had a copy of the same code. They share one now; assertions, bounds and seeds are the same. A test more: late pages of a specification are not written after the end of their job.

--- a/crates/coordination/tests/cancellations.rs
+++ b/crates/coordination/tests/cancellations.rs
@@ -9,7 +9,7 @@
 use lemonweir_coordination::job_status::JobStatusAnswer;
 use lemonweir_coordination::owner::{CommandResult, Owner};
 use lemonweir_coordination::placer::CompareAndSwapOutcome;
-use lemonweir_coordination::{Config, Core, Effect, STORE_ROUTE_AFTER_FAILURES, ShardLease};
+use lemonweir_coordination::{Core, Effect, STORE_ROUTE_AFTER_FAILURES, ShardLease};
 use lemonweir_model::constants::{MACHINE_TOKEN_BITS, MAX_STORE_OUTAGE_GRACE_MS};
 use lemonweir_model::{JobId, JobSpec};
 use lemonweir_protocol::kv_store::{CompareAndSwap, KeyValue, WatchEvent, Write, to_value};
@@ -46,15 +46,7 @@
 
 impl PlacerFixture {
     fn new() -> Self {
-        let mut core = Core::new(
-            Config::new(&settings(1)),
-            lemonweir_policy::embedded().expect("policy"),
-        );
-        core.set_catalog(
-            [(machine_type().name, machine_type())]
-                .into_iter()
-                .collect(),
-        );
+        let mut core = core_with_catalog(1);
         let spec = JobSpec {
             team: "blue".into(),
             ..array_job(1)
--- a/crates/coordination/tests/starts.rs
+++ b/crates/coordination/tests/starts.rs
@@ -5,9 +5,9 @@
 mod controllers;
 mod support;
 
-use controllers::settings;
+use controllers::core_with_catalog;
 use lemonweir_coordination::placer::CompareAndSwapOutcome;
-use lemonweir_coordination::{Config, Core, Effect, HeartbeatAnswer, ShardLease, keys_to_reread};
+use lemonweir_coordination::{Core, Effect, HeartbeatAnswer, ShardLease, keys_to_reread};
 use lemonweir_model::JobSpec;
 use lemonweir_model::constants::STORE_LEASE_TTL_MS;
 use lemonweir_protocol::kv_store::{KeyValue, to_value};
@@ -46,15 +46,7 @@
 /// Controller 0 that leads its home shard, with a machine that has sent a heartbeat and a queued
 /// job, and the token that the machine was given. The last refresh from the store is at `now`.
 fn with_queued_job(now: u64) -> (Core, u64) {
-    let mut core = Core::new(
-        Config::new(&settings(0)),
-        lemonweir_policy::embedded().expect("policy"),
-    );
-    core.set_catalog(
-        [(machine_type().name, machine_type())]
-            .into_iter()
-            .collect(),
-    );
+    let mut core = core_with_catalog(0);
     let spec = JobSpec {
         team: "amber".into(),
         ..array_job(1)
--- a/crates/coordination/tests/support/controllers.rs
+++ b/crates/coordination/tests/support/controllers.rs
@@ -140,6 +140,20 @@
     (span.0..span.1).contains(&now)
 }
 
+/// The core of a controller that has read the catalog.
+pub fn core_with_catalog(me: usize) -> Core {
+    let mut core = Core::new(
+        Config::new(&settings(me)),
+        lemonweir_policy::embedded().expect("policy"),
+    );
+    core.set_catalog(
+        [(machine_type().name, machine_type())]
+            .into_iter()
+            .collect(),
+    );
+    core
+}
+
 pub fn settings(me: usize) -> Settings {
     let seed = |n: usize| serde_json::json!({"host_name": format!("h{n}"), "zone": "north", "address": format!("10.0.0.{n}:8081")});
     let team = |name| serde_json::json!({"name": name, "cpus": 0.0, "cpus_max": 0.0, "gpus": 0.0, "gpus_max": 0.0});
--- a/crates/coordination/tests/support/leader.rs
+++ b/crates/coordination/tests/support/leader.rs
@@ -2,14 +2,14 @@
 //! all of it.
 #![allow(dead_code)]
 
-use lemonweir_coordination::{Config, Core, Effect, ShardLease};
+use lemonweir_coordination::{Core, Effect, ShardLease};
 use lemonweir_model::{JobId, JobSpec};
 use lemonweir_protocol::kv_store::{CompareAndSwap, KeyValue, WatchEvent, Write, to_value};
 use lemonweir_protocol::users::JobPhase;
 use lemonweir_storage::dependencies::create_blocked_job;
 use lemonweir_storage::records::*;
 
-use super::controllers::settings;
+use super::controllers::core_with_catalog;
 use super::support::*;
 
 pub const LEASE: ShardLease = ShardLease {
@@ -39,15 +39,7 @@
 
 impl Leader {
     pub fn new() -> Self {
-        let mut core = Core::new(
-            Config::new(&settings(0)),
-            lemonweir_policy::embedded().expect("policy"),
-        );
-        core.set_catalog(
-            [(machine_type().name, machine_type())]
-                .into_iter()
-                .collect(),
-        );
+        let mut core = core_with_catalog(0);
         let leader_entry = KeyValue {
             key: shard_key(0),
             value: to_value(&ShardRecord { host: "h0".into() }),
--- a/crates/protocol/tests/golden_messages.rs
+++ b/crates/protocol/tests/golden_messages.rs
@@ -5,9 +5,11 @@
 //! The samples were written once; a message that differs from its sample changes the wire
 //! format.
 
-use std::collections::{BTreeMap, BTreeSet};
+#[path = "support/golden.rs"]
+mod golden;
 
 use borsh::{BorshDeserialize, BorshSerialize};
+use golden::Golden;
 use lemonweir_model::constants::PEER_VERSION;
 use lemonweir_model::{AttemptId, JobId, JobKind, JobSpec, MachineId, Priority, Resources};
 use lemonweir_protocol::cloud::*;
@@ -31,47 +33,12 @@
 use lemonweir_protocol::worker::*;
 use lemonweir_protocol::{Malformed, decode, encode, image_locality, supervision};
 use rmpv::Value;
+use serde::Serialize;
 use serde::de::DeserializeOwned;
-use serde::{Deserialize, Serialize};
 
 // ---- comparison ------------------------------------------------------------
 
-#[derive(Deserialize)]
-struct Sample {
-    bytes: String,
-    #[serde(default)]
-    reads: serde_json::Value,
-}
-
-/// The samples of one file, and the names of those that were compared.
-struct Golden {
-    samples: BTreeMap<String, Sample>,
-    compared: BTreeSet<String>,
-}
-
 impl Golden {
-    fn parse(file: &str) -> Self {
-        Self {
-            samples: serde_json::from_str(file).expect("samples"),
-            compared: BTreeSet::new(),
-        }
-    }
-
-    /// Asserts that the encoded bytes equal the sample, and returns them.
-    fn assert_encoded(&mut self, name: &str, encoded: &[u8]) -> Vec<u8> {
-        let hex: String = encoded.iter().map(|b| format!("{b:02x}")).collect();
-        let sample = self
-            .samples
-            .get(name)
-            .unwrap_or_else(|| panic!("no sample {name}"));
-        assert_eq!(hex, sample.bytes, "{name} encodes to its sample");
-        assert!(
-            self.compared.insert(name.to_owned()),
-            "{name} is compared once"
-        );
-        encoded.to_vec()
-    }
-
     /// Compares a MessagePack message that is encoded but never decoded with its sample, and
     /// returns its bytes.
     fn assert_sent<T: Serialize>(&mut self, name: &str, message: &T) -> Vec<u8> {
@@ -114,12 +81,6 @@
         assert_eq!(&read, message, "{name} is decoded");
         assert_eq!(links::encode(&read), bytes, "{name} round-trips");
     }
-
-    /// Asserts that every sample was compared.
-    fn assert_all_compared(&self) {
-        let names: BTreeSet<String> = self.samples.keys().cloned().collect();
-        assert_eq!(self.compared, names, "every sample is compared");
-    }
 }
 
 fn text(words: &[&str]) -> Vec<String> {
--- a/crates/simulator/tests/invariants.rs
+++ b/crates/simulator/tests/invariants.rs
@@ -1,11 +1,15 @@
 //! Checks the protocol's invariants under seeded faults, in simulated time.
 
+#[path = "support/drawn_runs.rs"]
+mod drawn_runs;
+
 use std::sync::Arc;
 
+use drawn_runs::assert_no_violations;
 use lemonweir_model::{JobId, JobKind, JobSpec, Priority, Resources};
 use lemonweir_protocol::kv_store::{CompareAndSwap, Write};
 use lemonweir_protocol::users::JobPhase;
-use lemonweir_simulator::fault_search::{FaultMix, search_seed};
+use lemonweir_simulator::fault_search::FaultMix;
 use lemonweir_simulator::fixtures::{id, job, site};
 use lemonweir_simulator::history::History;
 use lemonweir_simulator::invariants::{InvariantChecker, TaskPlacement, UserAnswer};
@@ -645,18 +649,5 @@
 /// Twelve random sites with random faults; `lemonweir-simulator fault-search` runs more.
 #[test]
 fn random_faults_violate_no_invariant_and_services_recover() {
-    for seed in 1..=12 {
-        let result = search_seed(seed, 90, FaultMix::Any);
-        assert!(
-            result.violations.is_empty(),
-            "seed {seed}: {:?} with\n{}",
-            result.violations,
-            result.faults.concat()
-        );
-        assert!(
-            result.task_starts > 50,
-            "seed {seed}: {} starts",
-            result.task_starts
-        );
-    }
+    assert_no_violations(FaultMix::Any, 12, 90);
 }
--- a/crates/storage/tests/golden_records.rs
+++ b/crates/storage/tests/golden_records.rs
@@ -4,8 +4,10 @@
 //! A sample holds MessagePack bytes as hex and their decoded value as JSON. The samples were
 //! written once; a record that differs from its sample can't be read by deployed controllers.
 
-use std::collections::{BTreeMap, BTreeSet};
+#[path = "../../protocol/tests/support/golden.rs"]
+mod golden;
 
+use golden::Golden;
 use lemonweir_model::constants::{
     DEPENDENCIES_PER_PAGE, FAILOVER_RECORDS_KEPT, PACKED_RECORD_VERSION, PAGED_SPEC_VERSION,
     TASKS_PER_CHUNK,
@@ -25,46 +27,12 @@
     CachedSpecPages, JobRecordWriter, PagedJobRecord, SpecPage, SpecPageId, SpecPages,
 };
 use rmpv::Value;
+use serde::Serialize;
 use serde::de::DeserializeOwned;
-use serde::{Deserialize, Serialize};
 
 // ---- comparison ------------------------------------------------------------
 
-#[derive(Deserialize)]
-struct Sample {
-    bytes: String,
-    reads: serde_json::Value,
-}
-
-/// The samples of one file, and the names of those that were compared.
-struct Golden {
-    samples: BTreeMap<String, Sample>,
-    compared: BTreeSet<String>,
-}
-
 impl Golden {
-    fn parse(file: &str) -> Self {
-        Self {
-            samples: serde_json::from_str(file).expect("samples"),
-            compared: BTreeSet::new(),
-        }
-    }
-
-    /// Asserts that the encoded bytes equal the sample, and returns them.
-    fn assert_encoded(&mut self, name: &str, written: &[u8]) -> Vec<u8> {
-        let hex: String = written.iter().map(|b| format!("{b:02x}")).collect();
-        let sample = self
-            .samples
-            .get(name)
-            .unwrap_or_else(|| panic!("no sample {name}"));
-        assert_eq!(hex, sample.bytes, "{name} encodes to its sample");
-        assert!(
-            self.compared.insert(name.to_owned()),
-            "{name} is compared once"
-        );
-        written.to_vec()
-    }
-
     /// Compares a stored value with its sample, and returns the decoded sample.
     fn value(&mut self, name: &str, value: &Value) -> Value {
         let bytes = self.assert_encoded(name, &encode(value));
@@ -103,12 +71,6 @@
             from_value(&stored).unwrap_or_else(|| panic!("{name} is not decoded"));
         assert_eq!(&read, cas, "{name} round-trips");
     }
-
-    /// Asserts that every sample was compared.
-    fn assert_all_compared(&self) {
-        let names: BTreeSet<String> = self.samples.keys().cloned().collect();
-        assert_eq!(self.compared, names, "every sample is compared");
-    }
 }
 
 // ---- values ----------------------------------------------------------------
--- a/crates/storage/tests/spec_pages.rs
+++ b/crates/storage/tests/spec_pages.rs
@@ -6,6 +6,7 @@
 use lemonweir_protocol::kv_store::{
     CompareAndSwap, Condition, KeyValue, WatchEvent, Write, to_value, value_size,
 };
+use lemonweir_protocol::users::JobPhase;
 use lemonweir_storage::StateCache;
 use lemonweir_storage::dependencies::{blocked_job_key, create_blocked_job, unblock_job};
 use lemonweir_storage::records::*;
@@ -245,6 +246,45 @@
     assert_eq!(store.fit(cas.clone()), [cas]);
 }
 
+/// Pages are written under the conditions of the change that needs them, so that none is written
+/// after the end of its job, however late.
+#[test]
+fn late_page_is_not_written_after_the_end_of_its_job() {
+    let mut store = Store::new(PAGED_SPEC_VERSION);
+    let submission = store.fit(create_job(&job(8_000, 0)));
+    store.commit(&submission);
+    let accepted = store.cache.jobs[&id(412)].clone();
+    store.write(&CompareAndSwap {
+        conditions: Vec::new(),
+        writes: vec![
+            Write::put(
+                end_key(&id(412)),
+                &JobEndRecord {
+                    phase: JobPhase::Done,
+                },
+            ),
+            Write::Delete {
+                key: job_key(&id(412)),
+            },
+        ],
+    });
+    let mut empty = Store::new(PAGED_SPEC_VERSION);
+    empty.write(&create_job(&accepted.record));
+    let cancellation = empty.fit(request_cancellation(&accepted.record, accepted.version));
+    for late in [&submission[0], &cancellation[0]] {
+        assert!(
+            late.writes
+                .iter()
+                .all(|write| write.key().starts_with("w/spec/"))
+        );
+        assert!(
+            late.conditions
+                .iter()
+                .any(|condition| store.version(&condition.key) != condition.version)
+        );
+    }
+}
+
 /// Pages that are stored already are not written again: a submission that was interrupted goes
 /// on where it stopped, and later changes write the record alone.
 #[test]
