Check the size of a view's first machine only, and count plain names at once

A view through the store may exceed its message only by its first change, but every machine of every view was encoded once more to find out, also in direct messages. Names without characters to escape are counted by their length.

--- a/crates/coordination/src/owner/published_state.rs
+++ b/crates/coordination/src/owner/published_state.rs
@@ -134,9 +134,11 @@
             |_, m| m.map_or(ENCODED_ATTEMPT_BYTES, encoded_len),
         );
         let (mut machines, mut removed) = (Vec::new(), Vec::new());
-        for (id, m) in changes {
+        for (position, (id, m)) in changes.into_iter().enumerate() {
             match m {
-                Some(m) => machines.push(within_message(m, message_bytes)),
+                // Only the first change may be larger than the message.
+                Some(m) if position == 0 => machines.push(within_message(m, message_bytes)),
+                Some(m) => machines.push(m.clone()),
                 None => removed.push(id.clone()),
             }
         }
--- a/crates/protocol/src/kv_store.rs
+++ b/crates/protocol/src/kv_store.rs
@@ -199,6 +199,10 @@
         ' '..='~' => 1,
         _ => UNICODE_ESCAPE_BYTES * character.len_utf16(),
     };
+    let is_plain = |byte: u8| (b' '..=b'~').contains(&byte) && byte != b'"' && byte != b'\\';
+    if text.bytes().all(is_plain) {
+        return 2 + text.len();
+    }
     2 + text.chars().map(character_size).sum::<usize>()
 }
 
