Simulator: carry out again what was carried out and answered

The service started a task twice at production size: a copy of an executed start reached its machine once more. The simulator had copies of heartbeats only, and no message that comes again after its answer.

The fault 'repeated' has any message carried out once more, 0.02 to 60 s later, as far as what it says still fits: commands, heartbeats, transactions, store leases, rentals, syncs, submissions and withdrawals.

--- a/crates/simulator/src/fault_search.rs
+++ b/crates/simulator/src/fault_search.rs
@@ -18,8 +18,11 @@
 use crate::run_report::run_violations;
 use crate::scenario::Scenario;
 use crate::simulation::Simulation;
-use draw_faults::{draw_faults, draw_lowered_limits, draw_stalls_over_slow_links};
-use draw_site::{DrawnSite, draw_site, draw_site_of_large_records};
+use draw_faults::{
+    draw_faults, draw_lowered_limits, draw_repeated_messages,
+    draw_repeated_messages_with_machine_restarts, draw_stalls_over_slow_links,
+};
+use draw_site::{DrawnSite, draw_site, draw_site_of_large_records, draw_site_of_short_jobs};
 use liveness::{jobs_that_never_begin, unconfirmed_cancellations};
 
 /// Time before the first fault may begin, s: the fleet boots.
@@ -49,6 +52,11 @@
     /// The store lowers its limits as announced, beside other faults, while there are jobs whose
     /// records the lower limits do not allow.
     LoweredLimits,
+    /// Messages that are carried out once more after they were answered, beside ends and returns of
+    /// controllers within a second and other faults, but no restarts of machines.
+    Repeated,
+    /// The same, with restarts of machines.
+    RepeatedWithMachineRestarts,
 }
 
 impl FaultMix {
@@ -56,12 +64,19 @@
     fn draw(self, rng: &mut ChaCha8Rng, max_machines: u32) -> (DrawnSite, Vec<String>) {
         let site = match self {
             Self::Any | Self::StallsOverSlowLinks => draw_site(rng, max_machines),
+            Self::Repeated | Self::RepeatedWithMachineRestarts => {
+                draw_site_of_short_jobs(rng, max_machines)
+            }
             Self::LoweredLimits => draw_site_of_large_records(rng, max_machines),
         };
         let faults = match self {
             Self::Any => draw_faults(rng, &site),
             Self::StallsOverSlowLinks => draw_stalls_over_slow_links(rng, &site),
             Self::LoweredLimits => draw_lowered_limits(rng, &site),
+            Self::Repeated => draw_repeated_messages(rng, &site),
+            Self::RepeatedWithMachineRestarts => {
+                draw_repeated_messages_with_machine_restarts(rng, &site)
+            }
         };
         (site, faults)
     }
@@ -69,7 +84,10 @@
     /// Checks of the end of a run that hold only for the sites of this mix.
     fn violations_at_end(self, simulation: &Simulation) -> Vec<String> {
         match self {
-            Self::Any | Self::StallsOverSlowLinks => Vec::new(),
+            Self::Any
+            | Self::StallsOverSlowLinks
+            | Self::Repeated
+            | Self::RepeatedWithMachineRestarts => Vec::new(),
             Self::LoweredLimits => [
                 jobs_that_never_begin(simulation),
                 unconfirmed_cancellations(simulation),
--- a/crates/simulator/src/fault_search/draw_faults.rs
+++ b/crates/simulator/src/fault_search/draw_faults.rs
@@ -23,6 +23,19 @@
 /// By how much the largest delay exceeds the smallest, s.
 const LINK_JITTER_S: Range<f64> = 0.0..0.2;
 
+/// Share of the messages that are repeated.
+const REPEATED_SHARE: Range<f64> = 0.1..0.6;
+/// Shortest time after which a message is repeated, s.
+const SHORTEST_REPEAT_DELAY_S: f64 = 0.02;
+/// Longest times after which a message is repeated, s, of which one is drawn.
+const LONGEST_REPEAT_DELAY_S: [f64; 5] = [1.0, 3.0, 8.0, 20.0, 60.0];
+/// Time after which an ended controller is back, s.
+const BACK_WITHIN_S: Range<f64> = 0.05..1.0;
+/// Share of the machines that become faulty beside repeated messages.
+const FAULTY_SHARE: Range<f64> = 0.02..0.15;
+/// Share of the machines that restart at a time beside repeated messages.
+const RESTARTED_SHARE: f64 = 0.3;
+
 /// Draws one or two pairs of faults, of which the second begins while the first lasts, and in
 /// half of the runs another single fault.
 pub(super) fn draw_faults(rng: &mut ChaCha8Rng, site: &DrawnSite) -> Vec<String> {
@@ -89,6 +102,71 @@
     faults
 }
 
+/// Draws a share of repeated messages for the whole run, beside ends and returns of controllers
+/// within a second, faulty machines, cancellations, and one or two other faults.
+pub(super) fn draw_repeated_messages(rng: &mut ChaCha8Rng, site: &DrawnSite) -> Vec<String> {
+    let share = rng.random_range(REPEATED_SHARE);
+    let high = LONGEST_REPEAT_DELAY_S.choose(rng).unwrap_or(&1.0);
+    let repeated_s = WARM_UP_S + FAULT_WINDOW_S + MAX_FAULT_DURATION_S;
+    let mut faults = vec![format!(
+        "[[fault]]\nat_s = 0\nkind = 'repeated'\nshare = {share:.2}\nfor_s = {repeated_s}\nlow_s = {SHORTEST_REPEAT_DELAY_S}\nhigh_s = {high:.1}\n"
+    )];
+    for _ in 0..rng.random_range(2..=5) {
+        let at = rng.random::<f64>() * (WARM_UP_S + FAULT_WINDOW_S);
+        let back_after = rng.random_range(BACK_WITHIN_S);
+        let controller = rng.random_range(0..=site.controllers);
+        // One more than there are controllers: all of them.
+        let which = if controller < site.controllers {
+            format!("controller = {controller}\n")
+        } else {
+            String::new()
+        };
+        faults.push(format!(
+            "[[fault]]\nat_s = {at:.1}\nkind = 'crash'\n{which}for_s = {back_after:.2}\n"
+        ));
+    }
+    let faulty_at = rng.random::<f64>() * (WARM_UP_S + FAULT_WINDOW_S);
+    let faulty_share = rng.random_range(FAULTY_SHARE);
+    faults.push(format!(
+        "[[fault]]\nat_s = {faulty_at:.1}\nkind = 'faulty'\nshare = {faulty_share:.2}\nfor_s = 1\n"
+    ));
+    let cancelled_at = WARM_UP_S + rng.random::<f64>() * FAULT_WINDOW_S;
+    faults.push(format!(
+        "[[fault]]\nat_s = {cancelled_at:.1}\nkind = 'cancel_now'\ncount = {}\nfor_s = 1\n",
+        1 + site.machines / 8
+    ));
+    for _ in 0..rng.random_range(1..=2) {
+        faults.push(draw_fault_without_machine_restarts(rng, site));
+    }
+    faults
+}
+
+fn draw_fault_without_machine_restarts(rng: &mut ChaCha8Rng, site: &DrawnSite) -> String {
+    loop {
+        let at = WARM_UP_S + rng.random::<f64>() * FAULT_WINDOW_S;
+        let length = draw_duration(rng);
+        let fault = draw_fault(rng, site, at, length);
+        if !fault.contains("'reborn'") {
+            return fault;
+        }
+    }
+}
+
+/// Draws repeated messages as [`draw_repeated_messages`] does, and three restarts of machines.
+pub(super) fn draw_repeated_messages_with_machine_restarts(
+    rng: &mut ChaCha8Rng,
+    site: &DrawnSite,
+) -> Vec<String> {
+    let mut faults = draw_repeated_messages(rng, site);
+    for _ in 0..3 {
+        let at = WARM_UP_S + rng.random::<f64>() * FAULT_WINDOW_S;
+        faults.push(format!(
+            "[[fault]]\nat_s = {at:.1}\nkind = 'reborn'\nshare = {RESTARTED_SHARE}\nfor_s = 1\n"
+        ));
+    }
+    faults
+}
+
 fn draw_duration(rng: &mut ChaCha8Rng) -> f64 {
     rng.random_range(MIN_FAULT_DURATION_S..MAX_FAULT_DURATION_S)
 }
--- a/crates/simulator/src/fault_search/draw_site.rs
+++ b/crates/simulator/src/fault_search/draw_site.rs
@@ -29,6 +29,21 @@
     site
 }
 
+/// Draws a site with its load, and beside it many short jobs, of which some fail on every machine
+/// and some are cancelled.
+pub(super) fn draw_site_of_short_jobs(rng: &mut ChaCha8Rng, max_machines: u32) -> DrawnSite {
+    let mut site = draw_site(rng, max_machines);
+    let per_min = f64::from(site.machines);
+    let run_s = rng.random_range(1.0..8.0);
+    // Writing to a `String` can't fail.
+    let _ = write!(
+        site.text,
+        "[[class]]\nname = 'short'\nteams = ['red', 'blue']\nbroken = 0.03\ncpus = 1\nmemory_gb = 2\nrun_s = {run_s:.1}\n\
+         per_min = {per_min:.2}\ncancelled = 0.25\ntasks = {{ dist = 'uniform', low = 1, high = 3 }}\n"
+    );
+    site
+}
+
 /// Draws a site with more room than work, whose jobs have records of some 0.3 to 7.8 KB as JSON.
 pub(super) fn draw_site_of_large_records(rng: &mut ChaCha8Rng, max_machines: u32) -> DrawnSite {
     let mut site = draw_infrastructure(rng, max_machines);
--- a/crates/simulator/src/scenario/fault.rs
+++ b/crates/simulator/src/scenario/fault.rs
@@ -129,6 +129,14 @@
         /// Delay of a message in one direction.
         seconds: SecondsRange,
     },
+    /// The fault's share of the messages that are carried out and answered are carried out once
+    /// more, as far as what they say still fits: commands, also by a machine that has restarted
+    /// meanwhile, heartbeats, compare-and-swaps, store leases, provisioning requests, syncs, relayed
+    /// heartbeats, submissions and withdrawals.
+    RepeatedMessages {
+        /// Time after which a message is carried out once more.
+        seconds: SecondsRange,
+    },
     /// The state service switches to its upcoming limits for the rest of the run.
     ReducedStoreLimits,
     /// A controller loses its links to the state service and to all other controllers, but
@@ -179,6 +187,7 @@
             | Self::StoreSlow { .. }
             | Self::DelayedCommands { .. }
             | Self::SlowPeerLinks { .. }
+            | Self::RepeatedMessages { .. }
             | Self::ReducedStoreLimits
             | Self::ControllerIsolated { .. } => false,
         }
@@ -226,7 +235,8 @@
             FaultKind::RollingRestart => self.for_s * f64::from(controllers),
             FaultKind::DelayedDuplicates { seconds, .. }
             | FaultKind::StoreSlow { seconds }
-            | FaultKind::DelayedCommands { seconds } => seconds.high,
+            | FaultKind::DelayedCommands { seconds }
+            | FaultKind::RepeatedMessages { seconds } => seconds.high,
             // A message and its answer.
             FaultKind::SlowPeerLinks { seconds, .. } => 2.0 * seconds.high,
             FaultKind::LateWrites {
--- a/crates/simulator/src/scenario/fault_history.rs
+++ b/crates/simulator/src/scenario/fault_history.rs
@@ -73,6 +73,10 @@
                 .field("host", controller)
                 .field("seconds", &HistoryFormat(seconds))
                 .finish(),
+            Self::RepeatedMessages { seconds } => f
+                .debug_struct("Repeated")
+                .field("seconds", &HistoryFormat(seconds))
+                .finish(),
             Self::DelayedCommands { seconds } => f
                 .debug_struct("HeldOrders")
                 .field("seconds", &HistoryFormat(seconds))
--- a/crates/simulator/src/scenario/fault_reader.rs
+++ b/crates/simulator/src/scenario/fault_reader.rs
@@ -16,7 +16,7 @@
 const DEFAULT_SHARE: f64 = 0.1;
 
 /// Names of the kinds of faults in a scenario file.
-const KIND_NAMES: [&str; 33] = [
+const KIND_NAMES: [&str; 34] = [
     "crash",
     "roll",
     "store_down",
@@ -44,6 +44,7 @@
     "store_slow",
     "held_orders",
     "slow_links",
+    "repeated",
     "mute",
     "close_looks",
     "cancel_at_end",
@@ -147,6 +148,9 @@
                 controller: table.has("controller").then(controller),
                 seconds: read_seconds(table, None),
             },
+            "repeated" => FaultKind::RepeatedMessages {
+                seconds: read_seconds(table, None),
+            },
             "take_spot" => FaultKind::SpotReclaim {
                 notice_s: table.number("notice_s", 0.0, 3_600.0, Some(0.0)),
             },
--- a/crates/simulator/src/simulation.rs
+++ b/crates/simulator/src/simulation.rs
@@ -17,6 +17,7 @@
 mod inspection;
 mod lease_keeping;
 mod network;
+mod repeated_messages;
 mod routes;
 mod starvation;
 mod state_reads;
--- a/crates/simulator/src/simulation/cloud_service.rs
+++ b/crates/simulator/src/simulation/cloud_service.rs
@@ -33,17 +33,24 @@
         request: ProvisioningRequest,
         route: ServiceRoute,
     ) {
-        let result = if !self.try_route(process, route) {
-            ProvisioningResult::Retry
-        } else if let Some(booked) = self.cloud.bookings.get(&request.request_id) {
-            ProvisioningResult::Provisioned(booked.clone())
+        let result = if self.try_route(process, route) {
+            self.repeat_provisioning(&request);
+            self.provision_once(&request)
         } else {
-            self.provision_new(&request)
+            ProvisioningResult::Retry
         };
         let at = self.now + self.network_delay();
         self.deliver_at(at, process, Input::Provisioned(lease, request, result));
     }
 
+    /// Provisions machines for a request; one that succeeded before gets the same answer.
+    pub(super) fn provision_once(&mut self, request: &ProvisioningRequest) -> ProvisioningResult {
+        match self.cloud.bookings.get(&request.request_id) {
+            Some(booked) => ProvisioningResult::Provisioned(booked.clone()),
+            None => self.provision_new(request),
+        }
+    }
+
     /// Provisions machines for a request ID that the cloud has not seen before.
     fn provision_new(&mut self, request: &ProvisioningRequest) -> ProvisioningResult {
         let kind = self
--- a/crates/simulator/src/simulation/dispatch.rs
+++ b/crates/simulator/src/simulation/dispatch.rs
@@ -1,6 +1,6 @@
 //! Dispatches events to their handlers.
 
-use super::events::Event;
+use super::events::{CommandTiming, Event};
 use super::{Simulation, machine_number};
 use crate::workload_state::GangSignal;
 
@@ -40,6 +40,8 @@
             Event::Provision(process, lease, request, route) => {
                 self.provision(process, lease, *request, route);
             }
+            Event::RepeatedProvision(request) => drop(self.provision_once(&request)),
+            Event::RepeatedInput(controller, input) => self.deliver_repeat(controller, *input),
             Event::Release(process, lease, names, route) => {
                 self.release_machines(process, lease, names, route);
             }
@@ -89,5 +91,5 @@
 /// True if an event is the late delivery of commands to this machine.
 pub(super) fn is_delayed_command_for(event: &Event, number: usize) -> bool {
     matches!(event, Event::Commands(_, delivery)
-        if delivery.late && machine_number(&delivery.call.machine) == number)
+        if delivery.timing == CommandTiming::Late && machine_number(&delivery.call.machine) == number)
 }
--- a/crates/simulator/src/simulation/duplicates.rs
+++ b/crates/simulator/src/simulation/duplicates.rs
@@ -16,7 +16,7 @@
 /// instead of the one that they were sent to, per mille.
 const REROUTED_PER_MILLE: u32 = 500;
 /// Machine number of a copied heartbeat. No machine has it, so that answers are discarded.
-const NO_MACHINE: usize = 0;
+pub(super) const NO_MACHINE: usize = 0;
 
 impl Simulation {
     /// Retains a copy of a heartbeat for the next leader, with a probability of
--- a/crates/simulator/src/simulation/events.rs
+++ b/crates/simulator/src/simulation/events.rs
@@ -57,6 +57,10 @@
         Box<ProvisioningRequest>,
         ServiceRoute,
     ),
+    /// A provisioning request reaches the cloud once more.
+    RepeatedProvision(Box<ProvisioningRequest>),
+    /// A message reaches the process that runs on a controller once more.
+    RepeatedInput(usize, Box<Input>),
     /// A release of machines reaches the cloud.
     Release(ProcessId, ShardLease, Vec<MachineId>, ServiceRoute),
     /// A request for the list of instances reaches the cloud.
@@ -93,9 +97,18 @@
 pub(super) struct CommandDelivery {
     pub(super) lease: ShardLease,
     pub(super) call: CommandCall,
-    /// True if the result is not returned: the controller gets `CommandResult::Unknown` after
-    /// its timeout instead.
-    pub(super) late: bool,
+    pub(super) timing: CommandTiming,
+}
+
+/// When commands reach their machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum CommandTiming {
+    /// In time: the result is returned.
+    InTime,
+    /// Late: the controller gets `CommandResult::Unknown` after its timeout instead of the result.
+    Late,
+    /// Once more, after they were executed and answered: the result reaches nobody.
+    Repeated,
 }
 
 /// Whether a user submits a job for the first time or repeats the submission.
--- a/crates/simulator/src/simulation/faults.rs
+++ b/crates/simulator/src/simulation/faults.rs
@@ -90,6 +90,7 @@
             | FaultKind::StoreSlow { .. }
             | FaultKind::DelayedCommands { .. }
             | FaultKind::SlowPeerLinks { .. }
+            | FaultKind::RepeatedMessages { .. }
             | FaultKind::QueryBursts
             | FaultKind::CancelAtCompletion => {
                 self.active_faults.insert(i, BTreeSet::new());
@@ -222,6 +223,7 @@
             | FaultKind::LateWrites { .. }
             | FaultKind::StoreSlow { .. }
             | FaultKind::DelayedCommands { .. }
+            | FaultKind::RepeatedMessages { .. }
             | FaultKind::SlowPeerLinks { .. } => {
                 self.active_faults.remove(&i);
             }
--- a/crates/simulator/src/simulation/inputs.rs
+++ b/crates/simulator/src/simulation/inputs.rs
@@ -14,6 +14,7 @@
 use lemonweir_storage::records::{ImageLocationsRecord, TaskChunkRecord, parse_task_chunk_key};
 
 use super::Simulation;
+use super::duplicates::NO_MACHINE;
 use super::state_reads::read_watched_keys;
 use crate::clock::US_PER_MS;
 use crate::controller::{Caller, CasOrigin, Input, RouteResult, SentHeartbeat, UserRequest};
@@ -37,6 +38,9 @@
                     now_ms,
                 );
                 self.return_relayed_answer(number, heartbeat.reference(), relay, answer);
+                if heartbeat.machine != NO_MACHINE {
+                    self.repeat_relayed_heartbeat(number, &heartbeat, relay);
+                }
             }
             Input::RelayedAnswer {
                 heartbeat,
@@ -167,6 +171,9 @@
         };
         let answer = core.handle_sync(request, now_ms);
         let Some(reply_to) = reply_to else { return };
+        if answer.is_ok() {
+            self.repeat_sync(number, lease, request);
+        }
         let sender = reply_to.process;
         let slow_us = self.draw_peer_delay(number, sender.controller);
         if let Err(SyncError::Superseded(by)) = &answer
--- a/crates/simulator/src/simulation/network.rs
+++ b/crates/simulator/src/simulation/network.rs
@@ -13,7 +13,7 @@
 use lemonweir_protocol::peer::{self, SyncRequest};
 use rand::RngExt;
 
-use super::events::{CommandDelivery, Event, StoreRequest};
+use super::events::{CommandDelivery, CommandTiming, Event, StoreRequest};
 use super::routes::estimated_bytes;
 use super::{Simulation, machine_number};
 use crate::clock::US_PER_MS;
@@ -64,7 +64,7 @@
             let delivery = CommandDelivery {
                 lease,
                 call,
-                late: false,
+                timing: CommandTiming::InTime,
             };
             return self.schedule_at(at, Event::Commands(process, delivery));
         }
@@ -75,7 +75,7 @@
             let delivery = CommandDelivery {
                 lease,
                 call: call.clone(),
-                late: true,
+                timing: CommandTiming::Late,
             };
             self.schedule_at(at + delay_us, Event::Commands(process, delivery));
         }
--- a/crates/simulator/src/simulation/store_service.rs
+++ b/crates/simulator/src/simulation/store_service.rs
@@ -201,6 +201,9 @@
         answer_us: Option<u64>,
     ) {
         let now = self.now;
+        if answer_us.is_some() {
+            self.repeat_store_request(process, &request);
+        }
         let answer = match request {
             StoreRequest::StateRead { after, began_at } => Input::StateRead {
                 began_at,
--- a/crates/simulator/src/simulation/users.rs
+++ b/crates/simulator/src/simulation/users.rs
@@ -9,7 +9,7 @@
 use super::Simulation;
 use super::events::{Event, SubmissionAttempt, UserReply};
 use crate::clock::US_PER_MS;
-use crate::controller::Input;
+use crate::controller::{Input, UserRequest};
 use crate::invariants::UserAnswer;
 use crate::job::SimulatedJob;
 use crate::scenario::Link;
@@ -262,7 +262,10 @@
             self.workload.checker.query_answered(&id, now);
         }
         match status {
-            200 | 201 if !is_accepted => self.user_accepted(id, poll_us),
+            200 | 201 if !is_accepted => {
+                self.repeat_user_request(&id, UserRequest::Query);
+                self.user_accepted(id, poll_us);
+            }
             422 if is_finished => {}
             422 => self.user_refused(id),
             503 if !is_accepted => self.schedule_resubmission(id, RETRY_AFTER_US),
@@ -326,6 +329,7 @@
                 .record(now, "told over", &id, &format!("{phase:?}"));
             if phase == Some(JobPhase::Withdrawn) {
                 self.workload.checker.withdrawn(&id, now);
+                self.repeat_user_request(&id, UserRequest::Withdrawal);
             }
             self.query_burst(&id);
         } else if poll_us > 0 && !ended {
--- a/crates/simulator/src/simulation/workers.rs
+++ b/crates/simulator/src/simulation/workers.rs
@@ -6,7 +6,7 @@
 use lemonweir_protocol::worker::{Heartbeat, HeartbeatResponse};
 use rand::RngExt;
 
-use super::events::{CommandDelivery, Event};
+use super::events::{CommandDelivery, CommandTiming, Event};
 use super::{Simulation, machine_number};
 use crate::clock::{NEVER_US, US_PER_MS};
 use crate::controller::{HeartbeatRef, Input, ProcessId, SentHeartbeat};
@@ -116,6 +116,7 @@
             heartbeat,
             sent: now,
         };
+        self.repeat_heartbeat(number, &sent.heartbeat, controller);
         self.deliver_at(at, self.current_process(controller), Input::Heartbeat(sent));
     }
 
@@ -180,10 +181,14 @@
     }
 
     pub(super) fn deliver_commands(&mut self, process: ProcessId, delivery: CommandDelivery) {
-        let CommandDelivery { lease, call, late } = delivery;
+        let CommandDelivery {
+            lease,
+            call,
+            timing,
+        } = delivery;
         let (now, number) = (self.now, machine_number(&call.machine));
         let sender = call.relayed_by.map_or(process.controller, usize::from);
-        if late && self.command_dropped(sender, number) {
+        if timing != CommandTiming::InTime && self.command_dropped(sender, number) {
             return;
         }
         let hung_until = self
@@ -192,29 +197,42 @@
             .filter(|until| *until > now);
         if let Some(until) = hung_until {
             // A hung machine executes the commands that it receives once it resumes.
-            if !late {
+            if timing == CommandTiming::InTime {
                 let unknown = Input::CommandResult(lease, call.clone(), CommandResult::Unknown);
                 self.deliver_in(COMMAND_TIMEOUT_MS * US_PER_MS, process, unknown);
             }
+            let timing = match timing {
+                CommandTiming::InTime => CommandTiming::Late,
+                other => other,
+            };
             let delivery = CommandDelivery {
                 lease,
                 call,
-                late: true,
+                timing,
             };
             return self.schedule_at(until, Event::Commands(process, delivery));
         }
         let reply = self.with_worker(number, |worker, workload| {
             worker.handle_commands(&call.commands, now, workload)
         });
+        if timing != CommandTiming::InTime {
+            return;
+        }
+        if reply.as_ref().is_some_and(|reply| reply.executed) {
+            let executed = CommandDelivery {
+                lease,
+                call: call.clone(),
+                timing,
+            };
+            self.repeat_commands(process, executed);
+        }
         let result = match reply {
             None => CommandResult::NotSent,
             Some(reply) if reply.executed => CommandResult::Executed(reply.heartbeat),
             Some(reply) => CommandResult::Refused(reply.heartbeat),
         };
-        if !late {
-            let at = now + self.network_delay();
-            self.deliver_at(at, process, Input::CommandResult(lease, call, result));
-        }
+        let at = now + self.network_delay();
+        self.deliver_at(at, process, Input::CommandResult(lease, call, result));
     }
 
     /// Removes a machine with all tasks on it.
--- a/crates/simulator/tests/fault_history.rs
+++ b/crates/simulator/tests/fault_history.rs
@@ -86,6 +86,10 @@
             "kind = 'slow_links'\ncontroller = 1\nlow_s = 0.5\nhigh_s = 1",
             "SlowLinks { host: Some(1), seconds: Seconds { low: 0.5, high: 1.0 } }",
         ),
+        (
+            "kind = 'repeated'\nlow_s = 0.02\nhigh_s = 60",
+            "Repeated { seconds: Seconds { low: 0.02, high: 60.0 } }",
+        ),
         ("kind = 'mute'", "Mute { zone: None }"),
         ("kind = 'close_looks'", "CloseLooks"),
         ("kind = 'cancel_at_end'", "CancelAtEnd"),
