Forget an attempt only under a token above its start calls

Cause: an answered call was taken for one that can't be carried out again. A worker that has forgotten an attempt starts it anew when the call that started it arrives once more with its token and session, and nothing raised the token between start and forget: only calls of unknown outcome were fenced. The token rose by itself with the next renewal of the worker lease, 12 s later.

Fix: a forget goes only in a reply whose token is above that of every start call to that machine; the reply raises it if need be. The worker stores the token before it executes the reply, so it refuses the copies from the moment it forgets, and knows the attempt until then. No time is involved. Half of the counter stays for calls of unknown outcome.

Ends are learned and room is given back as early as before.

--- a/crates/coordination/src/incarnation/mod.rs
+++ b/crates/coordination/src/incarnation/mod.rs
@@ -140,6 +140,8 @@
     issued: IssuedToken,
     /// Highest token that a call has carried.
     highest_call_token: u64,
+    /// Highest token that a call with launches has carried.
+    highest_launch_token: u64,
     /// The newest sequence when the last call was made.
     newest_at_call: MessageSequence,
     /// When this incarnation was first seen, ms.
@@ -175,6 +177,7 @@
                 at: now,
             },
             highest_call_token: 0,
+            highest_launch_token: 0,
             newest_at_call: MessageSequence::default(),
             first_seen_at: None,
             reachability: Reachability::Reachable,
@@ -444,6 +447,21 @@
         }
     }
 
+    /// Raises the token above that of every call with launches, so that the next reply fences them,
+    /// unless the remaining fences are reserved for calls of unknown outcome.
+    pub(crate) fn fence_launches(&mut self, now: u64) {
+        if let Some(fence) = worker_lease::next_unreserved_fence(self.fence) {
+            self.raise_token(fence, now);
+        }
+    }
+
+    /// True if the worker refuses every call with launches that it was ever sent, or a copy of it,
+    /// once it has accepted the next reply: calls of earlier owners carry lower tokens than any of
+    /// this owner.
+    pub(crate) fn next_reply_fences_launches(&self) -> bool {
+        self.reply_token() > self.highest_launch_token
+    }
+
     /// True if the token can rise, as is needed to fence a call of unknown outcome.
     pub(crate) fn can_fence(&self) -> bool {
         worker_lease::next_fence(self.fence).is_some()
@@ -454,13 +472,16 @@
         self.base_token + self.fence
     }
 
-    /// Begins a call and returns its token. Calls never carry a token that probes whether
-    /// replies arrive.
-    pub(crate) fn begin_call(&mut self) -> u64 {
+    /// Begins a call, with launches or without, and returns its token. Calls never carry a token
+    /// that probes whether replies arrive.
+    pub(crate) fn begin_call(&mut self, launches: bool) -> u64 {
         let token = self
             .shown_token
             .max(self.base_token + self.fence_before_probe.unwrap_or(self.fence));
         self.highest_call_token = self.highest_call_token.max(token);
+        if launches {
+            self.highest_launch_token = self.highest_launch_token.max(token);
+        }
         self.newest_at_call = self.newest;
         token
     }
--- a/crates/coordination/src/machine.rs
+++ b/crates/coordination/src/machine.rs
@@ -274,6 +274,12 @@
             && !self.call_in_progress
     }
 
+    /// True if the worker may be told to forget attempts in the next reply: no call that launched
+    /// them, whatever became of it, is executed any more once the worker has accepted that reply.
+    pub(super) fn may_forget(&self) -> bool {
+        self.calls_resolved() && self.incarnation.next_reply_fences_launches()
+    }
+
     /// ms to fetch an image of the average size of those that the machine holds, at a rate in
     /// GB/s; 0 if it holds none or the rate is unknown.
     pub(super) fn fetch_ms(&self, gb_per_s: Option<f64>) -> u64 {
--- a/crates/coordination/src/owner/commands.rs
+++ b/crates/coordination/src/owner/commands.rs
@@ -61,7 +61,7 @@
 
 impl Owner {
     /// Returns true once every placer's whole desired state has been applied.
-    fn all_placers_synced(&self) -> bool {
+    pub(super) fn all_placers_synced(&self) -> bool {
         self.placers.values().filter(|p| p.fully_synced).count() >= usize::from(self.shards)
     }
 
@@ -156,6 +156,29 @@
             .collect()
     }
 
+    /// Raises the machine's token if the reply to a heartbeat is to carry commands to forget tasks
+    /// whose launches it would not fence otherwise.
+    pub(super) fn fence_launches_before_forgetting(
+        &mut self,
+        machine: &MachineId,
+        channel: CommandChannel,
+        now: u64,
+    ) {
+        if !channel.may_forget() || !self.all_placers_synced() {
+            return;
+        }
+        let attempts = &self.attempts;
+        if let Some(m) = self.machines.get_mut(machine)
+            && m.calls_resolved()
+            && !m.incarnation.next_reply_fences_launches()
+            && m.tasks
+                .iter()
+                .any(|(id, task)| task.phase == TaskPhase::Exited && !attempts.contains_key(id))
+        {
+            m.incarnation.fence_launches(now);
+        }
+    }
+
     /// Returns commands to stop or forget the tasks that no placer wants; none until all placers
     /// have synced.
     fn commands_for_unwanted(
@@ -166,8 +189,7 @@
         if !self.all_placers_synced() {
             return Vec::new();
         }
-        // A launch that arrives after its attempt was forgotten would run the attempt again.
-        let may_forget = channel.may_forget() && m.calls_resolved();
+        let may_forget = channel.may_forget() && m.may_forget();
         m.tasks
             .iter()
             .filter(|(id, _)| !self.attempts.contains_key(*id))
--- a/crates/coordination/src/owner/heartbeat.rs
+++ b/crates/coordination/src/owner/heartbeat.rs
@@ -44,18 +44,20 @@
         {
             return None;
         }
-        m.incarnation.record_reply(
-            MessageSequence::from_heartbeat(heartbeat),
-            heartbeat.fencing_token,
-            relayed_by,
-            now,
-        );
         if current || m.last_heartbeat_at.is_none() {
             // Commands take the route of the newest heartbeat.
             let since = m.relay.map_or(now, |relay| relay.since);
             m.relay = relayed_by.map(|peer| Relay { peer, since });
         }
         let channel = reply_channel(m, current);
+        self.fence_launches_before_forgetting(&heartbeat.machine, channel, now);
+        let m = self.machines.get_mut(&heartbeat.machine)?;
+        m.incarnation.record_reply(
+            MessageSequence::from_heartbeat(heartbeat),
+            heartbeat.fencing_token,
+            relayed_by,
+            now,
+        );
         let due_commands = self.commands_for(&heartbeat.machine, now, channel);
         let m = self.machines.get_mut(&heartbeat.machine)?;
         if due_commands
--- a/crates/coordination/src/owner/worker_calls.rs
+++ b/crates/coordination/src/owner/worker_calls.rs
@@ -134,6 +134,9 @@
             }
             return None;
         }
+        let launches = due_commands
+            .iter()
+            .any(|command| command.kind == CommandKind::Start);
         let m = self.machines.get_mut(id)?;
         m.call_in_progress = true;
         m.unreachable_call = !m.incarnation.is_reachable();
@@ -142,7 +145,7 @@
             machine: id.clone(),
             addr: address,
             commands: CommandsRequest {
-                fencing_token: m.incarnation.begin_call(),
+                fencing_token: m.incarnation.begin_call(launches),
                 incarnation: m.incarnation.call_session(),
                 commands: due_commands,
             },
--- a/crates/coordination/src/worker_lease.rs
+++ b/crates/coordination/src/worker_lease.rs
@@ -54,6 +54,14 @@
     (fence & HAS_READING == 0 || fence & max_count != max_count).then_some(fence + 1)
 }
 
+/// The low bits after `fence`, if half of the fence counter is left after them for calls of
+/// unknown outcome.
+pub(crate) fn next_unreserved_fence(fence: u64) -> Option<u64> {
+    let reserved_from = 1 << (FENCE_COUNTER_BITS - 1);
+    let count = fence & ((1 << FENCE_COUNTER_BITS) - 1);
+    next_fence(fence).filter(|_| fence & HAS_READING == 0 || count < reserved_from)
+}
+
 /// The time of day, ms, until which the lease of a worker that shows this token may be
 /// renewed, by a clock that reads `wall_ms` and is off by `clock_error_ms` at most. `None` if
 /// the token holds no reading.
--- a/crates/coordination/src/worker_lease/tests.rs
+++ b/crates/coordination/src/worker_lease/tests.rs
@@ -31,6 +31,19 @@
     assert!(until > began + 50_000 && until < began + MAX_STORE_OUTAGE_GRACE_MS);
 }
 
+#[test]
+fn forgetting_leaves_half_of_the_fence_counter_to_calls_of_unknown_outcome() {
+    let first = renewed_fence(0, DAY_MS).expect("no reading yet");
+    let forgetting: Vec<u64> =
+        std::iter::successors(Some(first), |fence| next_unreserved_fence(*fence)).collect();
+    let last = forgetting.last().copied().expect("the first");
+    let reserved = std::iter::successors(Some(last), |fence| next_fence(*fence)).count() - 1;
+    assert_eq!(forgetting.len() - 1, 1 << (FENCE_COUNTER_BITS - 1));
+    assert_eq!(reserved, (1 << (FENCE_COUNTER_BITS - 1)) - 1);
+    // Without a reading, the counter may exceed its bits.
+    assert_eq!(next_unreserved_fence(1 << 20), Some((1 << 20) + 1));
+}
+
 #[test]
 fn tokens_only_rise_and_a_full_counter_stops() {
     let first = renewed_fence(0, DAY_MS).expect("no reading yet");
