Take a relayed command that its peer did not send for one of unknown outcome

Found by reading while the class of the incident was looked through; nobody saw it. A relay peer that can't reach a worker answers 'not sent', and the owner took the call for one that is never executed: its attempt could count as gone at once. But the request to the peer was carried out and answered; if it reaches the peer once more, the peer makes the call, and the start is executed under the same token and session.

What a peer answers for a worker is now unknown unless the worker answered, so the call is fenced like any other of unknown outcome. A peer that can't be connected to still counts as not sent. Requests to services keep their outcome: conditions and names make their repeats harmless.

The test fails with the mapping of before (three answers were 'not sent').

--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -148,15 +148,7 @@
                 request.timeout_ms + RELAY_OVERHEAD_MS,
             )
             .await?;
-        if response.status != 200 {
-            // The peer can't relay at the moment, or doesn't support the request.
-            return Err(CallError::NotSent);
-        }
-        match links::decode::<RelayResponse>(&response.body).map(|response| response.outcome) {
-            Ok(RelayOutcome::Answered { status, body }) => Ok(Response { status, body }),
-            Ok(RelayOutcome::NotSent) => Err(CallError::NotSent),
-            Ok(RelayOutcome::Unknown) | Err(_) => Err(CallError::Unknown),
-        }
+        relayed_result(&request.target, response)
     }
 
     /// Makes a call on another controller's behalf and returns its outcome.
@@ -209,6 +201,24 @@
     }
 }
 
+/// The result of a call that a relay peer was asked to make, from the peer's response.
+fn relayed_result(target: &RelayTarget, response: Response) -> Result<Response, CallError> {
+    let not_relayed = match target {
+        RelayTarget::Service(_) => CallError::NotSent,
+        // The peer makes the call if the request reaches it once more.
+        RelayTarget::Worker(_) => CallError::Unknown,
+    };
+    if response.status != 200 {
+        // The peer can't relay at the moment, or doesn't support the request.
+        return Err(not_relayed);
+    }
+    match links::decode::<RelayResponse>(&response.body).map(|response| response.outcome) {
+        Ok(RelayOutcome::Answered { status, body }) => Ok(Response { status, body }),
+        Ok(RelayOutcome::NotSent) => Err(not_relayed),
+        Ok(RelayOutcome::Unknown) | Err(_) => Err(CallError::Unknown),
+    }
+}
+
 /// True if the response shows that the service is available on the route used. A 503 from
 /// the store counts as a failed call, since the store may still serve other controllers.
 fn was_served(service: Service, result: &Result<Response, CallError>) -> bool {
@@ -216,3 +226,6 @@
         .as_ref()
         .is_ok_and(|response| service == Service::Cloud || response.status != 503)
 }
+
+#[cfg(test)]
+mod tests;
