Log each forget with its tokens, and count tasks that come back

The kept logs of the incident did not show which token a forget went out under, nor that a task ran on a machine that had forgotten it.

'attempt forgotten' (info) names the machine's token and the highest token of a start call. 'attempt reported again after it was forgotten' (warn) is the symptom to alarm on: a task that appears on a known machine though all placers have synced and none wants its attempt. 'lemonweir links' counts these since the shard was acquired (unexplained_tasks, left out while 0).

Result: a core test with a copy at a restarted machine counts 1.

--- a/crates/coordination/src/core.rs
+++ b/crates/coordination/src/core.rs
@@ -164,6 +164,15 @@
                 }
             })
     }
+
+    /// Number of tasks that appeared on machines of the shards led though no placer wanted their
+    /// attempts, since the shards were acquired.
+    pub fn unexplained_tasks(&self) -> u64 {
+        self.shards
+            .values()
+            .map(|shard| shard.owner.unexplained_tasks())
+            .sum()
+    }
 }
 
 /// The spec of a job, unless its cancellation is requested.
--- a/crates/coordination/src/incarnation/mod.rs
+++ b/crates/coordination/src/incarnation/mod.rs
@@ -462,6 +462,11 @@
         self.reply_token() > self.highest_launch_token
     }
 
+    /// Highest token of this owner's calls with launches; 0 if there were none.
+    pub(crate) fn highest_launch_token(&self) -> u64 {
+        self.highest_launch_token
+    }
+
     /// True if the token can rise, as is needed to fence a call of unknown outcome.
     pub(crate) fn can_fence(&self) -> bool {
         worker_lease::next_fence(self.fence).is_some()
--- a/crates/coordination/src/owner/heartbeat.rs
+++ b/crates/coordination/src/owner/heartbeat.rs
@@ -66,6 +66,7 @@
         {
             m.launches_in_response_to = Some(heartbeat.sequence);
         }
+        log_forgets(self.shard, &heartbeat.machine, m, &due_commands);
         Some(HeartbeatResponse {
             fencing_token: m.incarnation.reply_token(),
             commands: due_commands,
@@ -123,13 +124,30 @@
         if m.incarnation.is_reachable() != was_reachable {
             info!(machine = %id, shard = self.shard, reachable = !was_reachable, "worker reachability changed");
         }
+        let known_before = m.last_heartbeat_at.is_some();
         update_liveness(m, heartbeat, now);
         resolve_calls(m, heartbeat, origin);
-        replace_tasks(m, heartbeat);
+        let unexplained = replace_tasks(m, heartbeat, &self.attempts);
+        if known_before && self.all_placers_synced() {
+            self.report_unexplained_tasks(id, &unexplained);
+        }
         self.reevaluate(id, now);
         true
     }
 
+    /// Reports and counts tasks that have appeared on a machine though no placer wants their
+    /// attempts: their launch was executed again, or later than this owner could know.
+    fn report_unexplained_tasks(&mut self, machine: &MachineId, unexplained: &[AttemptId]) {
+        let machine_token = self
+            .machines
+            .get(machine)
+            .map_or(0, |m| m.incarnation.shown_token());
+        for id in unexplained {
+            self.unexplained_tasks += 1;
+            warn!(attempt = %id, machine = %machine, shard = self.shard, fencing_token = self.token, machine_token, "attempt reported again after it was forgotten");
+        }
+    }
+
     /// Applies a heartbeat that does not prove the present state of its machine.
     ///
     /// Copies of heartbeats arrive up to several lease durations late: the machine may have been
@@ -244,8 +262,31 @@
     }
 }
 
-fn replace_tasks(m: &mut Machine, heartbeat: &Heartbeat) {
-    m.tasks.clear();
+fn log_forgets(shard: u16, machine: &MachineId, m: &Machine, commands: &[Command]) {
+    let forgets = commands
+        .iter()
+        .filter(|command| command.kind == CommandKind::Forget);
+    for command in forgets {
+        info!(
+            attempt = format!("{}#{}", command.task, command.attempt),
+            machine = %machine,
+            shard,
+            machine_token = m.incarnation.reply_token(),
+            highest_launch_token = m.incarnation.highest_launch_token(),
+            "attempt forgotten"
+        );
+    }
+}
+
+/// Replaces the tasks by those in the heartbeat. Returns those that have appeared since the last
+/// status, have not exited, and belong to none of the tracked attempts.
+fn replace_tasks(
+    m: &mut Machine,
+    heartbeat: &Heartbeat,
+    attempts: &HashMap<AttemptId, TrackedAttempt>,
+) -> Vec<AttemptId> {
+    let before = std::mem::take(&mut m.tasks);
+    let mut unexplained = Vec::new();
     for t in &heartbeat.tasks {
         let Some(id) = AttemptId::parse(&t.task, t.attempt) else {
             warn!(machine = %heartbeat.machine, task = t.task, "invalid task ID in heartbeat; task ignored");
@@ -253,6 +294,9 @@
         };
         let cause =
             (t.phase == TaskPhase::Exited).then(|| ExitCause::from_wire(t.exit_cause.as_deref()));
+        if cause.is_none() && !attempts.contains_key(&id) && !before.contains_key(&id) {
+            unexplained.push(id.clone());
+        }
         m.tasks.insert(
             id,
             ReportedTask {
@@ -261,4 +305,5 @@
             },
         );
     }
+    unexplained
 }
--- a/crates/coordination/src/owner/mod.rs
+++ b/crates/coordination/src/owner/mod.rs
@@ -175,6 +175,8 @@
     /// Whether launches are suspended.
     launches_paused: bool,
     placement_counts: PlacementCounts,
+    /// Number of tasks that appeared on machines though no placer wanted their attempts.
+    unexplained_tasks: u64,
 }
 
 impl Owner {
@@ -229,6 +231,7 @@
             unreachable_calls: 0,
             launches_paused: false,
             placement_counts: PlacementCounts::default(),
+            unexplained_tasks: 0,
         }
     }
 
@@ -238,6 +241,12 @@
         self.placement_counts
     }
 
+    /// Returns how many tasks appeared on machines though no placer wanted their attempts, since
+    /// the shard was acquired.
+    pub fn unexplained_tasks(&self) -> u64 {
+        self.unexplained_tasks
+    }
+
     /// Suspends or resumes launches.
     pub(crate) fn pause_launches(&mut self, paused: bool) {
         self.launches_paused = paused;
--- a/crates/coordination/tests/repeated_starts.rs
+++ b/crates/coordination/tests/repeated_starts.rs
@@ -611,6 +611,19 @@
     assert!(broken.is_empty(), "{} run again: {broken:?}", broken.len());
 }
 
+#[test]
+fn task_that_runs_again_after_it_was_forgotten_is_counted() {
+    let disturbance = Disturbance::RestartAfterEnd(Exchange::BeforeFirstHeartbeat);
+    let mut case = Case::new(End::Exits("error"), disturbance, 5_000);
+    assert!(case.runs_again());
+    assert_eq!(case.owner.unexplained_tasks(), 0);
+    (0..2_000).for_each(|_| {
+        case.now += STEP_MS;
+        case.step();
+    });
+    assert_eq!(case.owner.unexplained_tasks(), 1);
+}
+
 #[test]
 #[ignore = "KNOWN-RED.txt, 5: a restarted machine executes a copy before the first reply reaches it"]
 fn copy_at_a_restarted_machine_does_not_run_an_ended_attempt_again() {
--- a/crates/node/src/public_api/operator_pages.rs
+++ b/crates/node/src/public_api/operator_pages.rs
@@ -16,12 +16,14 @@
     }
 }
 
-/// Reports the links as this controller and its peers see them, and the number of workers
-/// whose heartbeats this controller relays to their leaders.
+/// Reports the links as this controller and its peers see them, the number of workers whose
+/// heartbeats this controller relays to their leaders, and the number of tasks that appeared on
+/// machines though no placer wanted their attempts.
 pub(super) fn links(node: &Node) -> Reply {
     let report = node.with_core(|core, now| LinksReport {
         links: core.links.rows(now),
         relayed_workers: core.links.relayed_workers(now),
+        unexplained_tasks: core.unexplained_tasks(),
     });
     Reply::new(200, encode(&report))
 }
--- a/crates/protocol/src/links.rs
+++ b/crates/protocol/src/links.rs
@@ -190,6 +190,14 @@
     /// Number of workers whose heartbeats the controller recently relayed to their owners.
     #[serde(rename = "carried_workers")]
     pub relayed_workers: usize,
+    /// Number of tasks that appeared on machines of the controller's shards though no placer wanted
+    /// their attempts, since it acquired the shards.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub unexplained_tasks: u64,
+}
+
+fn is_zero(count: &u64) -> bool {
+    *count == 0
 }
 
 /// One link, as seen from one side.
--- a/crates/protocol/tests/golden_messages.rs
+++ b/crates/protocol/tests/golden_messages.rs
@@ -792,6 +792,7 @@
             link(links::LinkState::Down, Some("hutte-1"), None),
         ],
         relayed_workers: 12,
+        unexplained_tasks: 0,
     };
     golden.assert_round_trip("links", &report);
     for (name, service) in [
--- a/src/commands/links.rs
+++ b/src/commands/links.rs
@@ -46,6 +46,12 @@
             report.relayed_workers
         );
     }
+    if report.unexplained_tasks > 0 {
+        println!(
+            "{} tasks appeared on machines though no placer wanted their attempts",
+            report.unexplained_tasks
+        );
+    }
     Ok(())
 }
 
