--- a/crates/simulator/src/simulation/faults.rs
+++ b/crates/simulator/src/simulation/faults.rs
@@ -168,8 +168,8 @@
             }
             FaultKind::MachineLoss => self.remove_machine(number),
             FaultKind::MachineRestart => {
-                // Connections to the earlier incarnation end with it, so their delayed
-                // commands never arrive (statement 12 of `docs/design.md`).
+                // Delayed commands end with their connection to the earlier incarnation; repeated
+                // ones may reach the next (statement 12 of `docs/design.md`).
                 self.queue
                     .retain(|Reverse(scheduled)| !is_delayed_command_for(&scheduled.event, number));
                 self.with_worker(number, |worker, workload| worker.restart(now, workload));
