--- a/crates/coordination/src/incarnation/mod.rs
+++ b/crates/coordination/src/incarnation/mod.rs
@@ -477,20 +477,22 @@
         self.base_token + self.fence
     }
 
-    /// Begins a call, with launches or without, and returns its token. Calls never carry a token
-    /// that probes whether replies arrive.
-    pub(crate) fn begin_call(&mut self, launches: bool) -> u64 {
+    /// Begins a call and returns its token. Calls never carry a token that probes whether
+    /// replies arrive.
+    pub(crate) fn begin_call(&mut self) -> u64 {
         let token = self
             .shown_token
             .max(self.base_token + self.fence_before_probe.unwrap_or(self.fence));
         self.highest_call_token = self.highest_call_token.max(token);
-        if launches {
-            self.highest_launch_token = self.highest_launch_token.max(token);
-        }
         self.newest_at_call = self.newest;
         token
     }
 
+    /// Records that a call with this token carries launches.
+    pub(crate) fn record_launch_call(&mut self, token: u64) {
+        self.highest_launch_token = self.highest_launch_token.max(token);
+    }
+
     /// Records that a heartbeat is replied to with [`WorkerIncarnation::reply_token`].
     pub(crate) fn record_reply(
         &mut self,
--- a/crates/coordination/src/owner/commands.rs
+++ b/crates/coordination/src/owner/commands.rs
@@ -49,6 +49,13 @@
     }
 }
 
+/// True if one of the commands is a launch.
+pub(super) fn contains_launch(commands: &[Command]) -> bool {
+    commands
+        .iter()
+        .any(|command| command.kind == CommandKind::Start)
+}
+
 /// Seconds of grace of a stop command. A stop with no grace would kill a task that is
 /// saving its checkpoint, so such a task gets at least one second.
 fn repeated_grace_s(grace_s: u32, phase: TaskPhase) -> u32 {
--- a/crates/coordination/src/owner/heartbeat.rs
+++ b/crates/coordination/src/owner/heartbeat.rs
@@ -60,10 +60,7 @@
         );
         let due_commands = self.commands_for(&heartbeat.machine, now, channel);
         let m = self.machines.get_mut(&heartbeat.machine)?;
-        if due_commands
-            .iter()
-            .any(|command| command.kind == CommandKind::Start)
-        {
+        if contains_launch(&due_commands) {
             m.launches_in_response_to = Some(heartbeat.sequence);
         }
         log_forgets(self.shard, &heartbeat.machine, m, &due_commands);
--- a/crates/coordination/src/owner/mod.rs
+++ b/crates/coordination/src/owner/mod.rs
@@ -46,7 +46,7 @@
 use crate::machine_failure_detector::{HealthVerdict, MachineFailureDetector};
 use attempt::{AttemptStage, TrackedAttempt};
 use catalog::MachineCatalog;
-use commands::CommandChannel;
+use commands::{CommandChannel, contains_launch};
 use image_pages::ImageRecord;
 use last_copies::ServiceImages;
 use lemonweir_model::constants::{MACHINE_TOKEN_BITS, RELAYED_SHARD_TIMEOUT_MS};
--- a/crates/coordination/src/owner/worker_calls.rs
+++ b/crates/coordination/src/owner/worker_calls.rs
@@ -47,10 +47,7 @@
     }
 
     fn launches(&self) -> bool {
-        self.commands
-            .commands
-            .iter()
-            .any(|command| command.kind == CommandKind::Start)
+        contains_launch(&self.commands.commands)
     }
 }
 
@@ -134,10 +131,11 @@
             }
             return None;
         }
-        let launches = due_commands
-            .iter()
-            .any(|command| command.kind == CommandKind::Start);
         let m = self.machines.get_mut(id)?;
+        let fencing_token = m.incarnation.begin_call();
+        if contains_launch(&due_commands) {
+            m.incarnation.record_launch_call(fencing_token);
+        }
         m.call_in_progress = true;
         m.unreachable_call = !m.incarnation.is_reachable();
         self.unreachable_calls += usize::from(m.unreachable_call);
@@ -145,7 +143,7 @@
             machine: id.clone(),
             addr: address,
             commands: CommandsRequest {
-                fencing_token: m.incarnation.begin_call(launches),
+                fencing_token,
                 incarnation: m.incarnation.call_session(),
                 commands: due_commands,
             },
