Owner: one place says which tasks of a machine no placer wants

The fence before a forget asked the same question as the commands for these tasks, in its own words. A heartbeat without a new unwanted task no longer asks whether all placers have synced; the mask of the fence counter stands once. No change of behaviour.

--- a/crates/coordination/src/owner/commands.rs
+++ b/crates/coordination/src/owner/commands.rs
@@ -171,35 +171,38 @@
         channel: CommandChannel,
         now: u64,
     ) {
-        if !channel.may_forget() || !self.all_placers_synced() {
-            return;
-        }
-        let attempts = &self.attempts;
-        if let Some(m) = self.machines.get_mut(machine)
-            && m.calls_resolved()
-            && !m.incarnation.next_reply_fences_launches()
-            && m.tasks
-                .iter()
-                .any(|(id, task)| task.phase == TaskPhase::Exited && !attempts.contains_key(id))
-        {
+        let lacks_fence = self.machines.get(machine).is_some_and(|m| {
+            channel.may_forget()
+                && m.calls_resolved()
+                && !m.incarnation.next_reply_fences_launches()
+                && self
+                    .unwanted_tasks(m)
+                    .any(|(_, task)| task.phase == TaskPhase::Exited)
+        });
+        if let Some(m) = self.machines.get_mut(machine).filter(|_| lacks_fence) {
             m.incarnation.fence_launches(now);
         }
     }
 
-    /// Returns commands to stop or forget the tasks that no placer wants; none until all placers
-    /// have synced.
+    /// The tasks of a machine that no placer wants; none until all placers have synced.
+    fn unwanted_tasks<'a>(
+        &'a self,
+        m: &'a Machine,
+    ) -> impl Iterator<Item = (&'a AttemptId, &'a ReportedTask)> {
+        let synced = self.all_placers_synced();
+        m.tasks
+            .iter()
+            .filter(move |(id, _)| synced && !self.attempts.contains_key(*id))
+    }
+
+    /// Returns commands to stop or forget the tasks that no placer wants.
     fn commands_for_unwanted(
         &self,
         m: &Machine,
         channel: CommandChannel,
     ) -> Vec<(AttemptId, CommandKind, Option<u32>)> {
-        if !self.all_placers_synced() {
-            return Vec::new();
-        }
         let may_forget = channel.may_forget() && m.may_forget();
-        m.tasks
-            .iter()
-            .filter(|(id, _)| !self.attempts.contains_key(*id))
+        self.unwanted_tasks(m)
             .filter_map(|(id, task)| match task.phase {
                 TaskPhase::Exited if may_forget => Some((id.clone(), CommandKind::Forget, None)),
                 TaskPhase::Exited => None,
--- a/crates/coordination/src/owner/heartbeat.rs
+++ b/crates/coordination/src/owner/heartbeat.rs
@@ -125,7 +125,7 @@
         update_liveness(m, heartbeat, now);
         resolve_calls(m, heartbeat, origin);
         let unexplained = replace_tasks(m, heartbeat, &self.attempts);
-        if known_before && self.all_placers_synced() {
+        if known_before && !unexplained.is_empty() && self.all_placers_synced() {
             self.report_unexplained_tasks(id, &unexplained);
         }
         self.reevaluate(id, now);
--- a/crates/coordination/src/worker_lease.rs
+++ b/crates/coordination/src/worker_lease.rs
@@ -21,6 +21,8 @@
 /// Bits of the fence counter. It has to cover the calls of unknown outcome between two lease
 /// renewals, which are some seconds apart or, without the store, a minute.
 const FENCE_COUNTER_BITS: u32 = 7;
+/// Largest value of the fence counter, and the mask of its bits.
+const FENCE_COUNTER_MAX: u64 = (1 << FENCE_COUNTER_BITS) - 1;
 /// ms of time of day in one step of the encoded time. Its 20 bits wrap after 48 days; the
 /// tokens of a shard led for so long are no longer renewed until it is acquired anew.
 const READING_STEP_MS: u64 = 4_000;
@@ -50,15 +52,15 @@
 /// The low bits after `fence`, with the fence counter incremented. `None` if the counter is
 /// full: the carry would make the token show a later reading.
 pub(crate) fn next_fence(fence: u64) -> Option<u64> {
-    let max_count = (1 << FENCE_COUNTER_BITS) - 1;
-    (fence & HAS_READING == 0 || fence & max_count != max_count).then_some(fence + 1)
+    (fence & HAS_READING == 0 || fence & FENCE_COUNTER_MAX != FENCE_COUNTER_MAX)
+        .then_some(fence + 1)
 }
 
 /// The low bits after `fence`, if half of the fence counter is left after them for calls of
 /// unknown outcome.
 pub(crate) fn next_unreserved_fence(fence: u64) -> Option<u64> {
     let reserved_from = 1 << (FENCE_COUNTER_BITS - 1);
-    let count = fence & ((1 << FENCE_COUNTER_BITS) - 1);
+    let count = fence & FENCE_COUNTER_MAX;
     next_fence(fence).filter(|_| fence & HAS_READING == 0 || count < reserved_from)
 }
 
