Simulator: draw affected messages, single faults and late copies in one place each

The repeats had written again the draw of a share among active faults, the draw of a fault in the window (which stood four times) and the event of a late heartbeat. Commands and transactions are copied only once a repeat is drawn.

--- a/crates/simulator/src/fault_search/draw_faults.rs
+++ b/crates/simulator/src/fault_search/draw_faults.rs
@@ -49,9 +49,7 @@
         faults.push(draw_fault(rng, site, second, length));
     }
     if rng.random_range(0..2) == 0 {
-        let at = WARM_UP_S + rng.random::<f64>() * FAULT_WINDOW_S;
-        let length = draw_duration(rng);
-        faults.push(draw_fault(rng, site, at, length));
+        faults.push(draw_single_fault(rng, site));
     }
     faults
 }
@@ -80,9 +78,7 @@
         ));
     }
     if rng.random::<bool>() {
-        let at = WARM_UP_S + rng.random::<f64>() * FAULT_WINDOW_S;
-        let length = draw_duration(rng);
-        faults.push(draw_fault(rng, site, at, length));
+        faults.push(draw_single_fault(rng, site));
     }
     faults
 }
@@ -95,9 +91,7 @@
         "[[fault]]\nat_s = {lowered_at:.1}\nkind = 'state_limits'\nfor_s = 1\n"
     )];
     for _ in 0..rng.random_range(0..=3) {
-        let at = WARM_UP_S + rng.random::<f64>() * FAULT_WINDOW_S;
-        let length = draw_duration(rng);
-        faults.push(draw_fault(rng, site, at, length));
+        faults.push(draw_single_fault(rng, site));
     }
     faults
 }
@@ -143,9 +137,7 @@
 
 fn draw_fault_without_machine_restarts(rng: &mut ChaCha8Rng, site: &DrawnSite) -> String {
     loop {
-        let at = WARM_UP_S + rng.random::<f64>() * FAULT_WINDOW_S;
-        let length = draw_duration(rng);
-        let fault = draw_fault(rng, site, at, length);
+        let fault = draw_single_fault(rng, site);
         if !fault.contains("'reborn'") {
             return fault;
         }
@@ -167,6 +159,13 @@
     faults
 }
 
+/// Draws a fault that begins at any time of the window.
+fn draw_single_fault(rng: &mut ChaCha8Rng, site: &DrawnSite) -> String {
+    let at = WARM_UP_S + rng.random::<f64>() * FAULT_WINDOW_S;
+    let length = draw_duration(rng);
+    draw_fault(rng, site, at, length)
+}
+
 fn draw_duration(rng: &mut ChaCha8Rng) -> f64 {
     rng.random_range(MIN_FAULT_DURATION_S..MAX_FAULT_DURATION_S)
 }
--- a/crates/simulator/src/simulation/duplicates.rs
+++ b/crates/simulator/src/simulation/duplicates.rs
@@ -87,17 +87,26 @@
             .collect::<Vec<_>>()
         {
             let delay_us = self.rng.random_range(delays);
-            self.schedule_in(
-                delay_us,
-                Event::DuplicateHeartbeat {
-                    machine,
-                    controller,
-                    heartbeat: Box::new(heartbeat.clone()),
-                },
-            );
+            self.schedule_duplicate(delay_us, machine, heartbeat, controller);
         }
     }
 
+    /// Schedules a copy of a heartbeat that was sent to a controller.
+    pub(super) fn schedule_duplicate(
+        &mut self,
+        delay_us: u64,
+        machine: usize,
+        heartbeat: &Heartbeat,
+        controller: usize,
+    ) {
+        let copy = Event::DuplicateHeartbeat {
+            machine,
+            controller,
+            heartbeat: Box::new(heartbeat.clone()),
+        };
+        self.schedule_in(delay_us, copy);
+    }
+
     /// Delivers a copy of a heartbeat to the controller that it was sent to, in any
     /// incarnation, or to the one that its worker reports to now.
     pub(super) fn deliver_duplicate(
--- a/crates/simulator/src/simulation/events.rs
+++ b/crates/simulator/src/simulation/events.rs
@@ -129,6 +129,7 @@
 }
 
 /// What a controller asks of the store.
+#[derive(Clone)]
 pub(super) enum StoreRequest {
     CompareAndSwap(CasOrigin, Box<CompareAndSwap>),
     /// Reads the watched keys.
--- a/crates/simulator/src/simulation/faults.rs
+++ b/crates/simulator/src/simulation/faults.rs
@@ -10,7 +10,7 @@
 use super::events::Event;
 use super::{BootDisturbance, Simulation};
 use crate::clock::micros;
-use crate::scenario::{Fault, FaultKind, Link};
+use crate::scenario::{Fault, FaultKind, Link, SecondsRange};
 
 /// In a rolling restart, each controller is down for the interval between two restarts divided by
 /// this.
@@ -279,18 +279,32 @@
     /// Draws the delay of a call to a machine or of an answer to its heartbeat, µs; 0: it
     /// arrives at once, and the machine's answer to a call is lost. `None`: no fault affects it.
     pub(super) fn draw_call_delay(&mut self) -> Option<u64> {
+        let seconds = self.draw_affecting_fault(|kind| match kind {
+            FaultKind::DelayedCommands { seconds } => Some(*seconds),
+            _ => None,
+        })?;
+        self.delayed_calls += 1;
+        Some(if self.draw_per_mille(ANSWER_LOST_PER_MILLE) {
+            0
+        } else {
+            self.rng.random_range(seconds.micros())
+        })
+    }
+
+    /// Draws whether a message is affected by one of the active faults that `delays` gives delays
+    /// for, each with the probability of its share. Returns the delays of the first that affects
+    /// it. Draws nothing unless there is such a fault.
+    pub(super) fn draw_affecting_fault(
+        &mut self,
+        delays: impl Fn(&FaultKind) -> Option<SecondsRange>,
+    ) -> Option<SecondsRange> {
         let scenario = self.scenario.clone();
         for i in self.active_faults.keys().copied().collect::<Vec<_>>() {
             let fault = &scenario.faults[i];
-            if let FaultKind::DelayedCommands { seconds } = fault.kind
+            if let Some(seconds) = delays(&fault.kind)
                 && self.rng.random::<f64>() < fault.share
             {
-                self.delayed_calls += 1;
-                return Some(if self.draw_per_mille(ANSWER_LOST_PER_MILLE) {
-                    0
-                } else {
-                    self.rng.random_range(seconds.micros())
-                });
+                return Some(seconds);
             }
         }
         None
--- a/crates/simulator/src/simulation/repeated_messages.rs
+++ b/crates/simulator/src/simulation/repeated_messages.rs
@@ -2,6 +2,7 @@
 //! they say still fits. Nobody waits for the second answer.
 
 use lemonweir_coordination::ShardLease;
+use lemonweir_coordination::owner::CommandCall;
 use lemonweir_model::JobId;
 use lemonweir_protocol::cloud::ProvisioningRequest;
 use lemonweir_protocol::peer::SyncRequest;
@@ -18,24 +19,25 @@
     /// Draws after how many µs a message that has just been carried out is carried out once more.
     /// Draws nothing unless a fault repeats messages.
     fn draw_repeat_delay(&mut self) -> Option<u64> {
-        let scenario = self.scenario.clone();
-        for i in self.active_faults.keys().copied().collect::<Vec<_>>() {
-            let fault = &scenario.faults[i];
-            if let FaultKind::RepeatedMessages { seconds } = fault.kind
-                && self.rng.random::<f64>() < fault.share
-            {
-                return Some(self.rng.random_range(seconds.micros()));
-            }
-        }
-        None
+        let seconds = self.draw_affecting_fault(|kind| match kind {
+            FaultKind::RepeatedMessages { seconds } => Some(*seconds),
+            _ => None,
+        })?;
+        Some(self.rng.random_range(seconds.micros()))
     }
 
     /// Repeats commands that a machine has executed.
-    pub(super) fn repeat_commands(&mut self, process: ProcessId, delivery: CommandDelivery) {
+    pub(super) fn repeat_commands(
+        &mut self,
+        process: ProcessId,
+        lease: ShardLease,
+        call: &CommandCall,
+    ) {
         if let Some(delay_us) = self.draw_repeat_delay() {
             let delivery = CommandDelivery {
+                lease,
+                call: call.clone(),
                 timing: CommandTiming::Repeated,
-                ..delivery
             };
             self.schedule_in(delay_us, Event::Commands(process, delivery));
         }
@@ -49,12 +51,7 @@
         controller: usize,
     ) {
         if let Some(delay_us) = self.draw_repeat_delay() {
-            let copy = Event::DuplicateHeartbeat {
-                machine,
-                controller,
-                heartbeat: Box::new(heartbeat.clone()),
-            };
-            self.schedule_in(delay_us, copy);
+            self.schedule_duplicate(delay_us, machine, heartbeat, controller);
         }
     }
 
@@ -78,15 +75,12 @@
 
     /// Repeats a compare-and-swap, or the grant or renewal of a store lease.
     pub(super) fn repeat_store_request(&mut self, process: ProcessId, request: &StoreRequest) {
-        let copy = match request {
-            StoreRequest::StateRead { .. } => return,
-            StoreRequest::StoreLease(lease) => StoreRequest::StoreLease(*lease),
-            StoreRequest::CompareAndSwap(origin, cas) => {
-                StoreRequest::CompareAndSwap(origin.clone(), cas.clone())
-            }
-        };
+        if matches!(request, StoreRequest::StateRead { .. }) {
+            return;
+        }
         if let Some(delay_us) = self.draw_repeat_delay() {
-            self.schedule_in(delay_us, Event::StoreExecutes(process, copy, None));
+            let copy = Event::StoreExecutes(process, request.clone(), None);
+            self.schedule_in(delay_us, copy);
         }
     }
 
--- a/crates/simulator/src/simulation/workers.rs
+++ b/crates/simulator/src/simulation/workers.rs
@@ -219,12 +219,7 @@
             return;
         }
         if reply.as_ref().is_some_and(|reply| reply.executed) {
-            let executed = CommandDelivery {
-                lease,
-                call: call.clone(),
-                timing,
-            };
-            self.repeat_commands(process, executed);
+            self.repeat_commands(process, lease, &call);
         }
         let result = match reply {
             None => CommandResult::NotSent,
