Tests and pages: one fixture for a new owner, named times, exact words

The fixture stood three times. Times of the protocol page have names; the call that started the attempt is called start. Assertions, bounds and cases are unchanged.

--- a/cases/repeated-start/case.py
+++ b/cases/repeated-start/case.py
@@ -70,13 +70,11 @@
 
 
 async def prepare(world, call):
+    await until(20, lambda: call.worker, "the task starts")
     if VARIANT == "cancelled":
-        # Wherever it starts, it fails, until its user cancels it.
-        await until(20, lambda: call.worker, "the task starts")
-        if not await world.cancel(JOB) == "withdrawn":
+        if await world.cancel(JOB) != "withdrawn":
             raise CannotRun("the job was not cancelled")
         return await forgotten(world, call)
-    await until(20, lambda: call.worker, "the task starts")
     if VARIANT == "restarted":
         await until(10, lambda: any(p == f"{JOB}/0" for p, _ in world.on), "the task runs")
         call.worker.restart()
--- a/crates/coordination/tests/repeated_starts.rs
+++ b/crates/coordination/tests/repeated_starts.rs
@@ -8,6 +8,7 @@
 
 use lemonweir_coordination::owner::{CommandCall, CommandResult, Owner};
 use lemonweir_model::AttemptId;
+use lemonweir_model::constants::WORKER_RESPONSE_TIMEOUT_MS;
 use lemonweir_protocol::peer::{ChangeRange, DesiredAttempt, ObservedState, SyncRequest};
 use lemonweir_protocol::worker::{
     Command, CommandKind, CommandsRequest, Heartbeat, HeartbeatResponse, TaskPhase, TaskStatus,
@@ -15,6 +16,8 @@
 use support::*;
 
 const STEP_MS: u64 = 10;
+/// Shortest time between two heartbeats, ms (protocol page).
+const MIN_HEARTBEAT_INTERVAL_MS: u64 = 500;
 /// When the worker executes the start, ms.
 const STARTED_AT: u64 = 3_000;
 /// How long the attempt runs before it ends, ms.
@@ -25,7 +28,7 @@
 const LINK_MS: u64 = 10;
 /// How late the results of calls arrive over slow links, ms.
 const SLOW_RESULT_MS: u64 = 2_000;
-/// How long the worker's messages are lost so that its session ends, ms.
+/// How long replies to the worker are lost so that its session ends, ms.
 const SESSION_LOSS_MS: u64 = TIMING.lease_ms + 3_000;
 /// Time after which a second copy arrives, ms.
 const SECOND_COPY_AFTER_MS: u64 = 2_000;
@@ -210,7 +213,7 @@
     fn heartbeat_due(&self, now: u64) -> bool {
         self.in_flight.is_none()
             && (now >= self.next_heartbeat_at
-                || self.changed && now >= self.last_heartbeat_at + 500)
+                || self.changed && now >= self.last_heartbeat_at + MIN_HEARTBEAT_INTERVAL_MS)
     }
 
     fn see_token(&mut self, token: u64, now: u64) {
@@ -224,7 +227,10 @@
         if self.in_flight == Some(sent) {
             self.in_flight = None;
         }
-        if reply.fencing_token < self.token || session != self.session || now > sent + 4_000 {
+        if reply.fencing_token < self.token
+            || session != self.session
+            || now > sent + WORKER_RESPONSE_TIMEOUT_MS
+        {
             return;
         }
         self.replies_received += 1;
@@ -296,7 +302,7 @@
     desired: Option<DesiredAttempt>,
     ended_at: Option<u64>,
     /// The call that started the attempt.
-    copy: Option<CommandsRequest>,
+    start: Option<CommandsRequest>,
     restarted: bool,
     copied_at: Option<u64>,
     next_leader_at: Option<u64>,
@@ -323,7 +329,7 @@
             messages: Vec::new(),
             desired: None,
             ended_at: None,
-            copy: None,
+            start: None,
             restarted: false,
             copied_at: None,
             next_leader_at,
@@ -345,7 +351,7 @@
                 return true;
             }
         }
-        assert!(self.copy.is_some(), "the attempt was started");
+        assert!(self.start.is_some(), "the attempt was started");
         assert!(self.copied_at.is_some(), "the copy arrived");
         false
     }
@@ -374,7 +380,7 @@
         };
         if copy_is_due {
             self.copied_at.get_or_insert(now);
-            let copy = self.copy.clone().expect("a start");
+            let copy = self.start.clone().expect("a start");
             self.worker.receive_call(&copy, None, now);
         }
     }
@@ -401,7 +407,7 @@
         let ends = if self.disturbance.restarts_while_running() {
             self.restarted
         } else {
-            self.copy.is_some() && self.now >= STARTED_AT + RUN_MS
+            self.start.is_some() && self.now >= STARTED_AT + RUN_MS
         };
         let Some(id) = self.desired.as_ref().map(|d| d.id.clone()).filter(|_| ends) else {
             return;
@@ -422,7 +428,7 @@
             Disturbance::RestartAfterEnd(_) => {
                 self.ended_at.is_some() && self.worker.tasks.is_empty()
             }
-            disturbance => disturbance.restarts_while_running() && self.copy.is_some(),
+            disturbance => disturbance.restarts_while_running() && self.start.is_some(),
         };
         if due && !self.restarted && self.now + STEP_MS >= self.copy_at {
             self.restarted = true;
@@ -440,7 +446,7 @@
 
     /// The copy arrives at its time, or, after a restart, at its point in the first exchange.
     fn first_copy_is_due(&self) -> bool {
-        if self.copy.is_none() || self.now < self.copy_at {
+        if self.start.is_none() || self.now < self.copy_at {
             return false;
         }
         match self.disturbance.exchange() {
@@ -486,7 +492,11 @@
         let copy_comes_first = self.restarted
             && self.copied_at.is_none()
             && self.disturbance.exchange() == Some(Exchange::BeforeFirstHeartbeat);
-        if self.worker.in_flight.is_some_and(|sent| now > sent + 4_000) {
+        if self
+            .worker
+            .in_flight
+            .is_some_and(|sent| now > sent + WORKER_RESPONSE_TIMEOUT_MS)
+        {
             self.worker.in_flight = None;
         }
         if copy_comes_first || !self.worker.heartbeat_due(now) {
@@ -504,7 +514,7 @@
     /// The placer desires the attempt until its end is written.
     fn sync_placer(&mut self) {
         let now = self.now;
-        if self.desired.is_none() && self.copy.is_none() && now >= STARTED_AT - 100 {
+        if self.desired.is_none() && self.start.is_none() && now >= STARTED_AT - 100 {
             self.desired = Some(desired_attempt(0, 0));
         }
         if self
@@ -551,7 +561,7 @@
                 .worker
                 .receive_call(&call.commands, self.refusal(), now);
             if launches && executed {
-                self.copy = Some(call.commands.clone());
+                self.start = Some(call.commands.clone());
             }
             let status = self.worker.status();
             let result = if executed {
@@ -570,19 +580,6 @@
     }
 }
 
-fn new_owner(token: u64, now: u64) -> Owner {
-    let mut owner = Owner::new(
-        0,
-        token,
-        1,
-        TIMING,
-        lemonweir_policy::embedded().expect("policy"),
-        now,
-    );
-    owner.set_machine_types([machine_type()].iter());
-    owner
-}
-
 /// Plays every end and copy delay with these disturbances, prints how many run again, and returns
 /// the cases that do.
 fn broken_cases(disturbances: &[Disturbance]) -> Vec<(Disturbance, End, u64)> {
--- a/crates/coordination/tests/support/mod.rs
+++ b/crates/coordination/tests/support/mod.rs
@@ -58,17 +58,23 @@
     }
 }
 
-/// An owner of shard 0 that has registered this many machines.
-pub fn owner_with_machines(machines: usize) -> Owner {
+/// An owner that acquires shard 0, the only one, with this token.
+pub fn new_owner(token: u64, now: u64) -> Owner {
     let mut owner = Owner::new(
         0,
-        TOKEN,
+        token,
         1,
         TIMING,
         lemonweir_policy::embedded().expect("policy"),
-        0,
+        now,
     );
     owner.set_machine_types([machine_type()].iter());
+    owner
+}
+
+/// An owner of shard 0 that has registered this many machines.
+pub fn owner_with_machines(machines: usize) -> Owner {
+    let mut owner = new_owner(TOKEN, 0);
     for n in 0..machines {
         assert!(owner.handle_heartbeat(&heartbeat(n, 1), None, 10).is_some());
     }
--- a/crates/coordination/tests/worker_sessions.rs
+++ b/crates/coordination/tests/worker_sessions.rs
@@ -42,15 +42,7 @@
     /// Another owner acquires the shard, without any state.
     fn next_owner(&mut self) {
         self.token += 1;
-        self.owner = Owner::new(
-            0,
-            self.token,
-            1,
-            TIMING,
-            lemonweir_policy::embedded().expect("policy"),
-            self.now,
-        );
-        self.owner.set_machine_types([machine_type()].iter());
+        self.owner = new_owner(self.token, self.now);
     }
 
     fn sync_placer(&mut self, wants: Vec<DesiredAttempt>) -> ShardView {
