Placer: log from what knowledge an attempt may be launched

Cause: the log named each launch and its placer's token, but not what the placer knew of the job's other attempts. It could not tell a successor that had not loaded an attempt from one that had, nor which ends were not written yet. Change: one line when an owner is first told that an attempt of a job with several tasks may be launched: its zone, the job's live attempts by zone (recorded and not), unwritten ends.

--- a/crates/coordination/src/placer/desired.rs
+++ b/crates/coordination/src/placer/desired.rs
@@ -6,6 +6,7 @@
 use lemonweir_model::{AttemptId, JobId, JobSpec, MachineId};
 use lemonweir_protocol::peer::{DesiredAttempt, PreemptionScope};
 
+use super::launch_log::log_allowed_launch;
 use super::status::progress_and_reason;
 use super::{Placer, PublishedProgress};
 use crate::job::Job;
@@ -113,9 +114,9 @@
             .map(|a| (a.shard, a.desired.id.clone()))
             .collect();
         for ShardAttempt { shard, desired } in attempts {
-            self.owner_channels[usize::from(shard)]
-                .desired
-                .put(&desired.id.clone(), desired);
+            let channel = &mut self.owner_channels[usize::from(shard)];
+            log_allowed_launch(self.shard, self.fencing_token, channel, job, &desired);
+            channel.desired.put(&desired.id.clone(), desired);
         }
     }
 
--- a/crates/coordination/src/placer/mod.rs
+++ b/crates/coordination/src/placer/mod.rs
@@ -10,7 +10,7 @@
 //! | `placement_pass`, `units`, `placing`, `scoring`, `requests` | next tasks and their machines |
 //! | `unmet_demand`, `headroom` | demand for the autoscaler |
 //! | `accounting`, `partitions` | usage of machines, partitioned zones |
-//! | `desired`, `owner_channel`, `reconciliation`, `attempt_events` | exchange with the owners |
+//! | `desired`, `launch_log`, `owner_channel`, `reconciliation`, `attempt_events` | exchange with the owners |
 //! | `write_queue`, `records` | records written to and loaded from the store |
 //! | `gangs` | admission and release of gangs |
 //! | `rebalancing`, `escalation`, `supervision`, `status` | services, and job status for users |
@@ -22,6 +22,7 @@
 mod gangs;
 mod headroom;
 mod jobs;
+mod launch_log;
 mod over_limit;
 mod owner_channel;
 mod partitions;
