Tests: records and workers across a failover in one fixture

The store's task records and the workers of quota_after_failover stand in support/failover.rs, so that tests of other rules can use them: machines of several zones and shards, run times, sessions that end with their lease, and what else of a job ran at each start. The quota test keeps its assertions; it passes.

--- a/crates/coordination/tests/quota_after_failover.rs
+++ b/crates/coordination/tests/quota_after_failover.rs
@@ -1,31 +1,25 @@
 //! A team's quota limit across a failover of its placer and of the machines' owner.
 
+#[path = "support/failover.rs"]
+mod failover;
 mod support;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
+use std::slice;
 
-use lemonweir_coordination::owner::{CommandCall, CommandResult, Owner};
-use lemonweir_coordination::placer::{CompareAndSwapOutcome, Placer, PlacerConfig};
-use lemonweir_model::constants::MACHINE_TOKEN_BITS;
+use failover::*;
+use lemonweir_coordination::placer::{Placer, PlacerConfig};
 use lemonweir_model::{AttemptId, JobId, JobKind, JobSpec, Priority, Resources};
-use lemonweir_protocol::kv_store::Write;
 use lemonweir_protocol::peer::{AttemptState, AttemptStatus, ChangeRange};
-use lemonweir_protocol::worker::{Command, CommandKind, Heartbeat, TaskPhase, TaskStatus};
-use lemonweir_storage::packed_chunk::read_chunk;
 use lemonweir_storage::records::{
     GangAdmissionRecord, GangAdmissionStep, LiveAttemptRecord, TaskChunkRecord,
-    parse_task_chunk_key,
 };
 use support::*;
 
 /// Number of tasks that the team may run at a time.
 const QUOTA_TASKS: usize = 2;
-/// Time between two steps, ms.
-const STEP_MS: u64 = 50;
 /// Time for which the successor is observed, ms.
 const OBSERVED_MS: u64 = 40_000;
-/// Number of machines in the shard; each has room for four tasks.
-const MACHINES: usize = 4;
 
 fn id(n: u64) -> JobId {
     JobId::from(format!("req-{n:06}").as_str())
@@ -56,144 +50,6 @@
     Placer::new(0, token, 1, config, now)
 }
 
-/// The task records, as the store holds them.
-#[derive(Clone, Default)]
-struct Records {
-    chunks: BTreeMap<(JobId, u32), (TaskChunkRecord, u64)>,
-    revision: u64,
-}
-
-impl Records {
-    /// Commits whatever the placer has to write at `now`.
-    fn commit(&mut self, placer: &mut Placer, now: u64) {
-        while let Some(cas) = placer.next_cas(now) {
-            self.revision += 1;
-            for write in &cas.writes {
-                let (Write::Put { key, .. } | Write::Delete { key }) = write;
-                let Some((job, chunk)) = parse_task_chunk_key(key) else {
-                    continue;
-                };
-                match write {
-                    Write::Put { value, .. } => {
-                        let record = read_chunk(value, chunk).expect("a chunk");
-                        self.chunks.insert((job, chunk), (record, self.revision));
-                    }
-                    Write::Delete { .. } => drop(self.chunks.remove(&(job, chunk))),
-                }
-            }
-            placer.apply_cas_outcome(CompareAndSwapOutcome::Committed(self.revision), now);
-        }
-    }
-
-    fn load(&self, placer: &mut Placer) {
-        for ((job, chunk), (record, version)) in &self.chunks {
-            placer.load_chunk(job, *chunk, record, *version);
-        }
-    }
-
-    fn recorded_attempts(&self) -> BTreeSet<AttemptId> {
-        let attempts = |(job, record): (&JobId, &TaskChunkRecord)| -> Vec<AttemptId> {
-            record
-                .live_attempts
-                .iter()
-                .map(|live| AttemptId {
-                    job: job.clone(),
-                    task: live.task,
-                    attempt: live.attempt,
-                })
-                .collect()
-        };
-        self.chunks
-            .iter()
-            .flat_map(|((job, _), (record, _))| attempts((job, record)))
-            .collect()
-    }
-}
-
-/// Workers that execute every command at once.
-struct Workers {
-    tasks: Vec<BTreeMap<AttemptId, TaskPhase>>,
-    sequence: u64,
-    token: Vec<u64>,
-    /// When each worker sends its first heartbeat, ms.
-    first_heartbeat_at: [u64; MACHINES],
-}
-
-impl Workers {
-    fn new(first_heartbeat_at: [u64; MACHINES]) -> Self {
-        Self {
-            tasks: vec![BTreeMap::new(); MACHINES],
-            sequence: 1,
-            token: vec![TOKEN << MACHINE_TOKEN_BITS; MACHINES],
-            first_heartbeat_at,
-        }
-    }
-
-    fn running(&self) -> BTreeSet<AttemptId> {
-        let tasks = self.tasks.iter().flatten();
-        tasks
-            .filter(|(_, phase)| **phase == TaskPhase::Running)
-            .map(|(id, _)| id.clone())
-            .collect()
-    }
-
-    fn run(&mut self, n: usize, commands: &[Command]) {
-        for command in commands {
-            let id = AttemptId::parse(&command.task, command.attempt).expect("an attempt");
-            match command.kind {
-                CommandKind::Start => drop(self.tasks[n].entry(id).or_insert(TaskPhase::Running)),
-                CommandKind::Stop => {
-                    if let Some(phase) = self.tasks[n].get_mut(&id) {
-                        *phase = TaskPhase::Exited;
-                    }
-                }
-                CommandKind::Forget => drop(self.tasks[n].remove(&id)),
-            }
-        }
-    }
-
-    fn heartbeat(&mut self, n: usize) -> Heartbeat {
-        self.sequence += 1;
-        let status = |(id, phase): (&AttemptId, &TaskPhase)| TaskStatus {
-            task: id.task_name(),
-            attempt: id.attempt,
-            phase: *phase,
-            exit_cause: (*phase == TaskPhase::Exited).then(|| "stopped".into()),
-            checkpointed: None,
-        };
-        Heartbeat {
-            fencing_token: self.token[n],
-            tasks: self.tasks[n].iter().map(status).collect(),
-            ..heartbeat(n, self.sequence)
-        }
-    }
-
-    fn execute(&mut self, call: &CommandCall) -> CommandResult {
-        let n = (0..MACHINES)
-            .find(|n| machine_id(*n) == call.machine)
-            .expect("a machine");
-        self.token[n] = self.token[n].max(call.commands.fencing_token);
-        self.run(n, &call.commands.commands);
-        CommandResult::Executed(self.heartbeat(n))
-    }
-
-    /// Machines whose heartbeat is due send it and execute the commands of the reply.
-    fn send_heartbeats(&mut self, owner: &mut Owner, now: u64) {
-        let is_due = |first_at: u64| now >= first_at && (now - first_at) % 3_000 < STEP_MS;
-        for n in (0..MACHINES)
-            .filter(|n| is_due(self.first_heartbeat_at[*n]))
-            .collect::<Vec<_>>()
-        {
-            let heartbeat = self.heartbeat(n);
-            let reply = owner
-                .handle_heartbeat(&heartbeat, None, now)
-                .expect("answered");
-            self.token[n] = self.token[n].max(reply.fencing_token);
-            self.run(n, &reply.commands);
-        }
-    }
-}
-
 /// What a placer does before it ends.
 struct Scenario {
     /// Jobs that fill the quota.
@@ -309,7 +165,7 @@
     let (mut max_running, mut ran) = (0, BTreeSet::new());
     for now in (20..OBSERVED_MS).step_by(STEP_MS as usize) {
         owner.tick(now, now);
-        workers.send_heartbeats(&mut owner, now);
+        workers.send_heartbeats(slice::from_mut(&mut owner), now);
         let request = successor.sync_request(0, TOKEN, MAX_MESSAGE_BYTES, false, now);
         let view = owner
             .sync(&request, MAX_MESSAGE_BYTES, now)
@@ -321,10 +177,7 @@
         // The owner launches whatever it may before the next sync.
         let later = now + STEP_MS / 2;
         owner.tick(later, later);
-        for call in owner.due_calls(later, MAX_MESSAGE_BYTES) {
-            let result = workers.execute(&call);
-            owner.handle_call_result(&call, result, later);
-        }
+        workers.execute_calls(&mut owner, later);
         let running = workers.running();
         max_running = max_running.max(running.len());
         ran.extend(running);
@@ -483,7 +336,7 @@
         task,
         attempt: 1,
     };
-    workers.tasks[0].insert(member(0), TaskPhase::Running);
+    workers.add_running(0, member(0), 0);
     let jobs = [gang(0), single_task_jobs(1, 2)].concat();
     let outcome = run_successor(records, &jobs, QUOTA_TASKS, workers);
     assert_eq!(outcome.max_running, QUOTA_TASKS);
