Placer: ask the zone rules at every launch, not only at placement

A task of an array with samePlace started in eemsmond while another ran in rijnmond, after a lost machine and the end of a leader. Cause: an array of more than 64 tasks has several records. The leader had learned that all its attempts in one zone had ended and placed a task in another; that start was written with its own record, the end of the other task, in another record, waits for up to 3 s. The successor loaded both as live and allowed both to be launched. The zones were asked for at placement only; the quota limit alone was asked for at each launch (placer/over_limit.rs). Ruled out: a start that the successor had not loaded; two leaders at once. An attempt that breaks one together with all others not proven over is not launched; one that its owner shows on no machine is stopped, as far as the rest still breaks it, and its task placed again. So a launch relies on nothing that a successor would not read. A job in one zone with attempts in several places nothing and asks for no machines until one zone is left. Running tasks are never stopped for this. Not chosen: writing each end before its zone is used. It costs a write and a wait for each.

--- a/crates/coordination/src/gang_admission/mod.rs
+++ b/crates/coordination/src/gang_admission/mod.rs
@@ -158,8 +158,8 @@
     /// A member is missing, or not all members were launched before the first ones stop
     /// waiting for the rest.
     NotWhole,
-    /// Its team is over its quota limit, and no member is on a machine.
-    OverQuotaLimit,
+    /// A rule between attempts forbids its launch, and no member is on a machine.
+    RuleBroken,
 }
 
 /// The decision on the next step of a gang.
--- a/crates/coordination/src/job.rs
+++ b/crates/coordination/src/job.rs
@@ -4,6 +4,7 @@
 mod chunks;
 mod gang;
 mod tasks;
+mod zones;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -16,6 +17,7 @@
 
 use crate::gang_admission::GangAdmission;
 pub(super) use chunks::TaskChunk;
+pub(super) use zones::{CountedAttempts, ZoneRule, ZoneUsage, max_tasks_per_zone};
 
 /// Maximum number of machines that a job avoids; the latest ones are kept.
 const MAX_AVOIDED_MACHINES: usize = 8;
--- a/crates/coordination/src/job/tasks.rs
+++ b/crates/coordination/src/job/tasks.rs
@@ -1,7 +1,5 @@
 //! Task states of a job: done, running or waiting.
 
-use std::collections::HashMap;
-
 use lemonweir_protocol::peer::AttemptState;
 
 use super::{Job, LiveAttempt};
@@ -120,24 +118,6 @@
         (running, reason)
     }
 
-    /// Number of live attempts in each zone, without that of task `excluded`.
-    pub(crate) fn attempts_per_zone(&self, excluded: Option<u32>) -> HashMap<String, u32> {
-        let mut counts: HashMap<String, u32> = HashMap::new();
-        for (_, live) in self
-            .live
-            .iter()
-            .filter(|(task, _)| Some(**task) != excluded)
-        {
-            match counts.get_mut(&live.zone) {
-                Some(count) => *count += 1,
-                None => {
-                    counts.insert(live.zone.clone(), 1);
-                }
-            }
-        }
-        counts
-    }
-
     /// Number of live attempts at the same location as `live`, which is included.
     pub(crate) fn colocated_count<K: PartialEq>(
         &self,
--- a/crates/coordination/src/placer/attempt_events.rs
+++ b/crates/coordination/src/placer/attempt_events.rs
@@ -82,7 +82,7 @@
             self.gangs_to_evaluate.insert(id.job.clone());
         }
         if state == AttemptState::Accepted {
-            self.stop_unlaunched_over_limit(&id.job, id.task, now);
+            self.stop_unlaunched(&id.job, id.task, now);
         }
     }
 
--- a/crates/coordination/src/placer/desired.rs
+++ b/crates/coordination/src/placer/desired.rs
@@ -7,9 +7,10 @@
 use lemonweir_protocol::peer::{DesiredAttempt, PreemptionScope};
 
 use super::launch_log::log_allowed_launch;
+use super::launch_rules::LaunchRules;
 use super::status::progress_and_reason;
 use super::{Placer, PublishedProgress};
-use crate::job::Job;
+use crate::job::{CountedAttempts, Job};
 
 /// An attempt in the desired state, and the shard whose owner it is sent to.
 struct ShardAttempt {
@@ -18,8 +19,8 @@
 }
 
 /// The desired state of a job: its recorded live attempts, and ended attempts whose end is
-/// not written yet. With `launches_held` no attempt may be launched.
-fn desired_attempts(id: &JobId, job: &Job, launches_held: bool) -> Vec<ShardAttempt> {
+/// not written yet. An attempt that breaks a rule may not be launched.
+fn desired_attempts(id: &JobId, job: &Job, rules: &LaunchRules<'_>) -> Vec<ShardAttempt> {
     let image = job.spec().map(|s| s.image.clone()).unwrap_or_default();
     let image_mb = job.spec().map_or(0, JobSpec::image_mb);
     let preemption_grace_s = job.spec().map_or(0, JobSpec::preemption_grace_s);
@@ -38,7 +39,7 @@
         runs_until_cancelled: false,
         preemption: PreemptionScope::Nobody,
     };
-    let may_launch = !launches_held && may_launch(job);
+    let may_launch = may_launch(job);
     let live = job
         .live
         .iter()
@@ -52,7 +53,7 @@
             ShardAttempt {
                 shard: live.shard,
                 desired: DesiredAttempt {
-                    may_start: may_launch,
+                    may_start: may_launch && rules.broken_by(live).is_none(),
                     stop_grace_s: if job.is_stopping() {
                         Some(0)
                     } else {
@@ -96,11 +97,11 @@
     }
 
     fn publish_desired_attempts(&mut self, id: &JobId) {
-        let Some(job) = self.jobs.get_mut(id) else {
+        let Some(job) = self.jobs.get(id) else {
             return;
         };
-        let launches_held = self.teams_over_limit.contains(&job.team);
-        let attempts = desired_attempts(id, job, launches_held);
+        let rules = self.launch_rules(job, CountedAttempts::All);
+        let attempts = desired_attempts(id, job, &rules);
         let kept: HashSet<&AttemptId> = attempts.iter().map(|a| &a.desired.id).collect();
         for (shard, attempt) in &job.published_attempts {
             if !kept.contains(attempt) {
@@ -109,7 +110,7 @@
                     .remove(attempt);
             }
         }
-        job.published_attempts = attempts
+        let published_attempts = attempts
             .iter()
             .map(|a| (a.shard, a.desired.id.clone()))
             .collect();
@@ -118,6 +119,9 @@
             log_allowed_launch(self.shard, self.fencing_token, channel, job, &desired);
             channel.desired.put(&desired.id.clone(), desired);
         }
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.published_attempts = published_attempts;
+        }
     }
 
     fn publish_progress(&mut self, id: &JobId) {
--- a/crates/coordination/src/placer/mod.rs
+++ b/crates/coordination/src/placer/mod.rs
@@ -6,7 +6,8 @@
 //!
 //! | module | responsible for |
 //! | --- | --- |
-//! | `jobs`, `queues`, `quotas`, `over_limit` | jobs from the store, the teams' queues, quotas |
+//! | `jobs`, `queues`, `quotas` | jobs from the store, the teams' queues, quotas |
+//! | `launch_rules` | rules between attempts, asked at every launch |
 //! | `placement_pass`, `units`, `placing`, `scoring`, `requests` | next tasks and their machines |
 //! | `unmet_demand`, `headroom` | demand for the autoscaler |
 //! | `accounting`, `partitions` | usage of machines, partitioned zones |
@@ -23,7 +24,7 @@
 mod headroom;
 mod jobs;
 mod launch_log;
-mod over_limit;
+mod launch_rules;
 mod owner_channel;
 mod partitions;
 mod placement_pass;
--- a/crates/coordination/src/placer/requests.rs
+++ b/crates/coordination/src/placer/requests.rs
@@ -4,6 +4,7 @@
 
 use lemonweir_model::{JobSpec, MachineId};
 
+use crate::job::max_tasks_per_zone;
 use crate::placement::{PlacementIndex, PlacementRequest};
 
 /// Request for another machine for a replica that is already placed.
@@ -45,7 +46,7 @@
     if !spec.spread || tasks <= 1 {
         return zones;
     }
-    let max_per_zone = tasks.div_ceil(2);
+    let max_per_zone = max_tasks_per_zone(tasks);
     let below_max: Vec<&str> = all_zones(indexes)
         .into_iter()
         .filter(|zone| attempts_per_zone.get(*zone).copied().unwrap_or(0) < max_per_zone)
--- a/crates/coordination/src/placer/units.rs
+++ b/crates/coordination/src/placer/units.rs
@@ -26,6 +26,10 @@
 pub(super) const REASON_LOW_PRIORITY_TURN: &str =
     "idle work; its starts wait for their turn to be written to the store";
 
+/// Pending reason of a job whose tasks must share a zone while it has attempts in several.
+pub(super) const REASON_SEVERAL_ZONES: &str =
+    "its tasks must share a zone; those in another one have to end first";
+
 /// Tasks that are placed together, and the properties that their search depends on.
 pub(super) struct PlacementUnit {
     pub(super) tasks: Vec<u32>,
@@ -45,7 +49,7 @@
 
 impl Placer {
     /// The next unit of a job; `None` if none may be placed now. Sets the pending reason if the
-    /// write budget or the team's quota limit is the cause.
+    /// write budget, the team's quota limit or the zones of its attempts are the cause.
     pub(super) fn next_unit(
         &mut self,
         id: &JobId,
@@ -58,6 +62,10 @@
         if is_suspect && !job.live.is_empty() {
             return None;
         }
+        if job.awaits_single_zone() {
+            job.pending_reason = REASON_SEVERAL_ZONES;
+            return None;
+        }
         let first = job.next_waiting_task()?;
         // Limits placement of low-priority work to what can be written soon: it must not
         // occupy room long before its starts are written, nor may a pass place 100,000 tasks.
--- a/crates/coordination/src/placer/unmet_demand.rs
+++ b/crates/coordination/src/placer/unmet_demand.rs
@@ -6,9 +6,9 @@
 use lemonweir_model::{JobId, JobKind, JobSpec, Priority, Resources};
 
 use super::Placer;
-use super::units::REASON_LOW_PRIORITY_TURN;
+use super::units::{REASON_LOW_PRIORITY_TURN, REASON_SEVERAL_ZONES};
 use crate::autoscaler::{CapacityDemand, tasks_in};
-use crate::job::Job;
+use crate::job::{Job, max_tasks_per_zone};
 
 /// Maximum number of waiting tasks of one job that count as demand: more than the machines
 /// that boot at a time can run. Further tasks count once these have their machines.
@@ -54,11 +54,15 @@
     /// Adds the capacity that a job lacks to the unmet demand, within its team's quota limit.
     pub(super) fn record_unmet_demand(&self, id: &JobId, unmet: &mut UnmetDemand, now: u64) {
         // Nothing is provisioned for a job that is suspected of its failures, since it would
-        // only fail there, nor for one that only waits for its turn.
+        // only fail there, nor for one that only waits for its turn, or for attempts to end.
+        let waits_for_room = |job: &&Job| {
+            ![REASON_LOW_PRIORITY_TURN, REASON_SEVERAL_ZONES].contains(&job.pending_reason)
+        };
         let Some(job) = self
             .jobs
             .get(id)
-            .filter(|job| job.suspect.is_none() && job.pending_reason != REASON_LOW_PRIORITY_TURN)
+            .filter(|job| job.suspect.is_none())
+            .filter(waits_for_room)
         else {
             return;
         };
@@ -148,7 +152,7 @@
     /// Splits the demand of a spread job by zone: a machine that boots in one zone is of no
     /// use to tasks that must run in another.
     fn spread_over_zones(&self, job: &Job, demand: &CapacityDemand) -> Vec<CapacityDemand> {
-        let max_per_zone = job.tasks.div_ceil(2);
+        let max_per_zone = max_tasks_per_zone(job.tasks);
         let mut left: BTreeMap<&String, u32> = self
             .zones
             .iter()
