Placer: tell failed searches apart by the zones that a job's attempts leave

What callers would see: a job waits for 90 s and more beside a machine with room, while an older job with the same needs waits too (waits_beside_room, simulated). Cause: a pass remembers which requests found no room by a signature, so that it does not search again for the next job. The signature held a job's own zone, but not the zones that its attempts leave to it: an array with samePlace that found no room in its zone, or a spread one whose other zones were full, kept every job with the same needs from being searched for, in each pass. Change: the signature holds the zones that restrict the next task (Job::zone_usage). Test: searches_with_zone_rules, fails before.

--- a/crates/coordination/src/job/zones.rs
+++ b/crates/coordination/src/job/zones.rs
@@ -1,6 +1,6 @@
 //! Rules for the zones of a job's tasks.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 use lemonweir_protocol::peer::AttemptState;
 
@@ -37,6 +37,17 @@
 }
 
 impl ZoneUsage<'_> {
+    /// The zones that restrict where the next task may start: all that are in use if the tasks
+    /// must share one, and those that hold as many tasks as they may.
+    pub(crate) fn restricting_zones(&self) -> BTreeSet<&str> {
+        let restricts = |count: u32| self.must_share_zone || count >= self.max_per_zone;
+        self.attempts
+            .iter()
+            .filter(|(_, count)| restricts(**count))
+            .map(|(zone, _)| *zone)
+            .collect()
+    }
+
     /// The rule that the counted attempts in a zone break.
     pub(crate) fn rule_broken_in(&self, zone: &str) -> Option<ZoneRule> {
         let here = self.attempts.get(zone).copied().unwrap_or(0);
--- a/crates/coordination/src/placer/units.rs
+++ b/crates/coordination/src/placer/units.rs
@@ -9,7 +9,7 @@
 use super::Placer;
 use super::placement_pass::PlacementPass;
 use super::quotas::within_quota;
-use crate::job::Job;
+use crate::job::{CountedAttempts, Job};
 
 /// Factor by which an image fetch may exceed its expected time: the protocol documents fetch
 /// rates with a tolerance of one third.
@@ -167,5 +167,10 @@
         spec.same_zone && unit.tasks.len() > 1,
     )
         .hash(&mut hasher);
+    // Guards against jobs that wait beside fitting room since a job with the same needs found
+    // none in the only zones that its attempts leave to it.
+    if let Some(usage) = job.zone_usage(CountedAttempts::All) {
+        usage.restricting_zones().hash(&mut hasher);
+    }
     hasher.finish()
 }
