--- a/crates/simulator/src/fault_search.rs
+++ b/crates/simulator/src/fault_search.rs
@@ -19,10 +19,13 @@
 use crate::scenario::Scenario;
 use crate::simulation::Simulation;
 use draw_faults::{
-    draw_faults, draw_lowered_limits, draw_repeated_messages,
+    draw_faults, draw_losses_and_failovers, draw_lowered_limits, draw_repeated_messages,
     draw_repeated_messages_with_machine_restarts, draw_stalls_over_slow_links,
 };
-use draw_site::{DrawnSite, draw_site, draw_site_of_large_records, draw_site_of_short_jobs};
+use draw_site::{
+    DrawnSite, draw_site, draw_site_of_jobs_bound_to_zones, draw_site_of_large_records,
+    draw_site_of_short_jobs,
+};
 use liveness::{jobs_that_never_begin, unconfirmed_cancellations};
 
 /// Time before the first fault may begin, s: the fleet boots.
@@ -57,6 +60,9 @@
     Repeated,
     /// The same, with restarts of machines.
     RepeatedWithMachineRestarts,
+    /// Losses of machines, each with ends of controllers around the time at which the loss is
+    /// proven, while jobs of several task records must share a zone or be spread over zones.
+    LossesOfJobsBoundToZones,
 }
 
 impl FaultMix {
@@ -68,6 +74,7 @@
                 draw_site_of_short_jobs(rng, max_machines)
             }
             Self::LoweredLimits => draw_site_of_large_records(rng, max_machines),
+            Self::LossesOfJobsBoundToZones => draw_site_of_jobs_bound_to_zones(rng, max_machines),
         };
         let faults = match self {
             Self::Any => draw_faults(rng, &site),
@@ -77,6 +84,7 @@
             Self::RepeatedWithMachineRestarts => {
                 draw_repeated_messages_with_machine_restarts(rng, &site)
             }
+            Self::LossesOfJobsBoundToZones => draw_losses_and_failovers(rng, &site),
         };
         (site, faults)
     }
@@ -87,7 +95,8 @@
             Self::Any
             | Self::StallsOverSlowLinks
             | Self::Repeated
-            | Self::RepeatedWithMachineRestarts => Vec::new(),
+            | Self::RepeatedWithMachineRestarts
+            | Self::LossesOfJobsBoundToZones => Vec::new(),
             Self::LoweredLimits => [
                 jobs_that_never_begin(simulation),
                 unconfirmed_cancellations(simulation),
--- a/crates/simulator/src/fault_search/draw_faults.rs
+++ b/crates/simulator/src/fault_search/draw_faults.rs
@@ -31,6 +31,11 @@
 const LONGEST_REPEAT_DELAY_S: [f64; 5] = [1.0, 3.0, 8.0, 20.0, 60.0];
 /// Time after which an ended controller is back, s.
 const BACK_WITHIN_S: Range<f64> = 0.05..1.0;
+/// Share of the machines that are lost at a time.
+const LOST_SHARE: Range<f64> = 0.1..0.6;
+/// When a controller ends after a lease has passed since a loss, s: ends of attempts are
+/// learned about then, and written up to 3 s later.
+const END_AFTER_PROOF_S: Range<f64> = -1.0..6.0;
 /// Share of the machines that become faulty beside repeated messages.
 const FAULTY_SHARE: Range<f64> = 0.02..0.15;
 /// Share of the machines that restart at a time beside repeated messages.
@@ -107,17 +112,7 @@
     )];
     for _ in 0..rng.random_range(2..=5) {
         let at = rng.random::<f64>() * (WARM_UP_S + FAULT_WINDOW_S);
-        let back_after = rng.random_range(BACK_WITHIN_S);
-        let controller = rng.random_range(0..=site.controllers);
-        // One more than there are controllers: all of them.
-        let which = if controller < site.controllers {
-            format!("controller = {controller}\n")
-        } else {
-            String::new()
-        };
-        faults.push(format!(
-            "[[fault]]\nat_s = {at:.1}\nkind = 'crash'\n{which}for_s = {back_after:.2}\n"
-        ));
+        faults.push(draw_end_of_controllers(rng, site, at, BACK_WITHIN_S));
     }
     let faulty_at = rng.random::<f64>() * (WARM_UP_S + FAULT_WINDOW_S);
     let faulty_share = rng.random_range(FAULTY_SHARE);
@@ -159,6 +154,64 @@
     faults
 }
 
+/// Draws two to four losses of machines, each with two to five ends of controllers around the time
+/// at which the loss is proven, and in half of the runs another single fault.
+pub(super) fn draw_losses_and_failovers(rng: &mut ChaCha8Rng, site: &DrawnSite) -> Vec<String> {
+    let mut faults = Vec::new();
+    for _ in 0..rng.random_range(2..=4) {
+        let at = WARM_UP_S + rng.random::<f64>() * FAULT_WINDOW_S;
+        let share = rng.random_range(LOST_SHARE);
+        let zone = rng.random_range(0..site.zones);
+        let length = site.lease_s * rng.random_range(1.2..3.0);
+        let losses = [
+            format!("kind = 'silent'\nshare = {share:.2}\nfor_s = {length:.1}"),
+            format!("kind = 'hang'\nshare = {share:.2}\nfor_s = {length:.1}"),
+            format!("kind = 'die'\nshare = {share:.2}\nfor_s = 1"),
+            format!("kind = 'take_spot'\nshare = {share:.2}\nnotice_s = 0"),
+            format!("kind = 'faulty'\nshare = {:.2}\nfor_s = 1", share / 4.0),
+            format!("kind = 'cut_zone'\nzone = 'z{zone}'\nfor_s = {length:.1}"),
+            format!("kind = 'deaf'\nzone = 'z{zone}'\nfor_s = {length:.1}"),
+            format!("kind = 'mute'\nzone = 'z{zone}'\nfor_s = {length:.1}"),
+        ];
+        let loss = losses.choose(rng).map_or("", String::as_str);
+        faults.push(format!("[[fault]]\nat_s = {at:.1}\n{loss}\n"));
+        let proven = at + site.lease_s;
+        for _ in 0..rng.random_range(2..=5) {
+            let end = proven + rng.random_range(END_AFTER_PROOF_S);
+            // Only a new leader whose owners are new too has to rely on the records alone.
+            let fault = if rng.random::<bool>() {
+                let back_after = rng.random_range(BACK_WITHIN_S);
+                format!("[[fault]]\nat_s = {end:.1}\nkind = 'crash'\nfor_s = {back_after:.2}\n")
+            } else {
+                draw_end_of_controllers(rng, site, end, 0.05..8.0)
+            };
+            faults.push(fault);
+        }
+    }
+    if rng.random::<bool>() {
+        faults.push(draw_single_fault(rng, site));
+    }
+    faults
+}
+
+/// Draws the end of one controller or of all, and when it is back.
+fn draw_end_of_controllers(
+    rng: &mut ChaCha8Rng,
+    site: &DrawnSite,
+    at: f64,
+    back_after_s: Range<f64>,
+) -> String {
+    let back_after = rng.random_range(back_after_s);
+    let controller = rng.random_range(0..=site.controllers);
+    // One more than there are controllers: all of them.
+    let which = if controller < site.controllers {
+        format!("controller = {controller}\n")
+    } else {
+        String::new()
+    };
+    format!("[[fault]]\nat_s = {at:.1}\nkind = 'crash'\n{which}for_s = {back_after:.2}\n")
+}
+
 /// Draws a fault that begins at any time of the window.
 fn draw_single_fault(rng: &mut ChaCha8Rng, site: &DrawnSite) -> String {
     let at = WARM_UP_S + rng.random::<f64>() * FAULT_WINDOW_S;
--- a/crates/simulator/src/fault_search/draw_site.rs
+++ b/crates/simulator/src/fault_search/draw_site.rs
@@ -2,6 +2,7 @@
 //! so that a seed gives the same run in every version.
 
 use std::fmt::Write;
+use std::ops::Range;
 
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
@@ -10,6 +11,10 @@
 
 /// Smallest number of machines of a site.
 const MIN_MACHINES: f64 = 40.0;
+/// Operations that the store allows in a compare-and-swap.
+const CAS_OPERATIONS: Range<u32> = 8..33;
+/// The same for a store that takes many compare-and-swaps to write what changed at one instant.
+const FEW_CAS_OPERATIONS: Range<u32> = 4..7;
 
 /// A drawn site, with the parameters from which its faults are drawn.
 pub(super) struct DrawnSite {
@@ -24,7 +29,7 @@
 /// Draws a site with its load. Small sites are drawn more often than large ones: the logarithm
 /// of the number of machines is uniform up to that of `max_machines`.
 pub(super) fn draw_site(rng: &mut ChaCha8Rng, max_machines: u32) -> DrawnSite {
-    let mut site = draw_infrastructure(rng, max_machines);
+    let mut site = draw_infrastructure(rng, max_machines, CAS_OPERATIONS);
     write_load(&mut site, rng);
     site
 }
@@ -46,7 +51,7 @@
 
 /// Draws a site with more room than work, whose jobs have records of some 0.3 to 7.8 KB as JSON.
 pub(super) fn draw_site_of_large_records(rng: &mut ChaCha8Rng, max_machines: u32) -> DrawnSite {
-    let mut site = draw_infrastructure(rng, max_machines);
+    let mut site = draw_infrastructure(rng, max_machines, CAS_OPERATIONS);
     let per_min = 1.0 + f64::from(site.machines) / 40.0;
     let classes = [
         "name = 'serve'\nshape = 'service'\npriority = 'production'\ntasks = 2\nrun_s = 100000\nat_start = 4".to_owned(),
@@ -73,8 +78,45 @@
     site
 }
 
-/// Draws the size of a site, and its infrastructure.
-fn draw_infrastructure(rng: &mut ChaCha8Rng, max_machines: u32) -> DrawnSite {
+/// Draws a site of at least two zones and controllers, whose jobs have several task records: most
+/// of their tasks must share a zone or be spread over zones. Room is scarce, so that few of the
+/// tasks that are lost together start again together.
+pub(super) fn draw_site_of_jobs_bound_to_zones(
+    rng: &mut ChaCha8Rng,
+    max_machines: u32,
+) -> DrawnSite {
+    let mut site = loop {
+        let site = draw_infrastructure(rng, max_machines, FEW_CAS_OPERATIONS);
+        if site.zones > 1 && site.controllers > 1 {
+            break site;
+        }
+    };
+    let per_min = 0.2 + f64::from(site.machines) / 150.0;
+    let tasks = "tasks = { dist = 'uniform', low = 65, high = 140 }";
+    let classes = [
+        format!("name = 'together'\none_zone = true\nrun_s = 25\nper_min = {per_min:.2}\n{tasks}"),
+        format!("name = 'urgent'\none_zone = true\npriority = 'high'\nrun_s = 15\nper_min = {per_min:.2}\n{tasks}"),
+        format!("name = 'apart'\nspread = true\nrun_s = 25\nper_min = {per_min:.2}\n{tasks}"),
+        "name = 'serve'\nshape = 'service'\npriority = 'production'\nspread = true\nrun_s = 100000\nat_start = 1\ntasks = 70".to_owned(),
+        format!("name = 'other'\nrun_s = 20\nper_min = {:.2}\ntasks = {{ dist = 'uniform', low = 1, high = 8 }}", 4.0 * per_min),
+    ];
+    for class in classes {
+        // Writing to a `String` can't fail.
+        let _ = write!(
+            site.text,
+            "[[class]]\nteams = ['red', 'blue']\n{class}\ncpus = 1\nmemory_gb = 2\n"
+        );
+    }
+    site
+}
+
+/// Draws the size of a site, and its infrastructure, whose store allows this many operations in a
+/// compare-and-swap.
+fn draw_infrastructure(
+    rng: &mut ChaCha8Rng,
+    max_machines: u32,
+    cas_operations: Range<u32>,
+) -> DrawnSite {
     let range = f64::from(max_machines.max(41)) / MIN_MACHINES;
     let machines = (MIN_MACHINES * range.powf(rng.random::<f64>())) as u32;
     let zones = rng.random_range(1..=8usize).min(1 + machines as usize / 10);
@@ -87,12 +129,12 @@
         controllers,
         lease_s,
     };
-    write_infrastructure(&mut site, rng);
+    write_infrastructure(&mut site, rng, cas_operations);
     site
 }
 
 /// Writes controllers, workers, services, message faults, machine types and teams.
-fn write_infrastructure(site: &mut DrawnSite, rng: &mut ChaCha8Rng) {
+fn write_infrastructure(site: &mut DrawnSite, rng: &mut ChaCha8Rng, cas_operations: Range<u32>) {
     let DrawnSite {
         text,
         machines,
@@ -120,7 +162,7 @@
         names.join(", "),
         60 * controllers + machines as usize / 10,
         40 + machines / 12,
-        rng.random_range(8..33),
+        rng.random_range(cas_operations),
         28 + machines / 18,
         rng.random_range(3..9) + controllers,
         rng.random_range(2.0..15.0),
