--- a/review/standin-2/world.py
+++ b/review/standin-2/world.py
@@ -581,6 +581,23 @@
     }],
 }
 
+# The deployment `zeltplatz-rechen`.
+ZELTPLATZ = {
+    "zones": ["aarehalle", "limmathalle"],
+    "node_zones": ["aarehalle", "limmathalle", "aarehalle"],
+    "teams": [{"name": "buchungsteam", "cpus": 0.0, "cpus_max": 0.0, "gpus": 0.0, "gpus_max": 0.0}],
+    "objectives": [{"kind": "wait", "class": "platzsuche", "within_s": 6.0, "share": 0.93}],
+    "workers": {"report_s": 3.0, "lease_s": 24.0, "gang_wait_s": 35.0, "gang_peer_s": 5.0, "cancel_s": 44.0},
+    "state": {"rps": 150.0, "write_rps": 50.0, "value_kb": 8.0, "txn_ops": 12},
+    "cloud": {"rps": 5.0, "list_lag_s": 10.0},
+    "limits": {"cpu_share": 0.24, "mem_mb": 136.0, "fd_limit": 1800},
+    "clock_off_ms": 1000.0,
+    "types": [{
+        "name": "gletscherkiste", "cores": 96.0, "gpus": 8.0, "ramGb": 768.0, "cacheGb": 120.0, "pullGbPerS": 0.8,
+        "hourly": 21.31, "spotPrice": 6.03, "bootS": 25.0, "halls": ["aarehalle", "limmathalle"],
+    }],
+}
+
 
 def job(name, **fields):
     """A submission with every field of the page; `fields` replace the defaults."""
