--- a/review/standin-2/world.py
+++ b/review/standin-2/world.py
@@ -560,6 +560,45 @@
         self.process.send_signal(signal.SIGCONT)
 
 
+class Proxy:
+    """Stands between two controllers, one way, and can refuse what comes."""
+
+    def __init__(self, port):
+        self.target, self.refuses, self.open_writers = port, False, set()
+
+    async def open(self):
+        server = await asyncio.start_server(self.connection, IP, 0)
+        self.port = server.sockets[0].getsockname()[1]
+
+    async def connection(self, reader, writer):
+        if self.refuses:
+            return writer.transport.abort()
+        try:
+            there, back = await asyncio.open_connection(IP, self.target)
+        except OSError:
+            return writer.transport.abort()
+        self.open_writers |= {writer, back}
+
+        async def pump(source, target):
+            try:
+                while data := await source.read(65536):
+                    target.write(data)
+                    await target.drain()
+            except (OSError, asyncio.CancelledError):
+                pass
+            finally:
+                target.close()
+
+        await asyncio.gather(pump(reader, back), pump(there, writer))
+        self.open_writers -= {writer, back}
+
+    def refuse(self, refuses):
+        self.refuses = refuses
+        if refuses:
+            for writer in list(self.open_writers):
+                writer.transport.abort()
+
+
 # The deployment `afspraakloket-gpu` as its site file has it, but for image and boot times, which
 # differ from case to case.
 SITE = {
@@ -625,6 +664,7 @@
         self.store, self.cloud = Store(self), Cloud(self, capacity)
         self.nodes = [Node(self, f"hutte-{i}", z) for i, z in enumerate(self.site["node_zones"])]
         self.state_ports, self.cloud_port, self.background = {}, None, []
+        self.proxies = {(a.name, b.name): Proxy(b.peer_port) for a in self.nodes for b in self.nodes if a is not b}
 
     def now(self):
         return time.monotonic() - self.began
@@ -652,7 +692,7 @@
             "host_name": node.name, "zone": node.zone, "listen": f"{IP}:{node.port}",
             "internal_addr": f"{IP}:{node.peer_port}",
             "seeds": [
-                {"host_name": n.name, "zone": n.zone, "address": f"{IP}:{n.peer_port}"}
+                {"host_name": n.name, "zone": n.zone, "address": f"{IP}:{self.proxies[node.name, n.name].port}"}
                 for n in self.nodes if n is not node
             ],
             "services": {"cloud": f"{IP}:{self.cloud_port}", "state": f"{IP}:{self.state_ports[node.name]}"},
@@ -670,11 +710,18 @@
         server = await serve(IP, 0, self.cloud.handle)
         self.cloud_port = server.sockets[0].getsockname()[1]
         self.background = [asyncio.create_task(self.store.expire_leases()), asyncio.create_task(self.cloud.snapshots())]
+        for proxy in self.proxies.values():
+            await proxy.open()
         for node in self.nodes:
             node.start()
         for node in self.nodes:
             await self.until(lambda: self.answers_up(node), 20, f"{node.name} never got ready")
 
+    def refuse_peers(self, refuses):
+        self.note("connections between controllers are", "refused" if refuses else "possible")
+        for proxy in self.proxies.values():
+            proxy.refuse(refuses)
+
     async def answers_up(self, node):
         return (await self.one(node, "GET", "/up", timeout=1))[0] == 200
 
