--- a/review/standin-2/world.py
+++ b/review/standin-2/world.py
@@ -246,7 +246,7 @@
         for _ in range(n):
             self.count += 1
             name = f"n-{self.count:06d}"
-            self.machines[name] = Worker(self.world, name, pool)
+            self.machines[name] = self.world.worker(self.world, name, pool)
             names.append(name)
         self.bookings[r["booking"]] = names
         return 200, {"boxes": names}
@@ -294,7 +294,7 @@
         self.tasks, self.images, self.fetches = {}, set(), {}
         self.change = asyncio.Event()
         self.jobs = [asyncio.create_task(self.live())]
-        self.server = self.caller = None
+        self.server = self.caller = self.last_port = None
 
     def entry(self):
         return {
@@ -325,6 +325,25 @@
         self.jobs.append(asyncio.create_task(self.leases()))
         await self.report_loop()
 
+    def restart(self):
+        """The machine is back at once at the same address, without tasks. Its worker begins anew, at another
+        controller than the one to which it reported."""
+        self.world.note("machine restarted:", self.name)
+        for job in self.jobs:
+            job.cancel()
+        if self.caller:
+            self.last_port = self.caller.address[1]
+            self.caller.close()
+        self.caller = None
+        for task in self.tasks.values():
+            if task.phase != "exited":
+                self.world.note("machine restarted:", task.piece, f"try {task.attempt}", "is gone from", self.name)
+        self.tasks.clear()
+        self.shift, self.tally, self.mandate = 1, 0, 0
+        self.change = asyncio.Event()
+        self.began = time.monotonic()
+        self.jobs = [asyncio.create_task(self.leases()), asyncio.create_task(self.report_loop())]
+
     def report(self):
         self.tally += 1
         return {
@@ -347,7 +366,7 @@
 
     async def report_loop(self):
         w, nodes = self.world.site["workers"], self.world.nodes
-        at, last_token_change = random.randrange(len(nodes)), 0.0
+        at, last_token_change = random.choice([k for k, n in enumerate(nodes) if n.port != self.last_port]), 0.0
         while True:
             node = nodes[at]
             if self.caller is None or self.caller.address != (IP, node.port):
@@ -377,7 +396,7 @@
             other = next((i for i, n in enumerate(nodes) if n.name == foreman), None)
             if other is not None and other != at:
                 at = other
-                await asyncio.sleep(random.uniform(0, 0.5))
+                await asyncio.sleep(self.world.redirect_s())
             else:
                 at = (at + 1) % len(nodes)
                 await asyncio.sleep(1)
@@ -657,10 +676,13 @@
             self.deploy = tomllib.load(f)
         self.began = time.monotonic()
         self.boot_s = lambda: random.uniform(*boot_s)
+        # How long a worker takes to go to the controller that a 421 names.
+        self.redirect_s = lambda: random.uniform(0, 0.5)
         self.run_s = lambda job: job["expectS"]
         self.jobs, self.gangs, self.asked, self.running, self.done = {}, {}, [], [], set()
         self.starts = []
-        self.ended = lambda machine, task: None
+        self.ended = self.on_start = lambda machine, task: None
+        self.worker = Worker
         self.store, self.cloud = Store(self), Cloud(self, capacity)
         self.nodes = [Node(self, f"hutte-{i}", z) for i, z in enumerate(self.site["node_zones"])]
         self.state_ports, self.cloud_port, self.background = {}, None, []
@@ -675,6 +697,7 @@
 
     def started(self, machine, task):
         self.starts.append((self.now(), task.piece, machine.name, machine.pool[1]))
+        self.on_start(machine, task)
         self.note("start", task.piece, f"try {task.attempt}", "on", machine.name, machine.pool[1])
 
     def gpus_in_use(self, team):
