--- a/crates/coordination/src/core.rs
+++ b/crates/coordination/src/core.rs
@@ -7,7 +7,7 @@
 use crate::links::Links;
 use crate::process_stall::StallDetector;
 use crate::shard::Shard;
-use crate::{Config, WorkCounters};
+use crate::{Config, HeartbeatId, WorkCounters};
 use lemonweir_model::policy::Policy;
 use lemonweir_model::{Catalog, JobId, JobSpec, Priority};
 use lemonweir_protocol::peer::JobProgress;
@@ -32,6 +32,8 @@
     pub(crate) peer_progress: HashMap<JobId, JobProgress>,
     /// Number of commands to workers that have no result yet.
     pub(crate) commands_in_flight: usize,
+    /// Held heartbeats of shards that this controller no longer leads.
+    pub(crate) refused_heartbeats: Vec<HeartbeatId>,
     pub(crate) stall: StallDetector,
     pub(crate) dependencies: DependencyGraph,
     /// Zones seen in heartbeats but missing from the settings; each is logged once.
@@ -55,6 +57,7 @@
             shards: BTreeMap::new(),
             peer_progress: HashMap::new(),
             commands_in_flight: 0,
+            refused_heartbeats: Vec::new(),
             stall: StallDetector::default(),
             dependencies: DependencyGraph::default(),
             unknown_zones: BTreeSet::new(),
--- a/crates/coordination/src/effects.rs
+++ b/crates/coordination/src/effects.rs
@@ -6,7 +6,7 @@
 use lemonweir_protocol::kv_store::CompareAndSwap;
 use lemonweir_protocol::links::{AvailabilityGossip, Service};
 use lemonweir_protocol::peer::{ShardView, SyncRequest};
-use lemonweir_protocol::worker::HeartbeatResponse;
+use lemonweir_protocol::worker::{Heartbeat, HeartbeatResponse};
 use lemonweir_storage::records::{parse_task_chunk_key, shard_key};
 
 use crate::owner::CommandCall;
@@ -27,6 +27,8 @@
     WriteHint(CompareAndSwap),
     /// Send a command to a worker.
     Command(ShardLease, CommandCall),
+    /// Answer a heartbeat whose answer was [`HeartbeatAnswer::Held`].
+    AnswerHeartbeat(HeartbeatId, HeartbeatAnswer),
     /// Sync with an owner on another controller.
     Sync(ShardLease, SyncRequest),
     /// Send a sync through the store.
@@ -92,6 +94,31 @@
     Relay(u16),
     /// 503: this controller can't answer, redirect or relay the heartbeat.
     Unavailable,
+    /// The answer follows as [`Effect::AnswerHeartbeat`], well before the worker stops waiting for
+    /// it.
+    Held,
+}
+
+/// Identifies a heartbeat whose answer is held.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct HeartbeatId {
+    /// Machine whose worker sent it.
+    pub machine: MachineId,
+    /// The worker's session.
+    pub incarnation: u64,
+    /// Number of the message.
+    pub sequence: u64,
+}
+
+impl HeartbeatId {
+    /// The id of a heartbeat.
+    pub fn of(heartbeat: &Heartbeat) -> Self {
+        Self {
+            machine: heartbeat.machine.clone(),
+            incarnation: heartbeat.incarnation,
+            sequence: heartbeat.sequence,
+        }
+    }
 }
 
 /// Result of a provisioning request.
--- a/crates/coordination/src/flush.rs
+++ b/crates/coordination/src/flush.rs
@@ -1,6 +1,6 @@
 //! Work that is due after an event or a tick, and the effects that it requests.
 
-use crate::{Core, Effect, Shard};
+use crate::{Core, Effect, HeartbeatAnswer, Shard};
 use lemonweir_model::constants::PLACEMENT_INTERVAL_MS;
 use lemonweir_protocol::kv_store::{CompareAndSwap, Condition, Write};
 use lemonweir_storage::records::{ImageLocationsRecord, image_locations_key, shard_key};
@@ -16,6 +16,8 @@
         self.detect_stall(now);
         let mut effects = Vec::new();
         self.flush_links(now, &mut effects);
+        let refused = std::mem::take(&mut self.refused_heartbeats).into_iter();
+        effects.extend(refused.map(|id| Effect::AnswerHeartbeat(id, HeartbeatAnswer::Unavailable)));
         self.flush_dependencies(now, &mut effects);
         for _ in 0..MAX_FLUSH_ROUNDS {
             if !self.flush_shards(now, &mut effects) {
@@ -49,6 +51,7 @@
     fn flush_owner(&mut self, index: u16, now: u64, effects: &mut Vec<Effect>) {
         self.advance_owner(index, now);
         self.flush_image_locations(index, now, effects);
+        self.flush_held_answers(index, now, effects);
         // Once the grace period of a store outage is over, a successor may infer that every
         // attempt this owner kept alive has ended. The owner must not start anything then, so it
         // neither sends commands nor releases instances.
--- a/crates/coordination/src/heartbeats.rs
+++ b/crates/coordination/src/heartbeats.rs
@@ -6,15 +6,30 @@
 
 use crate::links::{MisroutedHeartbeat, MisroutedHeartbeatAction};
 use crate::misrouted_heartbeats::MisroutedArrival;
-use crate::owner::{CommandCall, CommandResult};
+use crate::owner::{CommandCall, CommandResult, HeartbeatDecision, Owner, ReleasedReply};
 use crate::process_stall::STALL_MS;
-use crate::{Core, HeartbeatAnswer, ShardLease, incarnation, worker_lease};
+use crate::worker_lease::LeaseReading;
+use crate::{Core, Effect, HeartbeatAnswer, ShardLease, incarnation, worker_lease};
 use lemonweir_model::constants::{MACHINE_TOKEN_BITS, PEER_VERSION, STORE_LEASE_TTL_MS};
 use lemonweir_protocol::worker::{Heartbeat, HeartbeatResponse};
 
+/// ms without an answer of the store after which workers are given its last reading: several reads
+/// have gone unanswered then.
+const STORE_SILENCE_MS: u64 = 1_000;
 /// Maximum number of zones missing from the settings that are logged, each once.
 const LOGGED_UNKNOWN_ZONES_MAX: usize = 64;
 
+impl HeartbeatAnswer {
+    fn from_response(response: Option<HeartbeatResponse>) -> Self {
+        response.map_or(Self::Unavailable, Self::Commands)
+    }
+}
+
+fn answer_effect(reply: ReleasedReply) -> Effect {
+    let answer = HeartbeatAnswer::from_response(reply.response);
+    Effect::AnswerHeartbeat(reply.heartbeat, answer)
+}
+
 impl Core {
     // ---- process stalls --------------------------------------------------------
 
@@ -71,7 +86,7 @@
         if let Some(shard) = self.shards.get(&index) {
             let fresh = zone_known && shard.owner.is_current(heartbeat);
             self.links.record_heartbeat(&heartbeat.zone, fresh, now);
-            return self.answer_heartbeat(heartbeat, index, None, now);
+            return self.answer_direct_heartbeat(heartbeat, index, now);
         }
         self.handle_misrouted_heartbeat(heartbeat, index, zone_known, now)
     }
@@ -163,6 +178,26 @@
         self.answer_heartbeat(heartbeat, shard, Some(relayed_by), now)
     }
 
+    /// Answers a heartbeat that came directly, or holds the answer for a launch.
+    fn answer_direct_heartbeat(
+        &mut self,
+        heartbeat: &Heartbeat,
+        index: u16,
+        now: u64,
+    ) -> HeartbeatAnswer {
+        let Some(owner) = self.answering_owner(index, now) else {
+            return HeartbeatAnswer::Unavailable;
+        };
+        let Some(receipt) = owner.receive_heartbeat(heartbeat, None, now) else {
+            return HeartbeatAnswer::Unavailable;
+        };
+        match owner.reply_or_hold(receipt, now) {
+            HeartbeatDecision::Held => HeartbeatAnswer::Held,
+            HeartbeatDecision::Reply(response) => HeartbeatAnswer::from_response(response),
+        }
+    }
+
+    /// Answers a relayed heartbeat, at once since its relay waits for a whole batch of answers.
     fn answer_heartbeat(
         &mut self,
         heartbeat: &Heartbeat,
@@ -170,24 +205,45 @@
         relayed_by: Option<u16>,
         now: u64,
     ) -> HeartbeatAnswer {
+        let response = self
+            .answering_owner(index, now)
+            .and_then(|owner| owner.handle_heartbeat(heartbeat, relayed_by, now));
+        HeartbeatAnswer::from_response(response)
+    }
+
+    /// The owner of a shard, if it may answer heartbeats now.
+    fn answering_owner(&mut self, index: u16, now: u64) -> Option<&mut Owner> {
         if self.store_outage_grace_exceeded(now) {
-            return HeartbeatAnswer::Unavailable;
+            return None;
         }
-        let Some(shard) = self.shards.get_mut(&index) else {
-            return HeartbeatAnswer::Unavailable;
-        };
-        if index == self.config.own_index
-            && let Some(at) = self.links.last_store_answer()
-        {
-            let answered = at + self.config.wall_clock_offset_ms;
-            shard
-                .owner
-                .renew_worker_lease(&heartbeat.machine, answered, now);
+        let reading = self.lease_reading(index, now);
+        let owner = &mut self.shards.get_mut(&index)?.owner;
+        if let Some(reading) = reading {
+            owner.set_lease_reading(reading);
         }
-        shard
-            .owner
-            .handle_heartbeat(heartbeat, relayed_by, now)
-            .map_or(HeartbeatAnswer::Unavailable, HeartbeatAnswer::Commands)
+        Some(owner)
+    }
+
+    /// The last reading of the store, for the tokens of this controller's home shard.
+    fn lease_reading(&self, index: u16, now: u64) -> Option<LeaseReading> {
+        let began = self.links.last_store_answer()?;
+        (index == self.config.own_index).then(|| LeaseReading {
+            began_wall_ms: began + self.config.wall_clock_offset_ms,
+            outage: self.links.store_age(now) > STORE_SILENCE_MS,
+        })
+    }
+
+    /// Emits the answers to held heartbeats of a shard that are due.
+    pub(crate) fn flush_held_answers(&mut self, index: u16, now: u64, effects: &mut Vec<Effect>) {
+        let replies = match self.answering_owner(index, now) {
+            Some(owner) => owner.due_replies(now),
+            None => self
+                .shards
+                .get_mut(&index)
+                .map(|shard| shard.owner.refuse_held())
+                .unwrap_or_default(),
+        };
+        effects.extend(replies.into_iter().map(answer_effect));
     }
 
     // ---- store outages ---------------------------------------------------------
--- a/crates/coordination/src/incarnation/mod.rs
+++ b/crates/coordination/src/incarnation/mod.rs
@@ -23,10 +23,14 @@
 //!   route.
 
 use crate::machine::Timing;
-use crate::worker_lease;
+use crate::worker_lease::{self, LeaseReading};
 use lemonweir_model::constants::MACHINE_TOKEN_BITS;
 use lemonweir_protocol::worker::Heartbeat;
 
+/// ms beyond half a lease after which a raised token surely makes a worker send a heartbeat again:
+/// the message that raised it before took time to arrive.
+const PROMPT_MARGIN_MS: u64 = 200;
+
 /// Session and number of a worker's message. Both only rise within one incarnation of the
 /// worker; messages are ordered by session first.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -140,8 +144,10 @@
     issued: IssuedToken,
     /// Highest token that a call has carried.
     highest_call_token: u64,
-    /// Highest token that a call with launches has carried.
-    highest_launch_token: u64,
+    /// Highest token that a message to the worker has carried.
+    highest_sent_token: u64,
+    /// When a raised token was last sent that makes the worker send a heartbeat, ms.
+    last_prompt_at: Option<u64>,
     /// The newest sequence when the last call was made.
     newest_at_call: MessageSequence,
     /// When this incarnation was first seen, ms.
@@ -177,7 +183,8 @@
                 at: now,
             },
             highest_call_token: 0,
-            highest_launch_token: 0,
+            highest_sent_token: 0,
+            last_prompt_at: None,
             newest_at_call: MessageSequence::default(),
             first_seen_at: None,
             reachability: Reachability::Reachable,
@@ -261,6 +268,7 @@
         self.fence_before_probe = None;
         self.last_delivered_at = None;
         self.first_seen_at = None;
+        self.last_prompt_at = None;
         // A call that reached the worker does not prove that replies do.
         self.reachability = if origin == Origin::CallResponse {
             Reachability::Suspected
@@ -425,51 +433,46 @@
         true
     }
 
-    /// Renews the reading in the worker's token, unless that is recent enough. `wall_ms`: when
-    /// the last reading of the store began that showed this owner as the leader, in time of
-    /// day.
-    pub(crate) fn renew_lease(&mut self, wall_ms: u64, now: u64) {
-        if let Some(fence) = worker_lease::renewed_fence(self.fence, wall_ms) {
+    /// Renews the reading in the worker's token, unless that is recent enough.
+    pub(crate) fn renew_lease(&mut self, reading: LeaseReading, now: u64) {
+        if let Some(fence) = reading.renewed_fence(self.fence) {
             self.raise_token(fence, now);
         }
     }
 
-    /// Fences a call that was made with the token `sent` and may be executed late: from now on
-    /// the worker is given a higher token.
-    pub(crate) fn fence_call(&mut self, sent: u64, now: u64) {
-        self.fence_before_probe = None;
-        // No call is made while the token can't rise (`can_fence`). If one were, it would stay
-        // unresolved until the lease is renewed.
-        if let Some(fence) =
-            worker_lease::next_fence(self.fence.max(sent.saturating_sub(self.base_token)))
-        {
-            self.raise_token(fence, now);
+    /// Raises the token so that a call which shows it makes the worker send a heartbeat, and renews
+    /// the reading in it. Returns false if the token can't rise, or if the worker would send none: a
+    /// raised token makes it do so once in half a lease.
+    pub(crate) fn raise_to_wake(
+        &mut self,
+        reading: Option<LeaseReading>,
+        timing: &Timing,
+        now: u64,
+    ) -> bool {
+        let prompted_lately = self
+            .last_prompt_at
+            .is_some_and(|at| now < at + timing.lease_ms / 2 + PROMPT_MARGIN_MS);
+        if prompted_lately {
+            return false;
         }
+        let renewed = reading.and_then(|reading| reading.raised_fence(self.fence));
+        let Some(fence) = renewed.or_else(|| worker_lease::next_fence(self.fence)) else {
+            return false;
+        };
+        self.fence_before_probe = None;
+        self.raise_token(fence, now);
+        true
     }
 
-    /// Raises the token above that of every call with launches, so that the next reply fences them,
-    /// unless the remaining fences are reserved for calls of unknown outcome.
-    pub(crate) fn fence_launches(&mut self, now: u64) {
-        if let Some(fence) = worker_lease::next_unreserved_fence(self.fence) {
-            self.raise_token(fence, now);
+    /// Records that a message with this token is sent to the worker.
+    pub(crate) fn record_sent_token(&mut self, token: u64, timing: &Timing, now: u64) {
+        let counts = self
+            .last_prompt_at
+            .is_none_or(|at| now >= at + timing.lease_ms / 2);
+        if token > self.highest_sent_token && counts {
+            self.last_prompt_at = Some(now);
         }
-    }
-
-    /// True if the worker refuses every call with launches that it was ever sent, or a copy of it,
-    /// once it has accepted the next reply: calls of earlier owners carry lower tokens than any of
-    /// this owner.
-    pub(crate) fn next_reply_fences_launches(&self) -> bool {
-        self.reply_token() > self.highest_launch_token
-    }
-
-    /// Highest token of this owner's calls with launches; 0 if there were none.
-    pub(crate) fn highest_launch_token(&self) -> u64 {
-        self.highest_launch_token
-    }
-
-    /// True if the token can rise, as is needed to fence a call of unknown outcome.
-    pub(crate) fn can_fence(&self) -> bool {
-        worker_lease::next_fence(self.fence).is_some()
+        self.highest_sent_token = self.highest_sent_token.max(token);
     }
 
     /// The token that replies carry.
@@ -488,11 +491,6 @@
         token
     }
 
-    /// Records that a call with this token carries launches.
-    pub(crate) fn record_launch_call(&mut self, token: u64) {
-        self.highest_launch_token = self.highest_launch_token.max(token);
-    }
-
     /// Records that a heartbeat is replied to with [`WorkerIncarnation::reply_token`].
     pub(crate) fn record_reply(
         &mut self,
@@ -535,6 +533,15 @@
         self.last_reply = None;
     }
 
+    /// True if the worker may still wait for the reply to this heartbeat: no later one has arrived,
+    /// and it has been found to be current, or the answer to a call came from the same session since.
+    pub(crate) fn awaits_reply(&self, sequence: MessageSequence) -> bool {
+        let first = self.newest_heartbeat.is_none()
+            && self.newest.session == sequence.session
+            && self.newest.number > sequence.number;
+        first || sequence == self.newest_heartbeat
+    }
+
     // ---- state -------------------------------------------------------------------
 
     /// The worker's session, from its newest accepted message.
--- a/crates/coordination/src/incarnation/tests.rs
+++ b/crates/coordination/src/incarnation/tests.rs
@@ -109,6 +109,13 @@
     }
 }
 
+fn count_starts(commands: &[Command]) -> u64 {
+    commands
+        .iter()
+        .filter(|command| command.kind == CommandKind::Start)
+        .count() as u64
+}
+
 enum Message {
     /// A heartbeat with its true incarnation, when it was written, and whether it is a copy.
     Heartbeat {
@@ -391,6 +398,8 @@
         {
             self.heartbeats_without_reply += 1;
         }
+        let starts = reply.as_ref().map(|reply| count_starts(&reply.commands));
+        self.launches += starts.unwrap_or(0);
         let lost = self.replies_lost || self.unreachable_host == Some(host);
         match reply {
             Some(reply) if !lost && !copy => {
@@ -484,12 +493,7 @@
             owner.handle_release_result(&names, false, now);
             let to = self.worker.as_ref().map_or(0, |w| w.incarnation);
             for call in owner.due_calls(now, 8) {
-                self.launches += call
-                    .commands
-                    .commands
-                    .iter()
-                    .filter(|o| o.kind == CommandKind::Start)
-                    .count() as u64;
+                assert_eq!(count_starts(&call.commands.commands), 0);
                 if self.calls_lost || self.random.chance(3) {
                     // It is executed much later, or never.
                     if self.random.chance(50) {
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -60,7 +60,8 @@
 pub use self::core::Core;
 pub use config::{Config, store_message_piece_bytes};
 pub use effects::{
-    Effect, HeartbeatAnswer, ProvisioningResult, ShardLease, WorkCounters, keys_to_reread,
+    Effect, HeartbeatAnswer, HeartbeatId, ProvisioningResult, ShardLease, WorkCounters,
+    keys_to_reread,
 };
 pub use job_progress::JobProgressReport;
 pub use shard::STORE_ROUTE_AFTER_FAILURES;
--- a/crates/coordination/src/machine.rs
+++ b/crates/coordination/src/machine.rs
@@ -138,14 +138,11 @@
     pub(super) capacity: Resources,
     /// Which of the worker's messages are current, and which replies and calls have reached it.
     pub(super) incarnation: WorkerIncarnation,
-    /// Token of the newest call whose outcome is unknown.
-    pub(super) unresolved_call_token: Option<u64>,
-    /// When the last call with launches ended with an unknown outcome; cleared once what it
-    /// may have launched is known or has ended.
-    pub(super) unresolved_launch_at: Option<u64>,
     /// Sequence number of the heartbeat whose reply carried launches; cleared by a later
     /// heartbeat.
     pub(super) launches_in_response_to: Option<u64>,
+    /// When it was last called so that it sends a heartbeat, ms.
+    pub(super) woken_at: Option<u64>,
     /// A `/commands` call is in progress.
     pub(super) call_in_progress: bool,
     /// No call is made before this time.
@@ -207,9 +204,8 @@
             spot,
             capacity,
             incarnation: WorkerIncarnation::new(base_token, now),
-            unresolved_call_token: None,
-            unresolved_launch_at: None,
             launches_in_response_to: None,
+            woken_at: None,
             call_in_progress: false,
             next_call_at: 0,
             unreachable_call: false,
@@ -263,21 +259,16 @@
         self.images.clear();
         self.expired_session = 0;
         self.launches_in_response_to = None;
+        self.woken_at = None;
         self.termination_notice = false;
     }
 
-    /// True if no call or reply that could still launch something is in progress or of unknown
-    /// outcome.
-    pub(super) fn calls_resolved(&self) -> bool {
-        self.unresolved_call_token.is_none()
-            && self.launches_in_response_to.is_none()
-            && !self.call_in_progress
-    }
-
-    /// True if the worker may be told to forget attempts in the next reply: no call that launched
-    /// them, whatever became of it, is executed any more once the worker has accepted that reply.
-    pub(super) fn may_forget(&self) -> bool {
-        self.calls_resolved() && self.incarnation.next_reply_fences_launches()
+    /// Its tasks that have not exited, as last reported.
+    pub(super) fn live_tasks(&self) -> impl Iterator<Item = &AttemptId> {
+        self.tasks
+            .iter()
+            .filter(|(_, task)| task.phase != TaskPhase::Exited)
+            .map(|(id, _)| id)
     }
 
     /// ms to fetch an image of the average size of those that the machine holds, at a rate in
--- a/crates/coordination/src/owner/attempt.rs
+++ b/crates/coordination/src/owner/attempt.rs
@@ -42,6 +42,8 @@
     pub(super) stop_sent_at: Option<u64>,
     /// When this owner first learned of it, ms.
     pub(super) tracked_since: u64,
+    /// When it was first ready to be launched, ms.
+    pub(super) launch_due_since: Option<u64>,
     /// When it was first reported as running, ms.
     pub(super) running_since: Option<u64>,
     /// Whether it has been counted as a success.
@@ -58,6 +60,7 @@
             preemption_grace_s: None,
             stop_sent_at: None,
             tracked_since: now,
+            launch_due_since: None,
             running_since: None,
             success_recorded: false,
             stage: AttemptStage::Undecided,
@@ -73,6 +76,11 @@
     /// Returns true if it is accepted, may start, is not to stop, and is not reported by its
     /// machine yet.
     pub(super) fn awaits_launch(&self, id: &AttemptId, m: &Machine) -> bool {
+        self.desired.may_start && self.expects_launch(id, m)
+    }
+
+    /// Returns true if it is to be launched now or once the rest of its gang may start.
+    pub(super) fn expects_launch(&self, id: &AttemptId, m: &Machine) -> bool {
         let accepted = matches!(
             self.stage,
             AttemptStage::Accepted {
@@ -80,9 +88,6 @@
                 ..
             }
         );
-        self.desired.may_start
-            && self.stop_grace_s().is_none()
-            && accepted
-            && !m.tasks.contains_key(id)
+        self.stop_grace_s().is_none() && accepted && !m.tasks.contains_key(id)
     }
 }
--- a/crates/coordination/src/owner/commands.rs
+++ b/crates/coordination/src/owner/commands.rs
@@ -7,16 +7,18 @@
 const STOP_REPEAT_MS: u64 = 1_500;
 
 /// The message that carries commands to a worker.
+///
+/// A launch travels only in the reply to the newest heartbeat, which a worker takes within seconds
+/// or not at all. A call may be executed minutes late or once more, by a worker that has restarted
+/// since and has no token to refuse it by, so it carries only what does no harm then.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) enum CommandChannel {
-    /// A call to the worker: launches and stops.
+    /// A call to the worker: stops and forgets.
     Call,
-    /// The reply to a heartbeat: stops and forgets.
+    /// The reply to the newest heartbeat of a worker that has shown this owner's token: launches,
+    /// stops and forgets.
     Response,
-    /// The reply to a heartbeat, with launches too, since the outcome of a call is unknown.
-    ResponseWithLaunches,
-    /// The reply to a heartbeat that is not the newest, or from a worker that has not shown
-    /// this owner's token: only stops.
+    /// The reply to another heartbeat: stops.
     LateResponse,
 }
 
@@ -26,17 +28,11 @@
     }
 
     fn may_launch(self) -> bool {
-        matches!(
-            self,
-            CommandChannel::Call | CommandChannel::ResponseWithLaunches
-        )
+        self == CommandChannel::Response
     }
 
     fn may_forget(self) -> bool {
-        matches!(
-            self,
-            CommandChannel::Response | CommandChannel::ResponseWithLaunches
-        )
+        self != CommandChannel::LateResponse
     }
 }
 
@@ -88,7 +84,7 @@
         let unwanted = self.commands_for_unwanted(m, channel);
         let launches = self.due_launches(machine, m, channel);
         for id in &launches {
-            self.log_launch(id, channel);
+            self.log_launch(id, now);
             if let Some(tracked) = self.attempts.get_mut(id) {
                 tracked.stage = AttemptStage::Accepted {
                     launched_in: Some(session),
@@ -122,10 +118,15 @@
             .collect()
     }
 
-    fn log_launch(&self, id: &AttemptId, channel: CommandChannel) {
+    /// Logs a launch with what its delay depends on: for how long it was due, and the state of its
+    /// machine.
+    fn log_launch(&self, id: &AttemptId, now: u64) {
         let Some(tracked) = self.attempts.get(id) else {
             return;
         };
+        let Some(m) = self.machines.get(&tracked.desired.machine) else {
+            return;
+        };
         info!(
             attempt = %id,
             machine = %tracked.desired.machine,
@@ -134,7 +135,12 @@
             placer = tracked.placer,
             placer_fencing_token = self.placers.get(&tracked.placer).map(|placer| placer.token),
             repeated = tracked.stage != AttemptStage::NOT_LAUNCHED,
-            ?channel,
+            due_for_ms = tracked.launch_due_since.map(|since| now.saturating_sub(since)),
+            tracked_for_ms = now.saturating_sub(tracked.tracked_since),
+            heartbeat_age_ms = m.last_heartbeat_at.map(|at| now.saturating_sub(at)),
+            woken_ms_ago = m.woken_at.map(|at| now.saturating_sub(at)),
+            live_tasks = m.live_tasks().count(),
+            relayed = m.relay.is_some(),
             "attempt launched"
         );
     }
@@ -163,27 +169,6 @@
             .collect()
     }
 
-    /// Raises the machine's token if the reply to a heartbeat is to carry commands to forget tasks
-    /// whose launches it would not fence otherwise.
-    pub(super) fn fence_launches_before_forgetting(
-        &mut self,
-        machine: &MachineId,
-        channel: CommandChannel,
-        now: u64,
-    ) {
-        let lacks_fence = self.machines.get(machine).is_some_and(|m| {
-            channel.may_forget()
-                && m.calls_resolved()
-                && !m.incarnation.next_reply_fences_launches()
-                && self
-                    .unwanted_tasks(m)
-                    .any(|(_, task)| task.phase == TaskPhase::Exited)
-        });
-        if let Some(m) = self.machines.get_mut(machine).filter(|_| lacks_fence) {
-            m.incarnation.fence_launches(now);
-        }
-    }
-
     /// The tasks of a machine that no placer wants; none until all placers have synced.
     fn unwanted_tasks<'a>(
         &'a self,
@@ -201,7 +186,7 @@
         m: &Machine,
         channel: CommandChannel,
     ) -> Vec<(AttemptId, CommandKind, Option<u32>)> {
-        let may_forget = channel.may_forget() && m.may_forget();
+        let may_forget = channel.may_forget();
         self.unwanted_tasks(m)
             .filter_map(|(id, task)| match task.phase {
                 TaskPhase::Exited if may_forget => Some((id.clone(), CommandKind::Forget, None)),
@@ -212,22 +197,38 @@
     }
 
     /// Returns the attempts to launch. There are none on a machine that receives no replies: its
-    /// lease is expiring, and calls don't renew it.
+    /// lease is expiring.
     fn due_launches(
         &self,
         machine: &MachineId,
         m: &Machine,
         channel: CommandChannel,
     ) -> Vec<AttemptId> {
-        if !channel.may_launch()
-            || !m.incarnation.may_launch(self.store_answer_at)
-            || self.launches_paused
-        {
+        if !channel.may_launch() || !self.may_launch_on(m) {
             return Vec::new();
         }
-        self.attempts_on(machine)
-            .filter(|(id, tracked)| tracked.awaits_launch(id, m))
+        self.awaiting_launch(machine, m)
             .map(|(id, _)| id.clone())
             .collect()
     }
+
+    /// True if a reply to the machine could launch attempts now.
+    pub(super) fn may_launch_on(&self, m: &Machine) -> bool {
+        !self.launches_paused && m.incarnation.may_launch(self.store_answer_at)
+    }
+
+    /// True if the next reply to the machine's newest heartbeat carries a launch.
+    pub(super) fn has_due_launch(&self, machine: &MachineId, m: &Machine) -> bool {
+        self.may_launch_on(m) && self.awaiting_launch(machine, m).next().is_some()
+    }
+
+    /// The attempts on the machine that are to be launched.
+    pub(super) fn awaiting_launch<'a>(
+        &'a self,
+        machine: &MachineId,
+        m: &'a Machine,
+    ) -> impl Iterator<Item = (&'a AttemptId, &'a TrackedAttempt)> {
+        self.attempts_on(machine)
+            .filter(|(id, tracked)| tracked.awaits_launch(id, m))
+    }
 }
--- a/crates/coordination/src/owner/heartbeat.rs
+++ b/crates/coordination/src/owner/heartbeat.rs
@@ -1,6 +1,44 @@
 //! Handling of worker heartbeats: what they prove about a machine, and the reply to them.
 
 use super::*;
+use lemonweir_model::constants::WORKER_RESPONSE_TIMEOUT_MS;
+
+/// What a heartbeat showed when it arrived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ReceiptStatus {
+    /// The present state of the machine.
+    Current,
+    /// The first sign of a machine, which is being queried.
+    Unconfirmed,
+    /// An older state.
+    Late,
+}
+
+/// A heartbeat that was received and is to be replied to.
+#[derive(Clone, Debug)]
+pub(crate) struct HeartbeatReceipt {
+    pub(super) machine: MachineId,
+    sequence: MessageSequence,
+    fencing_token: u64,
+    /// Number of the controller that relayed it; `None`: it came directly.
+    relayed_by: Option<u16>,
+    /// When it arrived, ms.
+    pub(super) received_at: u64,
+    pub(super) status: ReceiptStatus,
+    /// Whether it reports tasks that have ended since the status before.
+    pub(super) reports_end: bool,
+}
+
+impl HeartbeatReceipt {
+    /// The heartbeat that is to be replied to.
+    pub(crate) fn id(&self) -> HeartbeatId {
+        HeartbeatId {
+            machine: self.machine.clone(),
+            incarnation: self.sequence.session,
+            sequence: self.sequence.number,
+        }
+    }
+}
 
 impl Owner {
     /// Returns true if a heartbeat shows the present state of its machine. Only such a
@@ -20,13 +58,26 @@
     }
 
     /// Handles a heartbeat that came directly or was relayed by the controller
-    /// `relayed_by`. Returns `None` if it must not be answered with status 200.
+    /// `relayed_by`, and replies to it. Returns `None` if it must not be answered with status
+    /// 200.
     pub fn handle_heartbeat(
         &mut self,
         heartbeat: &Heartbeat,
         relayed_by: Option<u16>,
         now: u64,
     ) -> Option<HeartbeatResponse> {
+        let receipt = self.receive_heartbeat(heartbeat, relayed_by, now)?;
+        self.reply(&receipt, now)
+    }
+
+    /// Applies a heartbeat that came directly or was relayed by the controller `relayed_by`.
+    /// Returns `None` if it must not be answered with status 200.
+    pub(crate) fn receive_heartbeat(
+        &mut self,
+        heartbeat: &Heartbeat,
+        relayed_by: Option<u16>,
+        now: u64,
+    ) -> Option<HeartbeatReceipt> {
         if self.released_machines.contains(&heartbeat.machine) {
             return None;
         }
@@ -35,37 +86,78 @@
             // heartbeats here while its lease expires.
             return None;
         }
+        let live_before = self.live_task_count(&heartbeat.machine);
         let current = self.apply_heartbeat(heartbeat, Origin::Heartbeat(relayed_by), now);
+        if current {
+            self.abandon_held(&heartbeat.machine);
+        }
+        let reports_end = self.live_task_count(&heartbeat.machine) < live_before;
         let m = self.machines.get_mut(&heartbeat.machine)?;
+        if current || m.last_heartbeat_at.is_none() {
+            // Commands take the route of the newest heartbeat.
+            let since = m.relay.map_or(now, |relay| relay.since);
+            m.relay = relayed_by.map(|peer| Relay { peer, since });
+        }
+        let status = match (current, m.last_heartbeat_at) {
+            (true, _) => ReceiptStatus::Current,
+            (false, None) => ReceiptStatus::Unconfirmed,
+            (false, Some(_)) => ReceiptStatus::Late,
+        };
+        Some(HeartbeatReceipt {
+            machine: heartbeat.machine.clone(),
+            sequence: MessageSequence::from_heartbeat(heartbeat),
+            fencing_token: heartbeat.fencing_token,
+            relayed_by,
+            received_at: now,
+            status,
+            reports_end,
+        })
+    }
+
+    fn live_task_count(&self, machine: &MachineId) -> usize {
+        self.machines
+            .get(machine)
+            .map_or(0, |m| m.live_tasks().count())
+    }
+
+    /// Replies to a heartbeat with the commands that are due now. Returns `None` if it must not be
+    /// answered with status 200.
+    pub(crate) fn reply(
+        &mut self,
+        receipt: &HeartbeatReceipt,
+        now: u64,
+    ) -> Option<HeartbeatResponse> {
+        let reading = self.lease_reading;
+        let m = self.machines.get_mut(&receipt.machine)?;
         // A heartbeat of an expired session gets no reply, unless its token is not trusted: it
         // may then be the first heartbeat of a new incarnation.
-        if heartbeat.incarnation <= m.expired_session
-            && m.incarnation.is_trusted_token(heartbeat.fencing_token)
+        if receipt.sequence.session <= m.expired_session
+            && m.incarnation.is_trusted_token(receipt.fencing_token)
         {
             return None;
         }
-        if current || m.last_heartbeat_at.is_none() {
-            // Commands take the route of the newest heartbeat.
-            let since = m.relay.map_or(now, |relay| relay.since);
-            m.relay = relayed_by.map(|peer| Relay { peer, since });
+        let channel = reply_channel(m, receipt, now);
+        // A machine without tasks loses nothing with its lease.
+        if let Some(reading) = reading.filter(|_| m.live_tasks().next().is_some()) {
+            m.incarnation.renew_lease(reading, now);
         }
-        let channel = reply_channel(m, current);
-        self.fence_launches_before_forgetting(&heartbeat.machine, channel, now);
-        let m = self.machines.get_mut(&heartbeat.machine)?;
         m.incarnation.record_reply(
-            MessageSequence::from_heartbeat(heartbeat),
-            heartbeat.fencing_token,
-            relayed_by,
+            receipt.sequence,
+            receipt.fencing_token,
+            receipt.relayed_by,
             now,
         );
-        let due_commands = self.commands_for(&heartbeat.machine, now, channel);
-        let m = self.machines.get_mut(&heartbeat.machine)?;
+        let fencing_token = m.incarnation.reply_token();
+        m.incarnation
+            .record_sent_token(fencing_token, &self.timing, now);
+        let due_commands = self.commands_for(&receipt.machine, now, channel);
+        let m = self.machines.get_mut(&receipt.machine)?;
         if contains_launch(&due_commands) {
-            m.launches_in_response_to = Some(heartbeat.sequence);
+            m.launches_in_response_to = Some(receipt.sequence.number);
         }
-        log_forgets(self.shard, &heartbeat.machine, m, &due_commands);
+        log_forgets(self.shard, &receipt.machine, m, &due_commands);
         Some(HeartbeatResponse {
-            fencing_token: m.incarnation.reply_token(),
+            fencing_token,
             commands: due_commands,
         })
     }
@@ -123,7 +215,7 @@
         }
         let known_before = m.last_heartbeat_at.is_some();
         update_liveness(m, heartbeat, now);
-        resolve_calls(m, heartbeat, origin);
+        resolve_launches(m, heartbeat, origin);
         let unexplained = replace_tasks(m, heartbeat, &self.attempts);
         if known_before && !unexplained.is_empty() && self.all_placers_synced() {
             self.report_unexplained_tasks(id, &unexplained);
@@ -213,18 +305,19 @@
 /// The worker may still wait for the reply to a heartbeat that the response to a call
 /// overtook, or that does not show this owner's token. Both replies renew the lease, so both
 /// carry the stops.
-fn reply_channel(m: &Machine, current: bool) -> CommandChannel {
-    let call_unresolved = m.unresolved_call_token.is_some() && !m.call_in_progress;
-    match (current && m.incarnation.is_confirmed(), call_unresolved) {
-        (true, true) => CommandChannel::ResponseWithLaunches,
-        (true, false) => CommandChannel::Response,
-        (false, _) => CommandChannel::LateResponse,
+pub(super) fn reply_channel(m: &Machine, receipt: &HeartbeatReceipt, now: u64) -> CommandChannel {
+    let awaited = m.incarnation.awaits_reply(receipt.sequence)
+        && receipt.status != ReceiptStatus::Late
+        && now <= receipt.received_at + WORKER_RESPONSE_TIMEOUT_MS;
+    if awaited && m.incarnation.is_confirmed() {
+        CommandChannel::Response
+    } else {
+        CommandChannel::LateResponse
     }
 }
 
-/// Discards unresolved calls of the earlier session, whose commands the worker refuses.
+/// Discards launches in replies to heartbeats of the earlier session, which the worker drops.
 fn begin_session(m: &mut Machine, heartbeat: &Heartbeat) {
-    (m.unresolved_call_token, m.unresolved_launch_at) = (None, None);
     m.launches_in_response_to = None;
     if m.incarnation.session() > 0 {
         info!(machine = %heartbeat.machine, session = heartbeat.incarnation, "worker session started");
@@ -244,13 +337,8 @@
     }
 }
 
-/// Clears calls and launches of unknown outcome that this status proves to be over.
-fn resolve_calls(m: &mut Machine, heartbeat: &Heartbeat, origin: Origin) {
-    if m.unresolved_call_token
-        .is_some_and(|token| m.incarnation.shown_token() > token)
-    {
-        (m.unresolved_call_token, m.unresolved_launch_at) = (None, None);
-    }
+/// Clears launches in a reply for which the worker no longer waits once it sends a later heartbeat.
+fn resolve_launches(m: &mut Machine, heartbeat: &Heartbeat, origin: Origin) {
     if matches!(origin, Origin::Heartbeat(_))
         && m.launches_in_response_to
             .is_some_and(|seq| heartbeat.sequence > seq)
@@ -269,7 +357,6 @@
             machine = %machine,
             shard,
             machine_token = m.incarnation.reply_token(),
-            highest_launch_token = m.incarnation.highest_launch_token(),
             "attempt forgotten"
         );
     }
--- a/crates/coordination/src/owner/maintenance.rs
+++ b/crates/coordination/src/owner/maintenance.rs
@@ -26,8 +26,6 @@
 #[derive(Default)]
 struct MaintenanceFindings {
     overdue: Vec<OverdueMachine>,
-    /// Machines on which a launch of unknown outcome can no longer be running under a lease.
-    resolved_launches: Vec<MachineId>,
     expired_leases: Vec<MachineId>,
 }
 
@@ -157,17 +155,9 @@
         }
     }
 
-    /// Finds leases that must have expired, whichever controller renewed them last (no reply of
-    /// that controller can renew them any longer), and launches of unknown outcome that can no
-    /// longer run under a lease.
+    /// Finds leases that must have expired, whichever controller renewed them last: no reply of
+    /// that controller can renew them any longer.
     fn check_leases(&mut self, id: &MachineId, m: &mut Machine) {
-        let lease_expiry_ms = self.timing.lease_expiry_ms();
-        if m.unresolved_launch_at
-            .is_some_and(|at| self.store_answer_at > at + lease_expiry_ms)
-        {
-            m.unresolved_launch_at = None;
-            self.findings.resolved_launches.push(id.clone());
-        }
         if !m.lease_expired(self.store_answer_at, &self.timing) {
             return;
         }
@@ -254,9 +244,6 @@
         let findings = self.examine_machines(now);
         self.keep_last_copies();
         self.mark_overdue(findings.overdue);
-        for id in findings.resolved_launches {
-            self.reevaluate(&id, now);
-        }
         self.expire_leases(findings.expired_leases, now);
         self.apply_inherited_expiry(now);
         self.release_unlisted(now);
--- a/crates/coordination/src/owner/mod.rs
+++ b/crates/coordination/src/owner/mod.rs
@@ -17,6 +17,7 @@
 mod catalog;
 mod commands;
 mod heartbeat;
+mod held_replies;
 mod image_pages;
 mod inventory;
 mod last_copies;
@@ -38,15 +39,20 @@
 
 use crate::boot_time::BootTimes;
 use crate::change_log::ChangeLog;
+use crate::effects::HeartbeatId;
 use crate::fault_attribution::{FaultAttribution, FaultVerdict};
 use crate::incarnation::{Freshness, MessageSequence, Origin};
 pub use crate::machine::{CLOCK_DRIFT_PER_MILLE, LEASE_MARGIN_MS, Timing};
 use crate::machine::{Machine, Quarantine, Relay, ReportedTask};
 pub use crate::machine_failure_detector::ZONE_RECOVERY_MS;
 use crate::machine_failure_detector::{HealthVerdict, MachineFailureDetector};
+use crate::worker_lease::LeaseReading;
 use attempt::{AttemptStage, TrackedAttempt};
 use catalog::MachineCatalog;
 use commands::{CommandChannel, contains_launch};
+use heartbeat::{HeartbeatReceipt, ReceiptStatus, reply_channel};
+use held_replies::HeldReply;
+pub(crate) use held_replies::{HeartbeatDecision, ReleasedReply};
 use image_pages::ImageRecord;
 use last_copies::ServiceImages;
 use lemonweir_model::constants::{MACHINE_TOKEN_BITS, RELAYED_SHARD_TIMEOUT_MS};
@@ -174,6 +180,16 @@
     unreachable_calls: usize,
     /// Whether launches are suspended.
     launches_paused: bool,
+    /// How many replies to heartbeats may be held at a time.
+    held_replies_max: usize,
+    /// Heartbeats whose replies are held.
+    held_replies: BTreeMap<MachineId, HeldReply>,
+    /// Their machines, by the time at which the reply is sent at the latest, ms.
+    held_until: BTreeSet<(u64, MachineId)>,
+    /// Heartbeats whose reply was held until their workers no longer waited for it.
+    abandoned_heartbeats: Vec<HeartbeatId>,
+    /// The last reading of the store that showed this owner as the leader, if workers are told.
+    lease_reading: Option<LeaseReading>,
     placement_counts: PlacementCounts,
     /// Number of tasks that appeared on machines though no placer wanted their attempts.
     unexplained_tasks: u64,
@@ -230,6 +246,11 @@
             changed_placers: BTreeSet::new(),
             unreachable_calls: 0,
             launches_paused: false,
+            held_replies_max: 0,
+            held_replies: BTreeMap::new(),
+            held_until: BTreeSet::new(),
+            abandoned_heartbeats: Vec::new(),
+            lease_reading: None,
             placement_counts: PlacementCounts::default(),
             unexplained_tasks: 0,
         }
@@ -345,12 +366,9 @@
                 .is_some_and(|known| seen_by_peer * 2 > known)
     }
 
-    /// Encodes a newer store read in the worker's token, unless the one that it holds is recent
-    /// enough; the worker gets that token with the next reply. `wall_ms` is the wall clock time
-    /// at which the store read that showed this owner as the leader began.
-    pub(crate) fn renew_worker_lease(&mut self, machine: &MachineId, wall_ms: u64, now: u64) {
-        if let Some(m) = self.machines.get_mut(machine) {
-            m.incarnation.renew_lease(wall_ms, now);
-        }
+    /// Sets the last reading of the store that showed this owner as the leader. The tokens of workers
+    /// with tasks are renewed with it.
+    pub(crate) fn set_lease_reading(&mut self, reading: LeaseReading) {
+        self.lease_reading = Some(reading);
     }
 }
--- a/crates/coordination/src/owner/worker_calls.rs
+++ b/crates/coordination/src/owner/worker_calls.rs
@@ -45,10 +45,6 @@
             .filter(move |command| command.kind == kind)
             .filter_map(|command| AttemptId::parse(&command.task, command.attempt))
     }
-
-    fn launches(&self) -> bool {
-        contains_launch(&self.commands.commands)
-    }
 }
 
 /// Whether a machine can be called now.
@@ -92,18 +88,11 @@
             || m.last_heartbeat_at.is_none() && m.incarnation.unverified_heartbeats().is_some();
         // A call to a silent machine would occupy a slot until it times out. The reply to its
         // next heartbeat carries what is due.
-        if m.silent || !known || m.release_in_progress || m.launches_in_response_to.is_some() {
-            return CallReadiness::NotReady;
-        }
-        if m.call_in_progress {
+        if m.silent || !known || m.release_in_progress || m.call_in_progress {
             return CallReadiness::NotReady;
         }
         let unreachable = !m.incarnation.is_reachable();
-        // If the token can't be raised, a call of unknown outcome could not be fenced.
-        if now < m.next_call_at
-            || !m.incarnation.can_fence()
-            || unreachable && self.unreachable_calls >= UNREACHABLE_CALLS_MAX
-        {
+        if now < m.next_call_at || unreachable && self.unreachable_calls >= UNREACHABLE_CALLS_MAX {
             // A machine known only from unconfirmed heartbeats becomes a candidate again with
             // each of them.
             return if confirmed {
@@ -116,8 +105,8 @@
             .map_or(CallReadiness::NotReady, CallReadiness::Ready)
     }
 
-    /// Begins the call that a machine needs, if any: with commands, or as a query if its
-    /// worker has not shown this owner's token yet.
+    /// Begins the call that a machine needs, if any: with stops, to wake its worker for a launch, or
+    /// as a query if its worker has not shown this owner's token yet.
     fn begin_call(&mut self, id: &MachineId, address: SocketAddr, now: u64) -> Option<CommandCall> {
         let confirmed = self.machines.get(id)?.incarnation.is_confirmed();
         let due_commands = if confirmed {
@@ -125,7 +114,8 @@
         } else {
             Vec::new()
         };
-        if confirmed && due_commands.is_empty() {
+        let stops = due_commands.iter().any(|c| c.kind == CommandKind::Stop);
+        if confirmed && !stops && !self.wake(id, &due_commands, now) {
             if self.stop_pending(id) || self.launch_pending(id) {
                 self.call_candidates.insert(id.clone());
             }
@@ -133,9 +123,8 @@
         }
         let m = self.machines.get_mut(id)?;
         let fencing_token = m.incarnation.begin_call();
-        if contains_launch(&due_commands) {
-            m.incarnation.record_launch_call(fencing_token);
-        }
+        m.incarnation
+            .record_sent_token(fencing_token, &self.timing, now);
         m.call_in_progress = true;
         m.unreachable_call = !m.incarnation.is_reachable();
         self.unreachable_calls += usize::from(m.unreachable_call);
@@ -151,16 +140,36 @@
         })
     }
 
+    /// Prepares a call that makes a worker send a heartbeat, if something is to be launched on its
+    /// machine and it waits for no reply: it does so if it forgets an attempt, or is shown a raised
+    /// token. Returns false if no call is needed, or if the worker would not send a heartbeat.
+    fn wake(&mut self, id: &MachineId, forgets: &[Command], now: u64) -> bool {
+        let expects_launch = self.machines.get(id).is_some_and(|m| {
+            !self.held_replies.contains_key(id)
+                && m.launches_in_response_to.is_none()
+                && m.incarnation.is_reachable()
+                && self
+                    .attempts_on(id)
+                    .any(|(attempt, tracked)| tracked.expects_launch(attempt, m))
+        });
+        let reading = self.lease_reading;
+        let Some(m) = self.machines.get_mut(id).filter(|_| expects_launch) else {
+            return false;
+        };
+        let wakes = !forgets.is_empty() || m.incarnation.raise_to_wake(reading, &self.timing, now);
+        if wakes {
+            m.woken_at = Some(now);
+        }
+        wakes
+    }
+
     /// Returns true if a launch on the machine waits only for a store read that confirms
     /// this owner's lease.
     fn launch_pending(&self, machine: &MachineId) -> bool {
         self.machines.get(machine).is_some_and(|m| {
-            let waits = self.launches_paused || !m.incarnation.may_launch(self.store_answer_at);
             m.incarnation.is_reachable()
-                && waits
-                && self
-                    .attempts_on(machine)
-                    .any(|(id, tracked)| tracked.awaits_launch(id, m))
+                && !self.may_launch_on(m)
+                && self.awaiting_launch(machine, m).next().is_some()
         })
     }
 
@@ -203,15 +212,10 @@
             m.next_call_at = now + retry_ms;
         }
         match result {
-            CommandResult::Executed(status) => {
-                self.apply_heartbeat(&status, Origin::CallResponse, now);
-            }
-            CommandResult::Refused(status) => {
-                self.reset_launches(call);
+            CommandResult::Executed(status) | CommandResult::Refused(status) => {
                 self.apply_heartbeat(&status, Origin::CallResponse, now);
             }
-            CommandResult::NotSent => self.reset_launches(call),
-            CommandResult::Unknown => m.fence_unresolved_call(call, now),
+            CommandResult::NotSent | CommandResult::Unknown => {}
         }
         self.reevaluate(&call.machine, now);
     }
@@ -225,53 +229,6 @@
             }
         }
     }
-
-    /// Makes the launches of a call that was certainly not executed due again, unless an
-    /// earlier call is still of unknown outcome.
-    fn reset_launches(&mut self, call: &CommandCall) {
-        let unresolved = self
-            .machines
-            .get(&call.machine)
-            .is_some_and(|m| m.unresolved_call_token.is_some());
-        if unresolved {
-            return;
-        }
-        for id in call.attempts(CommandKind::Start) {
-            if let Some(tracked) = self.attempts.get_mut(&id)
-                && matches!(
-                    tracked.stage,
-                    AttemptStage::Accepted {
-                        reported: false,
-                        ..
-                    }
-                )
-            {
-                tracked.stage = AttemptStage::NOT_LAUNCHED;
-            }
-        }
-    }
-}
-
-impl Machine {
-    /// Fences a call of unknown outcome.
-    ///
-    /// Its commands may arrive minutes late. From now on the worker is given a higher token,
-    /// and until it shows that token, the absence of a task proves nothing. A call without
-    /// commands needs no fence.
-    fn fence_unresolved_call(&mut self, call: &CommandCall, now: u64) {
-        if call.commands.commands.is_empty() {
-            return;
-        }
-        let sent = call.commands.fencing_token;
-        if call.launches() {
-            self.unresolved_launch_at = Some(now);
-        }
-        self.unresolved_call_token = Some(
-            self.unresolved_call_token
-                .map_or(sent, |token| token.max(sent)),
-        );
-        self.incarnation.fence_call(sent, now);
-    }
 }
 
 /// Treats the outcome as unknown if another machine answered: the address may have been
--- a/crates/coordination/src/shard_lifecycle.rs
+++ b/crates/coordination/src/shard_lifecycle.rs
@@ -56,7 +56,9 @@
             .record_event(now, format!("shard {} acquired", lease.shard));
         self.load_jobs(&mut shard, now);
         shard.placer.log_loaded_usage();
-        self.shards.insert(lease.shard, shard);
+        if let Some(mut earlier) = self.shards.insert(lease.shard, shard) {
+            self.refuse_held_heartbeats(&mut earlier);
+        }
         self.begin_failover(lease, now);
     }
 
@@ -76,6 +78,7 @@
             now,
         );
         owner.restore_image_pages(images);
+        owner.limit_held_replies(self.config.sockets.held_answers);
         owner
     }
 
@@ -116,7 +119,8 @@
 
     /// Stops leading a shard.
     pub fn release(&mut self, shard: u16, now: u64) {
-        if let Some(released) = self.shards.remove(&shard) {
+        if let Some(mut released) = self.shards.remove(&shard) {
+            self.refuse_held_heartbeats(&mut released);
             info!(
                 shard,
                 fencing_token = released.lease.token,
@@ -127,6 +131,13 @@
         }
     }
 
+    /// The workers that wait for an answer of a shard's former owner try another controller.
+    fn refuse_held_heartbeats(&mut self, shard: &mut Shard) {
+        let held = shard.owner.refuse_held().into_iter();
+        self.refused_heartbeats
+            .extend(held.map(|reply| reply.heartbeat));
+    }
+
     /// Handles the outcome of a compare-and-swap for a shard. Task records of this controller
     /// that conflicted with other versions have been read again by then
     /// ([`Core::chunk_reread`]). If the outcome shows that the lease is lost, releases the shard
--- a/crates/coordination/src/socket_shares.rs
+++ b/crates/coordination/src/socket_shares.rs
@@ -15,6 +15,9 @@
 /// Percentage of the public sockets in use above which answers close their connections: the rest
 /// takes the requests of one second while other connections close.
 const CLOSE_ABOVE_PERCENT: usize = 80;
+/// Percentage of the public sockets on which answers to heartbeats may be held: it leaves as many
+/// for the other workers and for users.
+const HELD_ANSWERS_PERCENT: usize = 40;
 
 /// Limit of open sockets for each kind of traffic.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,6 +32,8 @@
     pub idle: usize,
     /// Concurrent calls to the store, the cloud and peers.
     pub upstream: usize,
+    /// Workers' connections on which the answer to a heartbeat may be held at a time.
+    pub held_answers: usize,
 }
 
 impl SocketShares {
@@ -38,12 +43,14 @@
         // Upstream calls get the rest: a slow store holds the most calls, up to its timeout
         // times its rate of requests.
         let (peers, commands, idle) = (reserve / 6, reserve / 4, reserve / 4);
+        let public = limit - reserve;
         Self {
-            public: limit - reserve,
+            public,
             peers,
             commands,
             idle,
             upstream: reserve - peers - commands - idle,
+            held_answers: public * HELD_ANSWERS_PERCENT / 100,
         }
     }
 
--- a/crates/coordination/src/worker_lease.rs
+++ b/crates/coordination/src/worker_lease.rs
@@ -26,9 +26,12 @@
 /// ms of time of day in one step of the encoded time. Its 20 bits wrap after 48 days; the
 /// tokens of a shard led for so long are no longer renewed until it is acquired anew.
 const READING_STEP_MS: u64 = 4_000;
-/// ms by which the reading in a worker's token may be older than the newest one before the
-/// token is renewed. Each renewal makes the worker send one more heartbeat.
-const LEASE_RENEWAL_MS: u64 = 12_000;
+/// ms by which the reading in a worker's token may be older than the newest one before the token
+/// is renewed, while the store answers. Each renewal makes the worker send one more heartbeat, and
+/// for half a lease no other raise of the token does.
+const LEASE_RENEWAL_MS: u64 = 28_000;
+/// The same while the store does not answer: a process that restarts now needs the newest reading.
+const LEASE_RENEWAL_IN_OUTAGE_MS: u64 = 12_000;
 
 /// Flag of a token that holds the time of a reading.
 const HAS_READING: u64 = 1 << (MACHINE_TOKEN_BITS - 1);
@@ -40,13 +43,39 @@
     HAS_READING | (wall_ms / READING_STEP_MS % READING_STEPS) << FENCE_COUNTER_BITS
 }
 
-/// The new low bits of a worker's token for a reading that began at `wall_ms`, in time of
-/// day. `None` if the present ones, `fence`, are recent enough or the new ones would be lower:
-/// tokens never decrease.
-pub(crate) fn renewed_fence(fence: u64, wall_ms: u64) -> Option<u64> {
-    let new = reading_bits(wall_ms);
-    let renewal = (LEASE_RENEWAL_MS / READING_STEP_MS) << FENCE_COUNTER_BITS;
-    (new >= fence.saturating_add(renewal)).then_some(new)
+/// The last reading of the store that showed an owner as the leader.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct LeaseReading {
+    /// When it began, in time of day, ms.
+    pub(crate) began_wall_ms: u64,
+    /// Whether the store has not answered since for longer than usual.
+    pub(crate) outage: bool,
+}
+
+impl LeaseReading {
+    /// How old the reading in a worker's token may be before the token is renewed with this one, ms.
+    fn renewal_ms(self) -> u64 {
+        if self.outage {
+            LEASE_RENEWAL_IN_OUTAGE_MS
+        } else {
+            LEASE_RENEWAL_MS
+        }
+    }
+
+    /// The new low bits of a worker's token. `None` if the present ones, `fence`, are recent enough
+    /// or the new ones would be lower: tokens never decrease.
+    pub(crate) fn renewed_fence(self, fence: u64) -> Option<u64> {
+        let new = reading_bits(self.began_wall_ms);
+        let renewal = (self.renewal_ms() / READING_STEP_MS) << FENCE_COUNTER_BITS;
+        (new >= fence.saturating_add(renewal)).then_some(new)
+    }
+
+    /// The new low bits of a token that is raised for another reason: those of this reading if they
+    /// are higher.
+    pub(crate) fn raised_fence(self, fence: u64) -> Option<u64> {
+        let new = reading_bits(self.began_wall_ms);
+        (new > fence).then_some(new)
+    }
 }
 
 /// The low bits after `fence`, with the fence counter incremented. `None` if the counter is
@@ -56,14 +85,6 @@
         .then_some(fence + 1)
 }
 
-/// The low bits after `fence`, if half of the fence counter is left after them for calls of
-/// unknown outcome.
-pub(crate) fn next_unreserved_fence(fence: u64) -> Option<u64> {
-    let reserved_from = 1 << (FENCE_COUNTER_BITS - 1);
-    let count = fence & FENCE_COUNTER_MAX;
-    next_fence(fence).filter(|_| fence & HAS_READING == 0 || count < reserved_from)
-}
-
 /// The time of day, ms, until which the lease of a worker that shows this token may be
 /// renewed, by a clock that reads `wall_ms` and is off by `clock_error_ms` at most. `None` if
 /// the token holds no reading.
--- a/crates/coordination/tests/support/mod.rs
+++ b/crates/coordination/tests/support/mod.rs
@@ -13,7 +13,7 @@
     AttemptStatus, ChangeRange, DesiredAttempt, MachineView, ObservedState, PreemptionScope,
     ShardView, SyncRequest,
 };
-use lemonweir_protocol::worker::{Heartbeat, TaskPhase, TaskStatus};
+use lemonweir_protocol::worker::{CommandKind, Heartbeat, TaskPhase, TaskStatus};
 use lemonweir_storage::records::JobRecord;
 use lemonweir_storage::state_cache::CachedJob;
 
@@ -83,6 +83,18 @@
     owner
 }
 
+/// The number of starts in the reply to this heartbeat, and the token of the reply.
+pub fn starts_in_reply(owner: &mut Owner, heartbeat: &Heartbeat, now: u64) -> (usize, u64) {
+    let reply = owner
+        .handle_heartbeat(heartbeat, None, now)
+        .expect("answered");
+    let starts = reply
+        .commands
+        .iter()
+        .filter(|command| command.kind == CommandKind::Start);
+    (starts.count(), reply.fencing_token)
+}
+
 /// The first attempt of task `n`, desired on machine `on`.
 pub fn desired_attempt(n: u32, on: usize) -> DesiredAttempt {
     DesiredAttempt {
--- a/crates/node/src/effect_executor.rs
+++ b/crates/node/src/effect_executor.rs
@@ -33,8 +33,13 @@
 /// ms after which a failed store request is repeated.
 const STORE_RETRY_MS: u64 = 2 * TICK_MS;
 
-/// Spawns a task that executes an effect and then requests a flush of the core.
+/// Executes an effect: at once if it only passes on an answer, else in a task of its own that then
+/// requests a flush of the core.
 pub(crate) fn execute(node: &Rc<Node>, effect: Effect) {
+    let effect = match effect {
+        Effect::AnswerHeartbeat(id, answer) => return node.held_heartbeats.answer(&id, answer),
+        effect => effect,
+    };
     let task_node = node.clone();
     node.executor
         .spawn(async move {
@@ -51,6 +56,7 @@
         Effect::DependencyCompareAndSwap(cas) => commit_dependent_jobs(node, &cas).await,
         Effect::ReadFinalStates(ids) => read_job_ends(node, &ids).await,
         Effect::WriteHint(cas) => write_hint(node, &cas).await,
+        Effect::AnswerHeartbeat(id, answer) => node.held_heartbeats.answer(&id, answer),
         Effect::Command(lease, call) => send_command(node, lease, &call).await,
         Effect::Sync(lease, sync) => sync_with_peer(node, lease, &sync).await,
         Effect::StoreSync(sync) => store_sync_request(node, &sync).await,
--- a/crates/node/src/heartbeat_relay.rs
+++ b/crates/node/src/heartbeat_relay.rs
@@ -188,6 +188,8 @@
     match answer {
         HeartbeatAnswer::Commands(commands) => (200, encode(&commands)),
         HeartbeatAnswer::Redirect(host) => (421, encode(&Redirect { host: Some(host) })),
-        HeartbeatAnswer::Relay(_) | HeartbeatAnswer::Unavailable => (503, Vec::new()),
+        HeartbeatAnswer::Relay(_) | HeartbeatAnswer::Unavailable | HeartbeatAnswer::Held => {
+            (503, Vec::new())
+        }
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -17,6 +17,7 @@
 mod elections;
 mod flush_loop;
 mod heartbeat_relay;
+mod held_heartbeats;
 mod job_lookup;
 mod kv_client;
 mod lease_keeper;
@@ -38,6 +39,7 @@
 
 use crate::cloud::CloudClient;
 use crate::heartbeat_relay::HeartbeatQueues;
+use crate::held_heartbeats::HeldHeartbeats;
 use crate::job_lookup::JobLookupQueue;
 use crate::kv_client::{KvClient, StoreLeaseId};
 use crate::router::Router;
@@ -60,6 +62,8 @@
     router: Rc<Router>,
     /// Heartbeats queued for relaying to the leaders of their shards.
     heartbeat_queues: HeartbeatQueues,
+    /// Heartbeats whose answer the core holds.
+    held_heartbeats: HeldHeartbeats,
     /// Pending lookups of job ids that the state cache does not contain.
     job_lookups: RefCell<JobLookupQueue>,
     /// Decides which users' queries have priority.
--- a/crates/node/src/public_api/heartbeat.rs
+++ b/crates/node/src/public_api/heartbeat.rs
@@ -6,7 +6,7 @@
 
 use crate::Node;
 use crate::heartbeat_relay::{relay_heartbeat, worker_reply};
-use lemonweir_coordination::HeartbeatAnswer;
+use lemonweir_coordination::{HeartbeatAnswer, HeartbeatId};
 use lemonweir_protocol::decode;
 use lemonweir_protocol::worker::Heartbeat;
 use lemonweir_transport::Reply;
@@ -22,10 +22,21 @@
         }
     };
     let answer = node.with_core(|core, now| core.handle_heartbeat(&heartbeat, now));
-    node.wake();
-    if let HeartbeatAnswer::Relay(leader) = answer {
-        return relay_heartbeat(node, leader, body).await;
-    }
+    let answer = match answer {
+        HeartbeatAnswer::Relay(leader) => {
+            node.wake();
+            return relay_heartbeat(node, leader, body).await;
+        }
+        HeartbeatAnswer::Held => {
+            let held = node.held_heartbeats.hold(HeartbeatId::of(&heartbeat));
+            node.wake();
+            held.recv().await.unwrap_or(HeartbeatAnswer::Unavailable)
+        }
+        answer => {
+            node.wake();
+            answer
+        }
+    };
     let (status, body) = worker_reply(answer);
     Reply::new(status, body)
 }
--- a/crates/node/src/startup.rs
+++ b/crates/node/src/startup.rs
@@ -11,6 +11,7 @@
 
 use crate::cloud::CloudClient;
 use crate::heartbeat_relay::HeartbeatQueues;
+use crate::held_heartbeats::HeldHeartbeats;
 use crate::kv_client::KvClient;
 use crate::peer_api::PeerApi;
 use crate::public_api::PublicApi;
@@ -105,6 +106,7 @@
         core,
         router,
         heartbeat_queues: HeartbeatQueues::default(),
+        held_heartbeats: HeldHeartbeats::default(),
         job_lookups: RefCell::default(),
         query_admission: RefCell::default(),
         overloaded_until_ms: Cell::new(0),
--- a/crates/simulator/src/controller.rs
+++ b/crates/simulator/src/controller.rs
@@ -1,14 +1,14 @@
 //! A simulated controller process: the real scheduling core, an inbox whose messages are
 //! processed one at a time, and the state of the loops that the process runs.
 
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 
 use lemonweir_coordination::election::{ElectionAction, LeaderElection};
 use lemonweir_coordination::owner::{CommandCall, CommandResult};
 use lemonweir_coordination::placer::CompareAndSwapOutcome;
 use lemonweir_coordination::rate_limit::TokenBucket;
 use lemonweir_coordination::{
-    Config, Core, HeartbeatAnswer, ProvisioningResult, ShardLease, WorkCounters,
+    Config, Core, HeartbeatAnswer, HeartbeatId, ProvisioningResult, ShardLease, WorkCounters,
 };
 use lemonweir_model::constants::STORE_BUDGET_PERCENT;
 use lemonweir_model::{JobId, MachineId};
@@ -302,6 +302,8 @@
     pub lease_renewed_at: u64,
     /// Number of answers that the lease keeper waits for.
     pub pending_lease_replies: u32,
+    /// Heartbeats whose answer its core holds.
+    pub held_heartbeats: HashMap<HeartbeatId, HeartbeatRef>,
     /// Messages that wait to be processed.
     pub inbox: VecDeque<Input>,
     /// Time until which the process is stalled, µs.
@@ -366,6 +368,7 @@
             store_lease: None,
             lease_renewed_at: 0,
             pending_lease_replies: 0,
+            held_heartbeats: HashMap::new(),
             inbox: VecDeque::new(),
             stalled_until: 0,
             busy_until: 0,
@@ -406,6 +409,7 @@
         self.core = None;
         self.incarnation += 1;
         self.pending_queries.clear();
+        self.held_heartbeats.clear();
     }
 
     /// True if its core holds the lease of a shard.
--- a/crates/simulator/src/metrics.rs
+++ b/crates/simulator/src/metrics.rs
@@ -172,6 +172,7 @@
             at_s: now as f64 / 1e6,
             machines: 0,
             up: 0,
+            in_use: 0,
             used_cpus: 0.0,
             cpus: 0.0,
             cost: cloud.spent(now),
@@ -181,6 +182,7 @@
             sample.machines += 1;
             if worker.up_at <= now {
                 sample.up += 1;
+                sample.in_use += usize::from(worker.live_task_count() > 0);
                 sample.cpus += worker.kind.capacity.milli_cpus as f64 / 1e3;
                 sample.used_cpus +=
                     worker.kind.capacity.minus(&worker.free()).milli_cpus as f64 / 1e3;
--- a/crates/simulator/src/report.rs
+++ b/crates/simulator/src/report.rs
@@ -133,6 +133,9 @@
     pub machines: usize,
     /// Number of provisioned machines that are up.
     pub up: usize,
+    /// Number of machines that are up and have tasks.
+    #[serde(default)]
+    pub in_use: usize,
     /// Processors in use by tasks.
     pub used_cpus: f64,
     /// Processors of all machines that are up.
--- a/crates/simulator/src/simulation/effects.rs
+++ b/crates/simulator/src/simulation/effects.rs
@@ -32,6 +32,12 @@
                 let at = at + self.network_delay();
                 self.deliver_at(at, process, Input::JobEndsRead(ids));
             }
+            Effect::AnswerHeartbeat(id, answer) => {
+                let held = &mut self.controllers[controller].held_heartbeats;
+                if let Some(heartbeat) = held.remove(&id) {
+                    self.send_heartbeat_answer(at, controller, heartbeat, answer);
+                }
+            }
             Effect::Command(lease, call) => self.send_commands(controller, lease, call, at),
             Effect::Sync(lease, sync) => self.send_sync(controller, lease, sync, at),
             Effect::StoreSync(sync) => {
--- a/crates/simulator/src/simulation/inputs.rs
+++ b/crates/simulator/src/simulation/inputs.rs
@@ -4,7 +4,7 @@
 use lemonweir_coordination::job_status::JobStatusAnswer;
 use lemonweir_coordination::owner::SyncError;
 use lemonweir_coordination::placer::CompareAndSwapOutcome;
-use lemonweir_coordination::{HeartbeatAnswer, ShardLease};
+use lemonweir_coordination::{HeartbeatAnswer, HeartbeatId, ShardLease};
 use lemonweir_model::JobId;
 use lemonweir_model::constants::TICK_MS;
 use lemonweir_protocol::kv_store::{CompareAndSwap, KeyValue, from_value};
@@ -135,6 +135,11 @@
             HeartbeatAnswer::Relay(leader) => {
                 self.relay_heartbeat(number, usize::from(leader), heartbeat);
             }
+            HeartbeatAnswer::Held => {
+                let id = HeartbeatId::of(&heartbeat.heartbeat);
+                let held = &mut self.controllers[number].held_heartbeats;
+                held.insert(id, heartbeat.reference());
+            }
             answer => {
                 let at = self.departure_time(number) + self.network_delay();
                 self.send_heartbeat_answer(at, number, heartbeat.reference(), answer);
--- a/crates/simulator/src/simulation/workers.rs
+++ b/crates/simulator/src/simulation/workers.rs
@@ -174,7 +174,7 @@
                 let named = (0..controllers).find(|number| host_name(*number) == name);
                 self.redirect_worker(number, named.unwrap_or(next), REDIRECT_DELAY_US);
             }
-            HeartbeatAnswer::Unavailable | HeartbeatAnswer::Relay(_) => {
+            HeartbeatAnswer::Unavailable | HeartbeatAnswer::Relay(_) | HeartbeatAnswer::Held => {
                 self.redirect_worker(number, next, NEXT_CONTROLLER_AFTER_REFUSAL_US);
             }
         }
