--- a/crates/coordination/src/config.rs
+++ b/crates/coordination/src/config.rs
@@ -59,6 +59,8 @@
     pub cas_max_changes: usize,
     /// Changes per second that one placer may write for low-priority work.
     pub low_priority_writes_per_s: usize,
+    /// Changes per second that all controllers may write, under current and announced limits.
+    pub writes_per_s: f64,
     /// Maximum bytes of changes in one message through the store.
     pub store_message_bytes: usize,
     /// Sockets for each kind of traffic.
@@ -136,6 +138,7 @@
                 * LOW_PRIORITY_WRITES_SHARE
                 / members.len().max(1) as f64)
                 .ceil() as usize,
+            writes_per_s: settings.cluster.kv_store.lowest_writes_per_s(),
             // Half of what would fit: a message has other fields, and changes vary in size.
             store_message_bytes: STORE_MESSAGE_BYTES
                 .min(store_message_piece_bytes(value_bytes) * cas_max_changes / 2),
--- a/crates/coordination/src/core.rs
+++ b/crates/coordination/src/core.rs
@@ -1,16 +1,17 @@
 //! State of a controller's decision logic, and its updates from the state cache.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use crate::dependencies::DependencyGraph;
 use crate::links::Links;
+use crate::peer_progress::PeerProgress;
 use crate::process_stall::StallDetector;
+use crate::progress_exchange::ProgressOutbox;
 use crate::shard::Shard;
 use crate::{Config, HeartbeatId, WorkCounters};
 use lemonweir_model::policy::Policy;
 use lemonweir_model::{Catalog, JobId, JobSpec, Priority};
-use lemonweir_protocol::peer::JobProgress;
 use lemonweir_storage::StateCache;
 use lemonweir_storage::state_cache::CachedJob;
 
@@ -28,8 +29,12 @@
     pub(crate) policy: Policy,
     /// The shards that this controller leads, by number.
     pub(crate) shards: BTreeMap<u16, Shard>,
-    /// Progress of jobs that are run by other controllers' placers, as last received.
-    pub(crate) peer_progress: HashMap<JobId, JobProgress>,
+    /// Progress of jobs that other controllers' placers run.
+    pub(crate) peer_progress: PeerProgress,
+    /// Progress that this controller sends to others.
+    pub(crate) progress_outbox: ProgressOutbox,
+    /// Highest revision at which a write of this controller is known to be committed.
+    pub(crate) committed_revision: u64,
     /// Number of commands to workers that have no result yet.
     pub(crate) commands_in_flight: usize,
     /// Held heartbeats of shards that this controller no longer leads.
@@ -55,7 +60,9 @@
             catalog: None,
             policy,
             shards: BTreeMap::new(),
-            peer_progress: HashMap::new(),
+            peer_progress: PeerProgress::default(),
+            progress_outbox: ProgressOutbox::default(),
+            committed_revision: 0,
             commands_in_flight: 0,
             refused_heartbeats: Vec::new(),
             stall: StallDetector::default(),
@@ -76,6 +83,10 @@
     /// `read_started_at`, ms. `changed`: the read returned changes.
     pub fn cache_refreshed(&mut self, read_started_at: u64, changed: bool) {
         self.links.record_store_read(read_started_at);
+        if let Some(revision) = self.cache.revision {
+            self.peer_progress
+                .record_store_read(read_started_at, revision);
+        }
         if !changed {
             return;
         }
--- a/crates/coordination/src/effects.rs
+++ b/crates/coordination/src/effects.rs
@@ -6,10 +6,12 @@
 use lemonweir_protocol::kv_store::CompareAndSwap;
 use lemonweir_protocol::links::{AvailabilityGossip, Service};
 use lemonweir_protocol::peer::{ShardView, SyncRequest};
+use lemonweir_protocol::progress::ProgressQuery;
 use lemonweir_protocol::worker::{Heartbeat, HeartbeatResponse};
 use lemonweir_storage::records::{parse_task_chunk_key, shard_key};
 
 use crate::owner::CommandCall;
+use crate::progress_exchange::ProgressMessage;
 
 /// An action for the process to execute. Effects of a shard whose results the core handles
 /// carry the lease under which they were requested, so that results for a shard that is no
@@ -35,6 +37,10 @@
     StoreSync(SyncRequest),
     /// Answer a sync from this shard through the store.
     StoreView(u16, ShardView),
+    /// Pull progress from the controller with this index, the leader of a shard.
+    PullProgress(u16, ProgressQuery),
+    /// Write a shard's progress, or a request for it, to the store.
+    StoreProgress(ProgressMessage),
     /// Ask the placer of this shard, led by another controller, to sync with this controller.
     WakePeer(u16),
     /// Scale out: provision instances.
--- a/crates/coordination/src/flush.rs
+++ b/crates/coordination/src/flush.rs
@@ -19,6 +19,7 @@
         let refused = std::mem::take(&mut self.refused_heartbeats).into_iter();
         effects.extend(refused.map(|id| Effect::AnswerHeartbeat(id, HeartbeatAnswer::Unavailable)));
         self.flush_dependencies(now, &mut effects);
+        self.flush_progress(now, &mut effects);
         for _ in 0..MAX_FLUSH_ROUNDS {
             if !self.flush_shards(now, &mut effects) {
                 break;
--- a/crates/coordination/src/heartbeats.rs
+++ b/crates/coordination/src/heartbeats.rs
@@ -44,6 +44,7 @@
         self.links
             .record_event(now, format!("this controller stalled for {gap} ms"));
         self.links.apply_stall(gap, now);
+        self.peer_progress.handle_stall(now);
         for shard in self.shards.values_mut() {
             shard.owner.handle_stall(gap, now);
         }
--- a/crates/coordination/src/job.rs
+++ b/crates/coordination/src/job.rs
@@ -73,6 +73,13 @@
     pub(super) over_quota: bool,
 }
 
+impl LiveAttempt {
+    /// True if an earlier leader placed it, and its owner has not published its state yet.
+    pub(super) fn is_inherited_unknown(&self) -> bool {
+        self.placed_at == 0 && self.state.is_none()
+    }
+}
+
 /// An attempt that has ended, kept until its end is written.
 #[derive(Clone, Debug)]
 pub(super) struct EndingAttempt {
--- a/crates/coordination/src/job_progress.rs
+++ b/crates/coordination/src/job_progress.rs
@@ -4,6 +4,9 @@
 use lemonweir_model::JobId;
 use lemonweir_protocol::users::JobPhase;
 
+/// Why a job waits that its placer does not know yet.
+const NOT_TAKEN_UP: &str = "its team's controller has not taken it up yet";
+
 /// Progress of an unfinished job.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct JobProgressReport {
@@ -29,35 +32,45 @@
     }
 }
 
+fn report(done: u64, running: u64, reason: String) -> JobProgressReport {
+    JobProgressReport {
+        phase: if running > 0 {
+            JobPhase::Running
+        } else {
+            JobPhase::Queued
+        },
+        done,
+        running,
+        reason,
+    }
+}
+
 impl Core {
-    /// Progress of an unfinished job, from this controller's placers or as last sent by
-    /// another controller's placer.
-    pub fn job_progress(&self, id: &JobId, now: u64) -> JobProgressReport {
+    /// Progress of an unfinished job, from this controller's placers or as last received from
+    /// another controller's placer. `None` if what is known is too old to be told.
+    pub fn job_progress(&self, id: &JobId, now: u64) -> Option<JobProgressReport> {
         let own = self
             .shards
             .values()
             .find_map(|shard| shard.placer.job_status(id, now));
-        let unreachable = match own {
-            Some(_) => None,
-            None => self.unreachable_placer(id, now),
-        };
-        let (done, running, reason) = own
-            .or_else(|| {
-                let sent = self.peer_progress.get(id)?;
-                let (done, running) = (u64::from(sent.tasks_done), u64::from(sent.tasks_running));
-                Some((done, running, sent.wait_reason.clone()))
-            })
-            .unwrap_or_else(|| (0, 0, "its team's controller has not taken it up yet".into()));
-        JobProgressReport {
-            phase: if running > 0 {
-                JobPhase::Running
-            } else {
-                JobPhase::Queued
-            },
-            done,
-            running,
-            reason: unreachable.unwrap_or(reason),
+        if let Some(status) = own {
+            let known = status.known && !self.own_progress_outdated(now);
+            return known.then(|| report(status.done, status.running, status.reason));
+        }
+        let team = &self.cache.jobs.get(id)?.record.spec.team;
+        let shard = Self::team_shard(&self.cache, &self.config, team);
+        if self.shards.contains_key(&shard) {
+            return Some(JobProgressReport::queued(NOT_TAKEN_UP.into()));
         }
+        let leader = self.cache.shard_leaders.get(&shard)?;
+        let told = self
+            .peer_progress
+            .query(shard, leader.fencing_token, id, now)?;
+        let reason = self
+            .unreachable_placer(id, now)
+            .or(told.reason)
+            .unwrap_or_else(|| NOT_TAKEN_UP.into());
+        Some(report(told.done, told.running, reason))
     }
 
     /// Why this controller can't know the progress of a job: no controller places jobs of its
--- a/crates/coordination/src/job_status.rs
+++ b/crates/coordination/src/job_status.rs
@@ -31,6 +31,8 @@
     FinishedIn(u64),
     /// The job is unfinished.
     Unfinished(JobProgressReport),
+    /// The job is unfinished, but what is known of its progress is too old to be told.
+    ProgressOutdated,
     /// The job was unfinished when the cache was last read; a new read of the store must show
     /// whether it still is.
     NeedsRefresh,
@@ -107,6 +109,9 @@
         if self.cache.job_end(id).is_some() || !self.cache.jobs.contains_key(id) {
             return None;
         }
-        Some(JobStatusAnswer::Unfinished(self.job_progress(id, now)))
+        Some(self.job_progress(id, now).map_or(
+            JobStatusAnswer::ProgressOutdated,
+            JobStatusAnswer::Unfinished,
+        ))
     }
 }
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -42,10 +42,12 @@
 mod machine_failure_detector;
 mod misrouted_heartbeats;
 pub mod owner;
+mod peer_progress;
 mod peer_sync;
 pub mod placement;
 pub mod placer;
 mod process_stall;
+mod progress_exchange;
 mod provisioning;
 pub mod query_admission;
 pub mod rate_limit;
@@ -64,6 +66,8 @@
     keys_to_reread,
 };
 pub use job_progress::JobProgressReport;
+pub use peer_progress::{PROGRESS_MAX_AGE_MS, PULL_INTERVAL_MS};
+pub use progress_exchange::ProgressMessage;
 pub use shard::STORE_ROUTE_AFTER_FAILURES;
 
 pub(crate) use shard::Shard;
--- a/crates/coordination/src/peer_sync.rs
+++ b/crates/coordination/src/peer_sync.rs
@@ -10,7 +10,7 @@
 use crate::shard::STORE_ROUTE_AFTER_FAILURES;
 use crate::{Core, Effect, ShardLease};
 use lemonweir_model::constants::{PEER_VERSION, SHARD_VIEW_REFRESH_MS};
-use lemonweir_protocol::peer::{self, JobProgress, ShardView, Superseded, SyncRequest};
+use lemonweir_protocol::peer::{self, ShardView, Superseded, SyncRequest};
 use lemonweir_storage::records::StoreMessageKind;
 
 /// ms between two syncs with one owner when something changed: batches the tasks of one job
@@ -57,21 +57,10 @@
         self.detect_stall(now);
         self.check_sender(sync)?;
         let view = self.apply_sync(sync, SYNC_BYTES, now)?;
-        self.record_progress(&sync.progress);
+        self.record_synced_progress(sync, now);
         Ok(view)
     }
 
-    /// Records the progress of unfinished jobs that a sync carries, once the owner has accepted
-    /// the sync as newer than all others of its shard.
-    fn record_progress(&mut self, progress: &[JobProgress]) {
-        for progress in progress {
-            if self.cache.jobs.contains_key(&progress.job) {
-                self.peer_progress
-                    .insert(progress.job.clone(), progress.clone());
-            }
-        }
-    }
-
     /// Refuses a sender that has been superseded. A controller that alone is refused by the
     /// store would otherwise go on answering its workers, while its successor waits for them.
     fn check_sender(&self, sync: &SyncRequest) -> Result<(), SyncError> {
@@ -152,6 +141,17 @@
     pub fn handle_store_messages(&mut self, now: u64) -> Vec<Effect> {
         let mut effects = Vec::new();
         for (route, bytes) in self.cache.take_messages() {
+            match route.kind {
+                StoreMessageKind::Progress => {
+                    self.apply_stored_progress(&bytes);
+                    continue;
+                }
+                StoreMessageKind::ProgressRequest => {
+                    self.progress_outbox.record_request(route.to_shard, now);
+                    continue;
+                }
+                StoreMessageKind::Sync | StoreMessageKind::View => {}
+            }
             if !self.shards.contains_key(&route.to_shard) {
                 continue;
             }
@@ -166,6 +166,7 @@
                         "unreadable sync in the store"
                     ),
                 },
+                StoreMessageKind::Progress | StoreMessageKind::ProgressRequest => {}
                 StoreMessageKind::View => {
                     let shard = self.shards.get_mut(&route.to_shard);
                     match (peer::decode::<ShardView>(&bytes), shard) {
@@ -204,15 +205,24 @@
         }
     }
 
-    /// True if some owner is reached only through the store: its messages to this controller
-    /// come that way too.
-    pub fn uses_store_messages(&self) -> bool {
-        self.shards.values().any(|shard| {
-            shard
-                .peer_channels
-                .iter()
-                .any(super::shard::PeerChannel::through_store)
-        })
+    /// True if some owner is reached only through the store, whose messages to this controller
+    /// come that way too, or if some placer's progress has to come that way.
+    pub fn uses_store_messages(&self, now: u64) -> bool {
+        let mut shards = 0..self.config.members.len() as u16;
+        let progress_through_store = shards.any(|shard| {
+            if self.shards.contains_key(&shard) {
+                self.progress_outbox.is_wanted(shard, now)
+            } else {
+                self.peer_progress.relies_on_store(shard)
+            }
+        });
+        progress_through_store
+            || self.shards.values().any(|shard| {
+                shard
+                    .peer_channels
+                    .iter()
+                    .any(super::shard::PeerChannel::through_store)
+            })
     }
 
     /// Sends the due syncs of one shard's placer. True if a sync within this process gave the
@@ -285,9 +295,8 @@
             SyncRoute::Store => self.config.store_message_bytes,
             SyncRoute::Local | SyncRoute::Direct => SYNC_BYTES,
         };
-        // Other controllers need progress only to answer queries, so it causes no sync of its
-        // own: it goes with those sent anyway and with the regular refresh.
-        let with_progress = due.route == SyncRoute::Direct;
+        // Controllers of an earlier version don't pull progress.
+        let with_progress = due.route == SyncRoute::Direct && !self.is_pulled_by(index, to);
         let store_age_ms = self.links.store_age(now);
         let shard = self.shards.get_mut(&index)?;
         let sync = shard
--- a/crates/coordination/src/placer/desired.rs
+++ b/crates/coordination/src/placer/desired.rs
@@ -136,6 +136,7 @@
         let progress = PublishedProgress {
             done: job.done_count,
             running,
+            known: self.is_progress_known(job, running),
             reason,
         };
         self.job_progress.put(id, progress);
--- a/crates/coordination/src/placer/mod.rs
+++ b/crates/coordination/src/placer/mod.rs
@@ -63,6 +63,7 @@
 use owner_channel::OwnerChannel;
 use partitions::{ZonePartition, empty_index};
 use queues::{QueueKey, QuotaOrderKey};
+pub use status::PlacerJobStatus;
 pub use unmet_demand::{LOW_PRIORITY_START_DEADLINE_MS, LOW_PRIORITY_START_SLACK_MS};
 pub use write_queue::ATTEMPT_END_WRITE_DELAY_MS;
 use write_queue::InFlightCas;
@@ -144,6 +145,8 @@
 struct PublishedProgress {
     done: u32,
     running: u32,
+    /// False if it is not known yet whether a task runs.
+    known: bool,
     reason: Cow<'static, str>,
 }
 
@@ -179,6 +182,8 @@
     /// Jobs with unwritten changes, and since when, ms.
     dirty_jobs: BTreeMap<JobId, u64>,
     job_progress: ChangeLog<JobId, PublishedProgress>,
+    /// Attempts of earlier leaders of which nothing has been heard count as not running.
+    inherited_counted_as_known: bool,
     /// Partitioned zones, by the shard whose owner can't reach them.
     partitions: Vec<BTreeMap<String, ZonePartition>>,
     /// Attributes failures to jobs or machines.
@@ -299,6 +304,7 @@
             quota_dirty_teams: BTreeSet::new(),
             dirty_jobs: BTreeMap::new(),
             job_progress: ChangeLog::default(),
+            inherited_counted_as_known: false,
             partitions: (0..shards).map(|_| BTreeMap::new()).collect(),
             fault_attribution: FaultAttribution::default(),
             quota_limits,
--- a/crates/coordination/src/placer/status.rs
+++ b/crates/coordination/src/placer/status.rs
@@ -2,12 +2,23 @@
 
 use std::borrow::Cow;
 use std::collections::BTreeMap;
+use std::ops::Bound;
 
 use lemonweir_model::{JobId, JobKind};
+use lemonweir_protocol::peer::ChangeRange;
+use lemonweir_protocol::progress::{ProgressRow, StoredRow, pack_row};
 
-use super::Placer;
 use super::partitions::{ZonePartition, partition_of};
-use crate::job::Job;
+use super::{Placer, PublishedProgress};
+use crate::job::{Job, LiveAttempt};
+
+/// Bytes of a job's progress in the answer to a pull, without its reason.
+const PROGRESS_ROW_BYTES: usize = 32;
+/// Bytes of a packed row at most.
+const MAX_PACKED_ROW_BYTES: usize = 24;
+/// ms after acquiring the shard for which the phase of a job may be unknown: longer than machines
+/// take to send heartbeats to a new leader, shorter than a job may stay unanswered.
+const INHERITED_UNKNOWN_MS: u64 = 45_000;
 
 /// Seconds for which a service must have lacked replicas before its status says so: up to
 /// then they are expected to be starting.
@@ -28,10 +39,22 @@
     )
 }
 
+/// Status of a job, as its placer knows it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlacerJobStatus {
+    /// Number of tasks done.
+    pub done: u64,
+    /// Number of tasks running.
+    pub running: u64,
+    /// False if it is not known yet whether a task runs.
+    pub known: bool,
+    /// Why the job waits; empty if it doesn't.
+    pub reason: String,
+}
+
 impl Placer {
-    /// Done tasks of a job, its running tasks, and why it waits; `None`: the job is not this
-    /// shard's, or has ended.
-    pub fn job_status(&self, id: &JobId, now: u64) -> Option<(u64, u64, String)> {
+    /// Status of a job; `None`: the job is not this shard's, or has ended.
+    pub fn job_status(&self, id: &JobId, now: u64) -> Option<PlacerJobStatus> {
         let job = self.jobs.get(id).filter(|job| !job.ended)?;
         let (running, mut reason) = progress_and_reason(job, &self.partitions);
         if let Some((_, partition)) = partition_of(job, &self.partitions) {
@@ -42,11 +65,94 @@
         if let Some(shortfall) = self.shortfall_status(id, now) {
             reason = format!("{shortfall}{reason}").into();
         }
-        Some((
-            u64::from(job.done_count),
-            u64::from(running),
-            reason.into_owned(),
-        ))
+        Some(PlacerJobStatus {
+            done: u64::from(job.done_count),
+            running: u64::from(running),
+            known: self.is_progress_known(job, running) || self.inherited_unknown_over(now),
+            reason: reason.into_owned(),
+        })
+    }
+
+    /// False if the only tasks of a job that may run were launched by an earlier leader, and their
+    /// owners have not said yet whether they do. After [`INHERITED_UNKNOWN_MS`] they count as not
+    /// running: a job must not stay unanswered because of machines that nobody reaches.
+    pub(super) fn is_progress_known(&self, job: &Job, running: u32) -> bool {
+        running > 0
+            || self.inherited_counted_as_known
+            || !job.live.values().any(LiveAttempt::is_inherited_unknown)
+    }
+
+    fn inherited_unknown_over(&self, now: u64) -> bool {
+        now >= self.started_at + INHERITED_UNKNOWN_MS
+    }
+
+    /// Publishes changes, and all progress anew once what is inherited counts as known.
+    fn publish_progress_changes(&mut self, now: u64) {
+        if self.inherited_unknown_over(now) && !self.inherited_counted_as_known {
+            self.inherited_counted_as_known = true;
+            self.changed_jobs.extend(self.jobs.keys().cloned());
+        }
+        self.publish_changes();
+    }
+
+    /// Changes of the progress of this shard's jobs after number `since`, up to `max_bytes`.
+    pub fn progress_since(
+        &mut self,
+        since: u64,
+        mut max_bytes: usize,
+        now: u64,
+    ) -> (ChangeRange, Vec<ProgressRow>) {
+        self.publish_progress_changes(now);
+        let (range, changes) =
+            self.job_progress
+                .changes_since(since, &mut max_bytes, |_, progress| {
+                    PROGRESS_ROW_BYTES + progress.map_or(0, |progress| progress.reason.len())
+                });
+        let row = |(id, progress): (&JobId, Option<&PublishedProgress>)| {
+            let progress = progress?;
+            Some(ProgressRow {
+                job: id.clone(),
+                tasks_done: progress.done,
+                tasks_running: progress.running,
+                known: progress.known,
+                wait_reason: progress.reason.clone().into_owned(),
+            })
+        };
+        (range, changes.into_iter().filter_map(row).collect())
+    }
+
+    /// Progress of this shard's jobs with ids after `after`, packed into at most `max_bytes`, and
+    /// the last id that it covers; `None`: all. Queued jobs are left out.
+    pub fn pack_progress(
+        &mut self,
+        after: Option<&JobId>,
+        max_bytes: usize,
+        now: u64,
+    ) -> (Option<JobId>, Vec<u8>) {
+        self.publish_progress_changes(now);
+        let start = after.map_or(Bound::Unbounded, Bound::Excluded);
+        let mut packed = Vec::new();
+        let mut last = None;
+        for id in self.jobs.range((start, Bound::Unbounded)).map(|(id, _)| id) {
+            let Some(progress) = self.job_progress.get(id) else {
+                continue;
+            };
+            let row = StoredRow {
+                job: id.clone(),
+                tasks_done: progress.done,
+                tasks_running: progress.running,
+                known: progress.known,
+            };
+            let is_queued = row.known && row.tasks_done == 0 && row.tasks_running == 0;
+            if !is_queued {
+                if packed.len() + MAX_PACKED_ROW_BYTES > max_bytes {
+                    return (last, packed);
+                }
+                pack_row(&mut packed, &row);
+            }
+            last = Some(id.clone());
+        }
+        (None, packed)
     }
 
     /// Prefix of a service's status, if it has lacked replicas for at least
--- a/crates/coordination/src/process_stall.rs
+++ b/crates/coordination/src/process_stall.rs
@@ -5,6 +5,7 @@
 //!
 //! All code that concludes something from elapsed time consults this one detector.
 
+use crate::peer_progress::PROGRESS_MAX_AGE_MS;
 use lemonweir_model::constants::STORE_LEASE_TTL_MS;
 
 /// ms without an event above which this process counts as having stalled.
@@ -17,6 +18,8 @@
     last_event: Option<u64>,
     /// When this process last resumed after a stall, ms.
     resumed_at: Option<u64>,
+    /// When it last resumed after a stall longer than [`PROGRESS_MAX_AGE_MS`], ms.
+    resumed_outdated_at: Option<u64>,
     /// Only a reading of the store that began at this time or later confirms this
     /// controller's leases, ms; 0: no stall has put them in doubt.
     confirm_from: u64,
@@ -35,6 +38,9 @@
     /// Records a stall of `gap` ms, by whichever clock shows it, and returns `gap`.
     pub(crate) fn record_stall(&mut self, gap: u64, now: u64) -> u64 {
         self.resumed_at = Some(now);
+        if gap > PROGRESS_MAX_AGE_MS {
+            self.resumed_outdated_at = Some(now);
+        }
         // No store lease can have expired in a shorter stall.
         if gap + STALL_MS > STORE_LEASE_TTL_MS {
             self.confirm_from = now;
@@ -48,6 +54,12 @@
         self.confirm_from > 0 && last_answer.is_none_or(|at| at < self.confirm_from)
     }
 
+    /// When this process last resumed after a stall in which what it knew of its tasks became too
+    /// old to be told, ms.
+    pub(crate) fn resumed_outdated_at(&self) -> Option<u64> {
+        self.resumed_outdated_at
+    }
+
     /// True while messages that arrived during a stall may not have been read yet.
     pub(crate) fn backlog_unread(&self, now: u64) -> bool {
         self.resumed_at.is_some_and(|at| now < at + STALL_MS)
--- a/crates/coordination/src/query_admission.rs
+++ b/crates/coordination/src/query_admission.rs
@@ -33,6 +33,8 @@
     LookupQueueFull,
     /// The store did not answer in time.
     StoreFailed,
+    /// The job is unfinished, but what is known of its progress is too old to be told.
+    ProgressOutdated,
     /// Too many writes wait.
     WriteQueueFull,
     /// The machine types are not known yet.
--- a/crates/coordination/src/supervision/report.rs
+++ b/crates/coordination/src/supervision/report.rs
@@ -142,7 +142,7 @@
         row.zones = placer.running_replicas_by_zone(id);
         row.blocked_by = placer
             .job_status(id, now)
-            .map(|(_, _, reason)| reason)
+            .map(|status| status.reason)
             .unwrap_or_default();
         row
     }
@@ -152,21 +152,25 @@
     fn service_row_from_progress(&self, job: &CachedJob) -> UnderReplicatedServiceRow {
         let spec = &job.record.spec;
         let desired = spec.tasks.min(u64::from(u32::MAX)) as u32;
-        let progress = self.peer_progress.get(&spec.id);
+        let shard = Self::team_shard(&self.cache, &self.config, &spec.team);
+        let progress = self.peer_progress.last_received(shard, &spec.id);
         UnderReplicatedServiceRow {
             job: spec.id.to_string(),
             class: spec.class.clone(),
             team: spec.team.clone(),
-            shard: Self::team_shard(&self.cache, &self.config, &spec.team),
+            shard,
             desired,
             half: desired.div_ceil(2),
-            running: progress.map_or(0, |p| p.tasks_running).min(desired),
+            running: progress
+                .as_ref()
+                .map_or(0, |(running, _)| *running)
+                .min(desired),
             zones: Vec::new(),
             under_replicated_s: None,
             below_half_s: None,
             action: "its team's controller knows".into(),
             due_in_s: None,
-            blocked_by: progress.map(|p| p.wait_reason.clone()).unwrap_or_default(),
+            blocked_by: progress.map(|(_, reason)| reason).unwrap_or_default(),
             escalations: Vec::new(),
         }
     }
--- a/crates/coordination/tests/ends.rs
+++ b/crates/coordination/tests/ends.rs
@@ -1262,7 +1262,10 @@
         2 * ATTEMPT_END_WRITE_DELAY_MS,
     );
     assert!(placer.next_cas(4 * ATTEMPT_END_WRITE_DELAY_MS).is_none());
-    assert_eq!(placer.job_status(&id(1), 0).map(|n| n.0), Some(128));
+    assert_eq!(
+        placer.job_status(&id(1), 0).map(|status| status.done),
+        Some(128)
+    );
 }
 
 /// A job is cancelled while its first start is in flight, which then conflicts or gets no answer.
--- a/crates/coordination/tests/late_peer_messages.rs
+++ b/crates/coordination/tests/late_peer_messages.rs
@@ -153,17 +153,17 @@
         }],
         ..sync(0, token, 1, 11)
     };
-    let running = |core: &Core| core.job_progress(&job, 2_500).running;
+    let running = |core: &Core| core.job_progress(&job, 2_500).map(|p| p.running);
     assert!(
         core.handle_sync(&sync_with_progress(12, 2, 3), 2_200)
             .is_ok()
     );
-    assert_eq!(running(&core), 3);
+    assert_eq!(running(&core), Some(3));
     assert_eq!(
         core.handle_sync(&sync_with_progress(12, 1, 0), 2_300),
         Err(SyncError::Stale)
     );
-    assert_eq!(running(&core), 3);
+    assert_eq!(running(&core), Some(3));
     // The next leader's sync arrives before this controller has read that it leads.
     assert!(
         core.handle_sync(&sync_with_progress(20, 1, 5), 2_400)
@@ -173,7 +173,7 @@
         core.handle_sync(&sync_with_progress(12, 3, 0), 2_500),
         Err(SyncError::TokenMismatch)
     );
-    assert_eq!(running(&core), 5);
+    assert_eq!(running(&core), Some(5));
 }
 
 /// A job of team red, whose shard another controller leads, is accepted.
@@ -210,7 +210,7 @@
         for _ in 0..STORE_ROUTE_AFTER_FAILURES {
             core.sync_completed(lease, 1, None, 2_300);
         }
-        assert_eq!(core.uses_store_messages(), lease == later);
+        assert_eq!(core.uses_store_messages(2_300), lease == later);
     }
 }
 
--- a/crates/coordination/tests/low_priority_starts.rs
+++ b/crates/coordination/tests/low_priority_starts.rs
@@ -337,7 +337,7 @@
             .filter(|j| {
                 placer
                     .job_status(j, 0)
-                    .is_some_and(|(_, _, why)| why.contains("written"))
+                    .is_some_and(|status| status.reason.contains("written"))
             })
             .count()
     };
@@ -368,7 +368,7 @@
     let all: u64 = placer
         .known_jobs()
         .filter_map(|j| placer.job_status(j, 0))
-        .map(|(_, _, why)| u64::from(why.contains("room")))
+        .map(|status| u64::from(status.reason.contains("room")))
         .sum();
     assert_eq!(
         all, 1,
--- a/crates/coordination/tests/mass_failure_recovery.rs
+++ b/crates/coordination/tests/mass_failure_recovery.rs
@@ -3,6 +3,7 @@
 
 mod support;
 
+use lemonweir_coordination::placer::PlacerJobStatus;
 use std::collections::BTreeMap;
 
 use lemonweir_coordination::placer::{CompareAndSwapOutcome, Placer};
@@ -12,6 +13,16 @@
 };
 use support::*;
 
+/// Status of a job of an earlier leader's that waits for no reason that users are told.
+fn waits_without_reason() -> PlacerJobStatus {
+    PlacerJobStatus {
+        done: 0,
+        running: 0,
+        known: false,
+        reason: String::new(),
+    }
+}
+
 /// A placer with the machines of its own shard.
 struct Cluster {
     placer: Placer,
@@ -206,14 +217,18 @@
     let id = JobId::from("req-000100");
     assert_eq!(
         cluster.placer.job_status(&id, 0),
-        Some((0, 0, String::new()))
+        Some(waits_without_reason())
     );
     cluster.add_machine(vec![PartitionedZone {
         zone: "north".into(),
         partitioned_for_ms: 12_400,
         presumed_lost_in_ms: 30_100,
     }]);
-    let reason = cluster.placer.job_status(&id, 15_000).expect("known").2;
+    let reason = cluster
+        .placer
+        .job_status(&id, 15_000)
+        .expect("known")
+        .reason;
     assert_eq!(
         reason,
         "zone north out of sight since 15 s, its attempts there end by proof in at most 16 s"
@@ -221,6 +236,6 @@
     cluster.add_machine(Vec::new());
     assert_eq!(
         cluster.placer.job_status(&id, 0),
-        Some((0, 0, String::new()))
+        Some(waits_without_reason())
     );
 }
--- /dev/null
+++ b/crates/coordination/tests/progress_age.rs
@@ -0,0 +1,324 @@
+//! What a controller tells of a job whose tasks another controller places, or an earlier leader
+//! launched: only what it knows of the last moments. Anything else would be an old answer: users of
+//! two controllers were told `queued` of a running job for as long as these could not reach the third.
+
+#[path = "support/controllers.rs"]
+mod controllers;
+mod support;
+
+use controllers::core_with_catalog;
+use lemonweir_coordination::job_status::JobStatusAnswer;
+use lemonweir_coordination::{Core, Effect, PROGRESS_MAX_AGE_MS, PULL_INTERVAL_MS, ShardLease};
+use lemonweir_model::constants::PEER_VERSION;
+use lemonweir_model::{JobId, JobSpec};
+use lemonweir_protocol::kv_store::{CompareAndSwap, KeyValue, WatchEvent, Write, to_value};
+use lemonweir_protocol::peer::{self, ChangeRange};
+use lemonweir_protocol::progress::{
+    ProgressPage, ProgressQuery, ProgressRow, StoredProgress, StoredRow, pack_row,
+};
+use lemonweir_protocol::users::JobPhase;
+use lemonweir_storage::records::*;
+use support::*;
+
+/// Shard 0, which controller 0 leads and which serves the team of the job.
+const LEASE: ShardLease = ShardLease {
+    shard: 0,
+    token: TOKEN,
+};
+/// Store lease of controller 0.
+const STORE_LEASE: u64 = 7;
+
+fn job() -> JobId {
+    array_job(1).id
+}
+
+/// Controller `me` with the job in its cache, read at 10 ms.
+fn controller(me: usize) -> Core {
+    let mut core = core_with_catalog(me);
+    let spec = JobSpec {
+        team: "amber".into(),
+        ..array_job(1)
+    };
+    let record = JobRecord {
+        spec: spec.clone(),
+        submitted_at_ms: 1,
+        cancel_requested: false,
+        dependency_count: 0,
+    };
+    let entry = |key: String, value, version| KeyValue {
+        key,
+        value,
+        version,
+    };
+    let host = |n: usize| format!("w/node/h{n}");
+    let present = to_value(&ControllerRecord {
+        zone: "north".into(),
+        peer_version: PEER_VERSION,
+        ceded_shards: Vec::new(),
+        record_version: 0,
+    });
+    let shard = ShardRecord { host: "h0".into() };
+    core.cache.load_snapshot(
+        &[
+            entry(job_key(&spec.id), to_value(&record), 46),
+            entry(shard_key(0), to_value(&shard), TOKEN),
+            entry(host(0), present.clone(), 47),
+            entry(host(1), present, 48),
+        ],
+        100,
+    );
+    core.cache_refreshed(10, true);
+    core
+}
+
+/// The phase that the controller tells; `None`: it tells nothing.
+fn told(core: &Core, now: u64) -> Option<JobPhase> {
+    match core.unfinished_status(&job(), now) {
+        Some(JobStatusAnswer::Unfinished(report)) => Some(report.phase),
+        Some(JobStatusAnswer::ProgressOutdated) => None,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// The pull from the leader of shard 0 that the controller makes at `now`, if any.
+fn pull(core: &mut Core, now: u64) -> Option<ProgressQuery> {
+    core.flush(now).into_iter().find_map(|effect| match effect {
+        Effect::PullProgress(0, query) if query.shard == 0 => Some(query),
+        _ => None,
+    })
+}
+
+fn page(fencing_token: u64, since: u64, running: u32) -> ProgressPage {
+    ProgressPage {
+        version: PEER_VERSION,
+        shard: 0,
+        fencing_token,
+        range: ChangeRange {
+            since,
+            until: since + 1,
+            complete: true,
+        },
+        jobs: vec![ProgressRow {
+            job: job(),
+            tasks_done: 0,
+            tasks_running: running,
+            known: true,
+            wait_reason: String::new(),
+        }],
+    }
+}
+
+#[test]
+fn progress_is_told_only_while_it_is_recent() {
+    let mut core = controller(1);
+    assert_eq!(told(&core, 20), None, "nothing is known yet");
+    let query = pull(&mut core, 20).expect("a pull");
+    core.progress_pulled(&query, Some(page(TOKEN, 0, 1)), 20, 400);
+    let known_until = 20 + PROGRESS_MAX_AGE_MS;
+    assert_eq!(told(&core, known_until), Some(JobPhase::Running));
+    assert_eq!(told(&core, known_until + 1), None, "asked for too long ago");
+    assert!(pull(&mut core, 400).is_none(), "not yet");
+    // The leader does not answer; the next pull says that the task has stopped.
+    let query = pull(&mut core, 20 + PULL_INTERVAL_MS).expect("a pull");
+    core.progress_pulled(&query, None, 20 + PULL_INTERVAL_MS, 1_700);
+    assert_eq!(told(&core, 1_700), None);
+    core.flush(1_900);
+    let query = pull(&mut core, 2_200)
+        .or_else(|| pull(&mut core, 2_210))
+        .expect("a pull");
+    assert_eq!(query.since, 1);
+    core.progress_pulled(&query, Some(page(TOKEN, 1, 0)), 2_200, 2_210);
+    assert_eq!(told(&core, 2_300), Some(JobPhase::Queued));
+    // What another leader said does not count.
+    core.flush(2_800);
+    let query = pull(&mut core, 3_300).expect("a pull");
+    core.progress_pulled(&query, Some(page(TOKEN - 1, 2, 1)), 3_300, 3_310);
+    assert_eq!(told(&core, 3_320), Some(JobPhase::Queued));
+}
+
+/// A process that stalled tells nothing that it asked for before, whatever its clock shows.
+#[test]
+fn stalled_controller_tells_nothing_from_before_the_stall() {
+    for clock_stopped in [false, true] {
+        let mut core = controller(1);
+        core.set_wall_clock(15, 5_000_000);
+        let query = pull(&mut core, 20).expect("a pull");
+        core.progress_pulled(&query, Some(page(TOKEN, 0, 1)), 20, 30);
+        let late = pull(&mut core, 30).or(Some(query)).expect("a pull");
+        let now = if clock_stopped {
+            core.set_wall_clock(100, 5_000_000 + 85 + 8_000);
+            100
+        } else {
+            core.flush(8_100);
+            8_100
+        };
+        assert_eq!(told(&core, now), None, "clock stopped: {clock_stopped}");
+        core.progress_pulled(&late, Some(page(TOKEN, 0, 1)), 30, now + 5);
+        assert_eq!(told(&core, now + 5), None, "answered before the stall");
+    }
+}
+
+/// The change that writes this progress to the store, as a watch shows it.
+fn stored(store_revision: u64, running: u32, sequence: u64, version: u64) -> Vec<WatchEvent> {
+    let mut rows = Vec::new();
+    let row = StoredRow {
+        job: job(),
+        tasks_done: 0,
+        tasks_running: running,
+        known: true,
+    };
+    assert!(pack_row(&mut rows, &row));
+    let progress = StoredProgress {
+        version: PEER_VERSION,
+        shard: 0,
+        fencing_token: TOKEN,
+        store_revision,
+        after: None,
+        upto: None,
+        rows,
+    };
+    let route = StoreMessageRoute {
+        kind: StoreMessageKind::Progress,
+        from_shard: 0,
+        to_shard: 0,
+    };
+    let id = (TOKEN, sequence);
+    let cas = write_store_message(route, id, &peer::encode(&progress), 1_000, STORE_LEASE);
+    changes_of(cas, version)
+}
+
+/// The changes of a committed transaction, as a watch shows them.
+fn changes_of(cas: CompareAndSwap, version: u64) -> Vec<WatchEvent> {
+    let events = cas.writes.into_iter().map(|write| match write {
+        Write::Put { key, value, .. } => WatchEvent {
+            set: Some(key),
+            drop: None,
+            value: Some(value),
+            version,
+        },
+        Write::Delete { .. } => panic!("a put"),
+    });
+    events.collect()
+}
+
+/// A read of the store that begins at `now`.
+fn read(core: &mut Core, events: &[WatchEvent], revision: u64, now: u64) {
+    core.cache.apply_changes(events, revision, now);
+    core.cache_refreshed(now, !events.is_empty());
+    core.handle_store_messages(now);
+}
+
+/// Progress in the store is as old as the last revision that its writer had seen, however late it
+/// is written.
+#[test]
+fn progress_in_the_store_is_as_old_as_the_revision_that_it_names() {
+    let mut core = controller(1);
+    read(&mut core, &[], 110, 1_000);
+    read(&mut core, &stored(111, 1, 1, 112), 112, 1_200);
+    // The read at 1.0 s did not show revision 111, so it was written later.
+    assert_eq!(
+        told(&core, 1_000 + PROGRESS_MAX_AGE_MS),
+        Some(JobPhase::Running)
+    );
+    assert_eq!(told(&core, 1_001 + PROGRESS_MAX_AGE_MS), None);
+    // A transaction of that time is carried out late.
+    read(&mut core, &[], 200, 9_000);
+    read(&mut core, &stored(113, 1, 2, 201), 201, 9_200);
+    assert_eq!(told(&core, 9_210), None, "written some seconds ago");
+    read(&mut core, &stored(201, 0, 3, 202), 202, 9_400);
+    assert_eq!(told(&core, 9_410), Some(JobPhase::Queued));
+}
+
+/// A controller whose pulls fail asks for the progress through the store, and the leader writes it
+/// there for as long as it is asked for.
+#[test]
+fn leader_stores_progress_for_a_controller_that_can_not_pull_it() {
+    let (mut leader, mut other) = (controller(0), controller(1));
+    leader.acquire(LEASE, &[], Vec::new(), 20);
+    let mut revision = 100;
+    let mut told_at = Vec::new();
+    let mut written_at = Vec::new();
+    for now in (100..30_000).step_by(50) {
+        // The two reach each other until 5 s, and from 20 s on.
+        let connected = !(5_000..20_000).contains(&now);
+        let mut changes = Vec::new();
+        let effects = [leader.flush(now), other.flush(now)];
+        for (n, effect) in effects
+            .into_iter()
+            .enumerate()
+            .flat_map(|(n, e)| e.into_iter().map(move |e| (n, e)))
+        {
+            match effect {
+                Effect::PullProgress(0, query) if query.shard == 0 => {
+                    let page = connected
+                        .then(|| leader.handle_progress_query(&query, now))
+                        .flatten();
+                    other.progress_pulled(&query, page, now, now);
+                }
+                Effect::StoreProgress(message) => {
+                    revision += 1;
+                    written_at.extend((n == 0).then_some(now));
+                    let cas = write_store_message(
+                        message.route,
+                        message.id,
+                        &message.bytes,
+                        6_000,
+                        STORE_LEASE,
+                    );
+                    changes.extend(changes_of(cas, revision));
+                }
+                _ => {}
+            }
+        }
+        read(&mut leader, &changes, revision, now);
+        read(&mut other, &changes, revision, now);
+        if told(&other, now).is_some() {
+            told_at.push(now);
+        }
+    }
+    let steps = (30_000 - 100) / 50;
+    assert!(
+        told_at.len() * 100 >= steps * 97,
+        "{} of {steps}",
+        told_at.len()
+    );
+    assert!(
+        written_at.iter().all(|at| (5_000..28_000).contains(at)),
+        "{written_at:?}"
+    );
+    // Two a second at most, and some seconds more than it is needed.
+    assert!((20..45).contains(&written_at.len()), "{written_at:?}");
+}
+
+/// A leader that has just acquired a shard knows only from its owners whether what an earlier leader
+/// launched still runs. It tells nothing of such a job before, and does not leave it unanswered for
+/// ever.
+#[test]
+fn new_leader_does_not_call_an_inherited_job_queued() {
+    let mut core = controller(0);
+    let spec = array_job(1);
+    let record = TaskChunkRecord {
+        team: "amber".into(),
+        task_resources: spec.task_resources(),
+        next_attempt: 2,
+        live_attempts: vec![LiveAttemptRecord {
+            task: 0,
+            attempt: 1,
+            machine: "n-000001".into(),
+            shard: 1,
+            zone: "south".into(),
+        }],
+        ..TaskChunkRecord::default()
+    };
+    core.acquire(LEASE, &[(job(), 0, record, 30)], Vec::new(), 20);
+    let mut answered_at = None;
+    for now in (100..80_000).step_by(100) {
+        core.flush(now);
+        if told(&core, now).is_some() {
+            answered_at = Some(now);
+            break;
+        }
+    }
+    let answered_at = answered_at.expect("answered in the end");
+    assert!((40_000..60_000).contains(&answered_at), "{answered_at} ms");
+}
--- a/crates/coordination/tests/support/controllers.rs
+++ b/crates/coordination/tests/support/controllers.rs
@@ -691,6 +691,18 @@
                     now,
                 );
             }
+            Effect::PullProgress(to, query) => {
+                let to = usize::from(to);
+                let page = (!self.partitioned(node, to))
+                    .then(|| self.nodes[to].core.handle_progress_query(&query, now))
+                    .flatten();
+                self.nodes[node]
+                    .core
+                    .progress_pulled(&query, page, now, now);
+            }
+            Effect::StoreProgress(message) => {
+                self.post_store_message(node, message.route, message.id, &message.bytes);
+            }
             Effect::ProbeService(_) => {}
         }
     }
--- a/crates/node/src/cache_refresh.rs
+++ b/crates/node/src/cache_refresh.rs
@@ -39,7 +39,7 @@
         }
         sleep_ms(CACHE_REFRESH_BUSY_MS).await;
         if requests.is_empty()
-            && !node.with_core(|core, _| core.uses_store_messages())
+            && !node.with_core(|core, now| core.uses_store_messages(now))
             && let Some(Ok(waiter)) = with_timeout(
                 CACHE_REFRESH_IDLE_MS - CACHE_REFRESH_BUSY_MS,
                 requests.recv(),
--- a/crates/node/src/effect_executor.rs
+++ b/crates/node/src/effect_executor.rs
@@ -11,7 +11,10 @@
 use crate::{Node, peer_api, sleep_ms};
 use lemonweir_coordination::owner::{CommandCall, CommandResult};
 use lemonweir_coordination::placer::{CompareAndSwapOutcome, ShardOwnership};
-use lemonweir_coordination::{Effect, ShardLease, keys_to_reread, store_message_piece_bytes};
+use lemonweir_coordination::{
+    Effect, PULL_INTERVAL_MS, ProgressMessage, ShardLease, keys_to_reread,
+    store_message_piece_bytes,
+};
 use lemonweir_model::constants::{
     CLOUD_TIMEOUT_MS, CLOUD_TROUBLE_MS, COMMAND_TIMEOUT_MS, STORE_TIMEOUT_MS, SYNC_TIMEOUT_MS,
     TICK_MS,
@@ -23,6 +26,7 @@
     self, AvailabilityGossip, GOSSIP_PATH, LINKS_VERSION, RelayRequest, RelayTarget, Service,
 };
 use lemonweir_protocol::peer::{self, ShardView, Superseded, SyncRequest};
+use lemonweir_protocol::progress::{PROGRESS_PATH, ProgressPage, ProgressQuery};
 use lemonweir_protocol::worker::Heartbeat;
 use lemonweir_protocol::{decode, encode};
 use lemonweir_storage::records::{
@@ -61,6 +65,8 @@
         Effect::Sync(lease, sync) => sync_with_peer(node, lease, &sync).await,
         Effect::StoreSync(sync) => store_sync_request(node, &sync).await,
         Effect::StoreView(to, view) => store_shard_view(node, to, &view).await,
+        Effect::PullProgress(index, query) => pull_progress(node, index, &query).await,
+        Effect::StoreProgress(message) => store_progress(node, &message).await,
         Effect::WakePeer(shard) => wake_peer(node, shard).await,
         Effect::Provision(lease, request) => provision(node, lease, &request).await,
         Effect::ReleaseInstances(lease, machines) => {
@@ -261,6 +267,36 @@
     }
 }
 
+/// Pulls progress from the leader of a shard, and reports the answer to the core.
+async fn pull_progress(node: &Node, index: u16, query: &ProgressQuery) {
+    let sent_at = node.now_ms();
+    let page = send_progress_query(node, index, query).await;
+    node.with_core(|core, now| core.progress_pulled(query, page, sent_at, now));
+}
+
+async fn send_progress_query(
+    node: &Node,
+    index: u16,
+    query: &ProgressQuery,
+) -> Option<ProgressPage> {
+    let address = node.router.peers.get(&index)?;
+    let body = peer::encode(query);
+    let response = node
+        .http
+        .call(*address, "POST", PROGRESS_PATH, &body, PULL_INTERVAL_MS)
+        .await
+        .ok()
+        .filter(|response| response.status == 200)?;
+    peer::decode(&response.body).ok()
+}
+
+/// Writes a shard's progress to the store.
+async fn store_progress(node: &Node, message: &ProgressMessage) {
+    if let Some(revision) = store_message(node, message.route, message.id, &message.bytes).await {
+        node.with_core(|core, _| core.note_committed_revision(revision));
+    }
+}
+
 /// Host of the controller that leads a shard according to the cache.
 fn leader_host(node: &Node, shard: u16) -> Option<String> {
     node.with_core(|core, _| {
@@ -305,16 +341,15 @@
 
 /// Writes a peer message to the store, split into as many values as needed. A failed write
 /// is not retried: the next message of the route repeats all changes that its receiver has not
-/// acknowledged. `message_id` is the sender's fencing token and the sequence number.
+/// acknowledged. `message_id` is the sender's fencing token and the sequence number. Returns the
+/// revision at which it was committed.
 async fn store_message(
     node: &Node,
     route: StoreMessageRoute,
     message_id: (u64, u64),
     bytes: &[u8],
-) {
-    let Some(lease) = node.store_lease.get() else {
-        return;
-    };
+) -> Option<u64> {
+    let lease = node.store_lease.get()?;
     let (piece_bytes, max_writes) = node.with_core(|core, _| {
         (
             store_message_piece_bytes(core.config.value_bytes),
@@ -327,10 +362,15 @@
             message_bytes = bytes.len(),
             "peer message too large for the key-value store"
         );
-        return;
+        return None;
     }
-    if let Err(fault) = node.kv_store.cas(&cas).await {
-        debug!(from_shard = route.from_shard, to_shard = route.to_shard, %fault, "failed to store peer message");
+    match node.kv_store.cas(&cas).await {
+        Ok(CompareAndSwapResult::Committed(revision)) => Some(revision),
+        Ok(CompareAndSwapResult::Conflict(_)) => None,
+        Err(fault) => {
+            debug!(from_shard = route.from_shard, to_shard = route.to_shard, %fault, "failed to store peer message");
+            None
+        }
     }
 }
 
--- a/crates/node/src/peer_api.rs
+++ b/crates/node/src/peer_api.rs
@@ -13,6 +13,7 @@
     RelayedHeartbeats,
 };
 use lemonweir_protocol::peer::{self, SyncRequest};
+use lemonweir_protocol::progress::{PROGRESS_PATH, ProgressQuery};
 use lemonweir_transport::{Handler, Reply, Request};
 
 /// Path of a sync request.
@@ -32,6 +33,8 @@
 pub(crate) enum PeerRoute {
     /// Sync request from a shard's placer to the leader of another shard.
     Sync,
+    /// Pull of the progress of a shard's jobs.
+    Progress,
     /// Availability gossip: what another controller can reach.
     Gossip,
     /// Workers' heartbeats relayed by a controller that does not lead their shard.
@@ -59,6 +62,8 @@
         }
         if path == SYNC_PATH {
             Some(Self::Sync)
+        } else if path == PROGRESS_PATH {
+            Some(Self::Progress)
         } else if path == GOSSIP_PATH {
             Some(Self::Gossip)
         } else if path == RELAY_HEARTBEATS_PATH {
@@ -97,6 +102,15 @@
                 Ok(sync) => handle_sync(node, &sync),
                 Err(fault) => reject_malformed(fault),
             },
+            PeerRoute::Progress => match peer::decode::<ProgressQuery>(&request.body) {
+                Ok(query) => {
+                    match node.with_core(|core, now| core.handle_progress_query(&query, now)) {
+                        Some(page) => Reply::new(200, peer::encode(&page)),
+                        None => Reply::empty(409),
+                    }
+                }
+                Err(fault) => reject_malformed(fault),
+            },
             PeerRoute::Gossip => match links::decode::<AvailabilityGossip>(&request.body) {
                 Ok(gossip) => {
                     let own = node.with_core(|core, now| core.links.handle_gossip(gossip, now));
--- a/crates/node/src/public_api/cancel.rs
+++ b/crates/node/src/public_api/cancel.rs
@@ -52,7 +52,8 @@
             Ok(Some(status)) if matches!(status.phase, JobPhase::Done | JobPhase::Withdrawn) => {
                 return answer(node, 200, &status);
             }
-            Ok(Some(_)) => {}
+            // An unfinished job is cancelled whatever is known of its progress.
+            Ok(Some(_)) | Err(QueryRefusal::ProgressOutdated) => {}
             Err(refusal) => return refused(refusal),
         }
         match pending_cancellation(node, &id) {
--- a/crates/node/src/public_api/job_status.rs
+++ b/crates/node/src/public_api/job_status.rs
@@ -8,10 +8,14 @@
 use lemonweir_coordination::job_status::JobStatusAnswer;
 use lemonweir_coordination::query_admission::{QueryKind, QueryRefusal};
 use lemonweir_model::JobId;
-use lemonweir_model::constants::USER_TIMEOUT_MS;
+use lemonweir_model::constants::{TICK_MS, USER_TIMEOUT_MS};
 use lemonweir_protocol::users::{JobPhase, JobStatus};
 use lemonweir_transport::{Reply, with_timeout};
 
+/// ms for which a query waits until the progress of its job is known again, before its user is asked
+/// to repeat it.
+const PROGRESS_WAIT_MS: u64 = 1_000;
+
 /// Answers a user's query of a job's status.
 pub(super) async fn job_status(node: &Rc<Node>, id: &str) -> Reply {
     let Some(id) = JobId::parse(id) else {
@@ -27,13 +31,29 @@
     {
         return refuse(node, &id, QueryKind::Poll, QueryRefusal::Overloaded);
     }
-    match find_status(node, &id).await {
+    match find_known_status(node, &id).await {
         Ok(Some(status)) => answer(node, 200, &status),
         Ok(None) => not_found(node, &id),
         Err(refusal) => refuse(node, &id, QueryKind::Poll, refusal),
     }
 }
 
+/// [`find_status`], which waits for up to [`PROGRESS_WAIT_MS`] until the job's progress is known.
+pub(super) async fn find_known_status(
+    node: &Rc<Node>,
+    id: &JobId,
+) -> Result<Option<JobStatus>, QueryRefusal> {
+    let wait_until_ms = node.now_ms() + PROGRESS_WAIT_MS;
+    loop {
+        match find_status(node, id).await {
+            Err(QueryRefusal::ProgressOutdated) if node.now_ms() < wait_until_ms => {
+                sleep_ms(TICK_MS).await;
+            }
+            result => return result,
+        }
+    }
+}
+
 /// Returns the status of a job within the time that a user waits for a response. `Ok(None)`
 /// means that there is no such job, `Err` that the status can't be determined now.
 pub(super) async fn find_status(
@@ -70,10 +90,15 @@
             }
             JobStatusAnswer::NeedsRefresh => {
                 node.refresh_cache().await.map_err(refresh_refusal)?;
-                if let Some(status) = node.with_core(|core, now| core.unfinished_status(id, now)) {
-                    return Ok(status_of(id, status));
+                match node.with_core(|core, now| core.unfinished_status(id, now)) {
+                    Some(JobStatusAnswer::ProgressOutdated) => {
+                        return Err(QueryRefusal::ProgressOutdated);
+                    }
+                    Some(status) => return Ok(status_of(id, status)),
+                    None => {}
                 }
             }
+            JobStatusAnswer::ProgressOutdated => return Err(QueryRefusal::ProgressOutdated),
             JobStatusAnswer::NeedsFinalStates(ids) => read_dependencies(node, &ids).await?,
             JobStatusAnswer::Unknown => {
                 match look_up_job(node, id).await.map_err(lookup_refusal)? {
@@ -130,6 +155,7 @@
             reason: (!progress.reason.is_empty()).then_some(progress.reason),
         }),
         JobStatusAnswer::FinishedIn(_)
+        | JobStatusAnswer::ProgressOutdated
         | JobStatusAnswer::NeedsRefresh
         | JobStatusAnswer::NeedsFinalStates(_)
         | JobStatusAnswer::Unknown => None,
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod kv_store;
 pub mod links;
 pub mod peer;
+pub mod progress;
 pub mod supervision;
 pub mod users;
 pub mod worker;
--- a/crates/simulator/src/controller.rs
+++ b/crates/simulator/src/controller.rs
@@ -16,6 +16,7 @@
 use lemonweir_protocol::kv_store::{CompareAndSwap, KeyValue, WatchEvent};
 use lemonweir_protocol::links::{AvailabilityGossip, Service};
 use lemonweir_protocol::peer::{ShardView, Superseded, SyncRequest};
+use lemonweir_protocol::progress::{ProgressPage, ProgressQuery};
 use lemonweir_protocol::worker::Heartbeat;
 use lemonweir_storage::StateCache;
 
@@ -213,6 +214,24 @@
     },
     /// A controller's answer to this controller's gossip; `None`: no answer came.
     GossipAnswer(u16, Option<Box<AvailabilityGossip>>),
+    /// Another controller's pull of the progress of a shard's jobs.
+    ProgressQuery {
+        /// Controller process that expects the answer.
+        reply_to: Caller,
+        /// When it was sent, ms.
+        sent_at_ms: u64,
+        /// The shard and the changes that are asked for.
+        query: ProgressQuery,
+    },
+    /// The answer to this controller's pull; `None`: no answer came.
+    ProgressAnswer {
+        /// When the pull was sent, ms.
+        sent_at_ms: u64,
+        /// The pull.
+        query: ProgressQuery,
+        /// The changes.
+        page: Option<Box<ProgressPage>>,
+    },
     /// The result of a compare-and-swap.
     CasResult {
         /// Part of this controller that issued it.
--- a/crates/simulator/src/simulation/effects.rs
+++ b/crates/simulator/src/simulation/effects.rs
@@ -58,6 +58,10 @@
                 let id = (view.fencing_token, view.seq);
                 self.send_store_message(controller, route, id, &peer::encode(&view));
             }
+            Effect::PullProgress(to, query) => self.pull_progress(controller, to, query, at),
+            Effect::StoreProgress(message) => {
+                self.send_store_message(controller, message.route, message.id, &message.bytes);
+            }
             Effect::WakePeer(shard) => self.wake_shard(controller, shard, at),
             Effect::Provision(lease, request) => {
                 self.request_provisioning(controller, lease, request, at);
--- a/crates/simulator/src/simulation/inputs.rs
+++ b/crates/simulator/src/simulation/inputs.rs
@@ -10,6 +10,7 @@
 use lemonweir_protocol::kv_store::{CompareAndSwap, KeyValue, from_value};
 use lemonweir_protocol::links::{AvailabilityGossip, Service};
 use lemonweir_protocol::peer::{self, SyncRequest};
+use lemonweir_protocol::progress::ProgressQuery;
 use lemonweir_storage::packed_chunk::read_chunk;
 use lemonweir_storage::records::{ImageLocationsRecord, TaskChunkRecord, parse_task_chunk_key};
 
@@ -72,6 +73,16 @@
                 core.links
                     .gossip_completed(from, answered, gossip.map(|gossip| *gossip), now_ms);
             }
+            Input::ProgressQuery {
+                reply_to,
+                sent_at_ms,
+                query,
+            } => self.handle_progress_query(number, reply_to, sent_at_ms, query),
+            Input::ProgressAnswer {
+                sent_at_ms,
+                query,
+                page,
+            } => core.progress_pulled(&query, page.map(|page| *page), sent_at_ms, now_ms),
             Input::CommandResult(lease, call, result) => {
                 core.command_completed(lease, &call, result, now_ms);
             }
@@ -163,6 +174,29 @@
         );
     }
 
+    fn handle_progress_query(
+        &mut self,
+        number: usize,
+        reply_to: Caller,
+        sent_at_ms: u64,
+        query: ProgressQuery,
+    ) {
+        let now_ms = self.now_ms();
+        let Some(core) = self.controllers[number].core.as_mut() else {
+            return;
+        };
+        let page = core.handle_progress_query(&query, now_ms).map(Box::new);
+        let slow_us = self.draw_peer_delay(number, reply_to.process.controller);
+        let at = self.departure_time(number) + self.network_delay() + slow_us;
+        let (at, page) = reply_to.outcome(at, page);
+        let answer = Input::ProgressAnswer {
+            sent_at_ms,
+            query,
+            page,
+        };
+        self.deliver_at(at, reply_to.process, answer);
+    }
+
     fn handle_sync(
         &mut self,
         number: usize,
--- a/crates/simulator/src/simulation/network.rs
+++ b/crates/simulator/src/simulation/network.rs
@@ -4,13 +4,14 @@
 use std::ops::Range;
 
 use lemonweir_coordination::owner::{CommandCall, CommandResult};
-use lemonweir_coordination::{HeartbeatAnswer, ShardLease};
+use lemonweir_coordination::{HeartbeatAnswer, PULL_INTERVAL_MS, ShardLease};
 use lemonweir_model::constants::{
     COMMAND_TIMEOUT_MS, HEARTBEAT_BATCH_MS, RELAYED_HEARTBEAT_TIMEOUT_MS, SYNC_TIMEOUT_MS,
 };
 use lemonweir_protocol::kv_store::CompareAndSwap;
 use lemonweir_protocol::links::{AvailabilityGossip, Service};
 use lemonweir_protocol::peer::{self, SyncRequest};
+use lemonweir_protocol::progress::ProgressQuery;
 use rand::RngExt;
 
 use super::events::{CommandDelivery, CommandTiming, Event, StoreRequest};
@@ -215,6 +216,36 @@
         }
     }
 
+    /// Pulls the progress of a shard's jobs from its leader.
+    pub(super) fn pull_progress(
+        &mut self,
+        controller: usize,
+        to: u16,
+        query: ProgressQuery,
+        at: u64,
+    ) {
+        let process = self.current_process(controller);
+        let peer = usize::from(to);
+        let slow_us = self.draw_peer_delay(controller, peer);
+        let gives_up_at = at + PULL_INTERVAL_MS * US_PER_MS;
+        let sent_at_ms = self.now_ms();
+        if self.peer_reachable(controller, peer) {
+            let input = Input::ProgressQuery {
+                reply_to: Caller::over_link(process, slow_us, gives_up_at),
+                sent_at_ms,
+                query,
+            };
+            self.deliver_at(at + slow_us, self.current_process(peer), input);
+        } else {
+            let unanswered = Input::ProgressAnswer {
+                sent_at_ms,
+                query,
+                page: None,
+            };
+            self.deliver_at(gives_up_at, process, unanswered);
+        }
+    }
+
     /// Handles a message to a process that has ended: after the timeout of a sync request, its
     /// sender learns that no answer came. Messages that nobody waits for are dropped.
     pub(super) fn fail_unanswered(&mut self, controller: usize, input: Input) {
@@ -224,6 +255,18 @@
                 lease,
                 request,
             } => (caller, Input::SyncResponse(lease, request.to_shard, None)),
+            Input::ProgressQuery {
+                reply_to,
+                sent_at_ms,
+                query,
+            } => {
+                let unanswered = Input::ProgressAnswer {
+                    sent_at_ms,
+                    query,
+                    page: None,
+                };
+                (reply_to, unanswered)
+            }
             Input::Gossip { reply_to, .. } => {
                 (reply_to, Input::GossipAnswer(controller as u16, None))
             }
--- a/crates/simulator/src/simulation/state_reads.rs
+++ b/crates/simulator/src/simulation/state_reads.rs
@@ -91,7 +91,7 @@
             core.cache_refreshed(began_at / US_PER_MS, changed);
             effects = core.handle_store_messages(now_ms);
         }
-        let expects_messages = core.uses_store_messages();
+        let expects_messages = core.uses_store_messages(now_ms);
         for effect in effects {
             self.execute(number, effect);
         }
--- a/crates/simulator/src/simulation/user_answers.rs
+++ b/crates/simulator/src/simulation/user_answers.rs
@@ -155,9 +155,14 @@
         let Some(core) = self.controllers[number].core.as_ref() else {
             return;
         };
-        if let Some(JobStatusAnswer::Unfinished(report)) = core.unfinished_status(&id, now_ms) {
+        let unfinished = match core.unfinished_status(&id, now_ms) {
+            Some(JobStatusAnswer::Unfinished(report)) => Some((Some(report.phase), 200)),
+            Some(JobStatusAnswer::ProgressOutdated) => Some((None, 503)),
+            _ => None,
+        };
+        if let Some((phase, status)) = unfinished {
             return match request {
-                UserRequest::Query => self.reply_to(number, id, Some(report.phase), 200, asked_at),
+                UserRequest::Query => self.reply_to(number, id, phase, status, asked_at),
                 UserRequest::Withdrawal => match core.cancellation_cas_list(&id) {
                     Some(cas_list) => {
                         let withdrawal = UserCas {
--- a/crates/simulator/tests/replay.rs
+++ b/crates/simulator/tests/replay.rs
@@ -79,7 +79,7 @@
     assert_replays(
         Format::Swf,
         "traces/small.swf",
-        "978558572f7f9b0966486c413d64b035f6bb030a0e5e8f00db93011c9ba46a9e",
+        "0d4903ce91e8edd2709e52a339cd91201af0c796175982f2c962bf60ffab39c4",
     );
 }
 
@@ -88,7 +88,7 @@
     assert_replays(
         Format::Google2011,
         "traces/google-2011/task_events-small.csv",
-        "a97103b61cf17fc8693d975b142fa0066c9fa9458bff8849ea318cff6a90ac57",
+        "e7463e327d723b80fc9a34626e4c42d2058731c74ccc26bfad36fc6b92be04df",
     );
 }
 
@@ -97,7 +97,7 @@
     assert_replays(
         Format::Google2019,
         "traces/google-2019/instance_events-small.json",
-        "3978e797d2b39385726ddadcdc1b4fc2d63fe53632c4fbf78f5c28df6acd65da",
+        "3a638d92f5eea2c494736390566dbd2af5897d054ef8f026cb297b7b262ecb0d",
     );
 }
 
@@ -106,7 +106,7 @@
     assert_replays(
         Format::Alibaba2018,
         "traces/alibaba-2018/batch_task-small.csv",
-        "d1cce3deeee4fadc9dea2f66f60967e35e3f81e01eb3f9d52696c8a6263aca22",
+        "2f62a5c2b5b3bc4674f88379935d3ad1348eae81b9741be1264b7ea8dc1b7568",
     );
 }
 
@@ -115,7 +115,7 @@
     assert_replays(
         Format::Pai2020,
         "traces/pai-2020/pai_task_table-small.csv",
-        "bc80aedbd0d56dd74e61ab239b45b81f9441f4babcc2240042f615def06af207",
+        "f789ba5181f8c8fc6ba9afae8acea276bcd89ec2398341bb4d81ed12327508fa",
     );
 }
 
@@ -124,7 +124,7 @@
     assert_replays(
         Format::Philly,
         "traces/philly/cluster_job_log-small.json",
-        "f94594654b6899d1eefcb33b57455d928c86bda65ec3800fe474c71204d49179",
+        "91cf71b9e32d92b7d8f2c6c8408926a7fb60bf817af48318281772995742d98d",
     );
 }
 
--- a/crates/storage/src/records.rs
+++ b/crates/storage/src/records.rs
@@ -397,6 +397,8 @@
     let kind = match kind {
         StoreMessageKind::Sync => "sync",
         StoreMessageKind::View => "view",
+        StoreMessageKind::Progress => "progress",
+        StoreMessageKind::ProgressRequest => "progress-request",
     };
     format!("w/mail/{kind}/{from}/{to}/{chunk}")
 }
@@ -408,6 +410,10 @@
     Sync,
     /// An owner's [`lemonweir_protocol::peer::ShardView`].
     View,
+    /// A placer's [`lemonweir_protocol::progress::StoredProgress`], for all controllers.
+    Progress,
+    /// Asks a shard's leader to write its progress to the store.
+    ProgressRequest,
 }
 
 /// Sender, receiver and kind of a peer message in the store.
@@ -427,6 +433,8 @@
     let kind = match segments.next()? {
         "sync" => StoreMessageKind::Sync,
         "view" => StoreMessageKind::View,
+        "progress" => StoreMessageKind::Progress,
+        "progress-request" => StoreMessageKind::ProgressRequest,
         _ => return None,
     };
     let route = StoreMessageRoute {
