Owner: answer a held heartbeat that another one of its machine replaces

Seen by reading, before it landed: two heartbeats of a machine that is not confirmed yet, within half a second, left the first one's connection waiting for ever. every_held_heartbeat_is_answered_once fails before (20 held, 19 or fewer answered).

--- a/crates/coordination/src/owner/held_replies.rs
+++ b/crates/coordination/src/owner/held_replies.rs
@@ -112,6 +112,11 @@
 
     fn hold(&mut self, receipt: HeartbeatReceipt, until: u64) {
         let machine = receipt.machine.clone();
+        if let Some(earlier) = self.take_held(&machine)
+            && earlier.id() != receipt.id()
+        {
+            self.abandoned_heartbeats.push(earlier.id());
+        }
         self.held_until.insert((until, machine.clone()));
         self.held_replies
             .insert(machine, HeldReply { receipt, until });
