--- a/crates/coordination/src/peer_progress.rs
+++ b/crates/coordination/src/peer_progress.rs
@@ -25,7 +25,7 @@
 const PULL_RETRY_MS: u64 = 50;
 const PULL_FAILURE_RETRY_MS: u64 = 400;
 /// ms between two requests through the store for progress through the store.
-const STORE_REQUEST_INTERVAL_MS: u64 = 4_000;
+const STORE_REQUEST_INTERVAL_MS: u64 = 6_000;
 /// Reads of the store that are remembered: those of the last seconds.
 const READS_KEPT: usize = 64;
 /// Ranges of a shard's progress in the store that are remembered.
--- a/crates/coordination/src/peer_sync.rs
+++ b/crates/coordination/src/peer_sync.rs
@@ -147,7 +147,7 @@
                     continue;
                 }
                 StoreMessageKind::ProgressRequest => {
-                    self.progress_outbox.record_request(route.to_shard, now);
+                    self.apply_progress_request(&bytes, now);
                     continue;
                 }
                 StoreMessageKind::Sync | StoreMessageKind::View => {}
--- a/crates/coordination/src/progress_exchange.rs
+++ b/crates/coordination/src/progress_exchange.rs
@@ -14,7 +14,7 @@
 /// Maximum bytes of changes in the answer to a pull; the rest follows with the next pulls.
 const PAGE_BYTES: usize = 128 * 1024;
 /// ms for which progress is written to the store after it was asked for through the store.
-const WANTED_MS: u64 = 6_000;
+const WANTED_MS: u64 = 9_000;
 /// ms between two writes of a shard's progress to the store. Its age is bounded by two of them.
 const STORED_PROGRESS_INTERVAL_MS: u64 = 600;
 /// Percentage of the store's writes that controllers use for progress, each its share.
@@ -86,19 +86,39 @@
         if !self.peer_progress.take_store_request(shard, now) {
             return None;
         }
-        let leader = self.cache.shard_leaders.get(&shard)?;
+        let fencing_token = self.cache.shard_leaders.get(&shard)?.fencing_token;
+        let query = ProgressQuery {
+            version: PEER_VERSION,
+            shard,
+            fencing_token,
+            from: self.config.own_index,
+            since: 0,
+        };
         let route = StoreMessageRoute {
             kind: StoreMessageKind::ProgressRequest,
-            from_shard: self.config.own_index,
+            from_shard: query.from,
             to_shard: shard,
         };
         Some(Effect::StoreProgress(ProgressMessage {
             route,
-            id: self.progress_outbox.next_id(leader.fencing_token),
-            bytes: vec![PEER_VERSION],
+            id: self.progress_outbox.next_id(fencing_token),
+            bytes: peer::encode(&query),
         }))
     }
 
+    /// Handles a request for progress that was read from the store. One that could not reach an
+    /// earlier leader is not for this one.
+    pub(crate) fn apply_progress_request(&mut self, bytes: &[u8], now: u64) {
+        let Ok(query) = peer::decode::<ProgressQuery>(bytes) else {
+            tracing::info!("unreadable request for progress in the store");
+            return;
+        };
+        let led = self.shards.get(&query.shard);
+        if led.is_some_and(|shard| shard.lease.token == query.fencing_token) {
+            self.progress_outbox.record_request(query.shard, now);
+        }
+    }
+
     fn due_pull(&mut self, shard: u16, now: u64) -> Option<Effect> {
         let leader = self.cache.shard_leaders.get(&shard)?;
         let members = &self.config.members;
