--- a/crates/coordination/src/peer_progress.rs
+++ b/crates/coordination/src/peer_progress.rs
@@ -177,13 +177,9 @@
         }
     }
 
-    /// The pull from a shard's leader that is due now, if any.
-    pub(crate) fn due_pull(
-        &mut self,
-        shard: u16,
-        fencing_token: u64,
-        now: u64,
-    ) -> Option<PullRequest> {
+    /// If a pull from a shard's leader is due now, begins it: returns the number of the newest change
+    /// that this controller has.
+    pub(crate) fn due_pull(&mut self, shard: u16, fencing_token: u64, now: u64) -> Option<u64> {
         let progress = self.shards.entry(shard).or_default();
         progress.follow(fencing_token);
         if progress.pull_in_flight || now < progress.next_pull_at {
@@ -191,9 +187,7 @@
         }
         progress.pull_in_flight = true;
         progress.next_pull_at = now + PULL_INTERVAL_MS;
-        Some(PullRequest {
-            since: progress.until,
-        })
+        Some(progress.until)
     }
 
     /// True if a shard's leader is to be asked now to write its progress to the store: it can't be
@@ -348,10 +342,3 @@
         }
     }
 }
-
-/// A pull that is due.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct PullRequest {
-    /// Number of the newest change that this controller has.
-    pub(crate) since: u64,
-}
--- a/crates/coordination/src/progress_exchange.rs
+++ b/crates/coordination/src/progress_exchange.rs
@@ -1,7 +1,7 @@
 //! The exchange of jobs' progress with other controllers: pulls and their answers, and the progress
 //! that this controller's placers write to the store for controllers that can't pull it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use lemonweir_model::JobId;
 use lemonweir_model::constants::PEER_VERSION;
@@ -37,8 +37,8 @@
 /// State of the progress that this controller sends for the shards that it leads.
 #[derive(Default)]
 pub(crate) struct ProgressOutbox {
-    /// When each controller last pulled a shard's progress, ms, by shard and its index.
-    pulled_at: BTreeMap<(u16, u16), u64>,
+    /// Controllers that have pulled a shard's progress, by shard and their index.
+    pulled_by: BTreeSet<(u16, u16)>,
     /// Until when a shard's progress is written to the store, ms.
     wanted_until: BTreeMap<u16, u64>,
     /// When a shard's progress was last written to the store, ms.
@@ -127,13 +127,13 @@
             return None;
         }
         let fencing_token = leader.fencing_token;
-        let due = self.peer_progress.due_pull(shard, fencing_token, now)?;
+        let since = self.peer_progress.due_pull(shard, fencing_token, now)?;
         let query = ProgressQuery {
             version: PEER_VERSION,
             shard,
             fencing_token,
             from: self.config.own_index,
-            since: due.since,
+            since,
         };
         Some(Effect::PullProgress(index, query))
     }
@@ -151,8 +151,8 @@
         }
         let shard = self.shards.get_mut(&query.shard)?;
         self.progress_outbox
-            .pulled_at
-            .insert((query.shard, query.from), now);
+            .pulled_by
+            .insert((query.shard, query.from));
         let since = if query.fencing_token == shard.lease.token {
             query.since
         } else {
@@ -273,8 +273,8 @@
             .filter(|(_, member)| Some(&member.host) == leader)
             .any(|(index, _)| {
                 self.progress_outbox
-                    .pulled_at
-                    .contains_key(&(shard, index as u16))
+                    .pulled_by
+                    .contains(&(shard, index as u16))
             })
     }
 
--- a/crates/coordination/src/worker_lease.rs
+++ b/crates/coordination/src/worker_lease.rs
@@ -18,8 +18,8 @@
 use crate::machine::LEASE_MARGIN_MS;
 use lemonweir_model::constants::{MACHINE_TOKEN_BITS, MAX_STORE_OUTAGE_GRACE_MS};
 
-/// Bits of the fence counter. It has to cover the calls of unknown outcome between two lease
-/// renewals, which are some seconds apart or, without the store, a minute.
+/// Bits of the fence counter. It has to cover the raises that probe or wake a worker between two lease
+/// renewals, which are half a minute apart or, without the store, a minute.
 const FENCE_COUNTER_BITS: u32 = 7;
 /// Largest value of the fence counter, and the mask of its bits.
 const FENCE_COUNTER_MAX: u64 = (1 << FENCE_COUNTER_BITS) - 1;
--- a/crates/node/src/public_api/job_status.rs
+++ b/crates/node/src/public_api/job_status.rs
@@ -39,10 +39,7 @@
 }
 
 /// [`find_status`], which waits for up to [`PROGRESS_WAIT_MS`] until the job's progress is known.
-pub(super) async fn find_known_status(
-    node: &Rc<Node>,
-    id: &JobId,
-) -> Result<Option<JobStatus>, QueryRefusal> {
+async fn find_known_status(node: &Rc<Node>, id: &JobId) -> Result<Option<JobStatus>, QueryRefusal> {
     let wait_until_ms = node.now_ms() + PROGRESS_WAIT_MS;
     loop {
         match find_status(node, id).await {
