Queries: log and count why the progress of a job can't be told

What operators saw: thousands of 503 with the one refusal ProgressOutdated, which six different states of knowledge cause. It didn't say who leads the shard under which token, what the controller has of it, and how old that is.

Change, no behaviour: the refusal names its gap (Stalled, InheritedAttempts, UnknownToLeader, NoLeader, NeverReceived, Outdated), so that the summary counts refusals by it, and names the job that was refused longest. The debug line of a refusal gives shard, leader, fencing_token, age_ms and pull_failed.

--- a/crates/coordination/src/job_progress.rs
+++ b/crates/coordination/src/job_progress.rs
@@ -4,6 +4,40 @@
 use lemonweir_model::JobId;
 use lemonweir_protocol::users::JobPhase;
 
+/// Why the progress of an unfinished job can't be told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ProgressGap {
+    /// This process stalled, and its workers may not have sent heartbeats since.
+    Stalled,
+    /// This controller leads the job's shard, and does not know whether attempts that an earlier
+    /// leader launched run.
+    InheritedAttempts,
+    /// The leader of the job's shard says that it does not know it.
+    UnknownToLeader,
+    /// No controller leads the job's shard.
+    NoLeader,
+    /// Nothing was received from the leader of the job's shard.
+    NeverReceived,
+    /// What was last received from it is too old to be told.
+    Outdated,
+}
+
+/// What this controller has of the progress of a job that it can't tell, for the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ProgressGapReport {
+    /// Shard of the job's team.
+    pub shard: u16,
+    /// Host that leads the shard, as known to this controller; empty if none does.
+    pub leader: String,
+    /// Fencing token of the leader; 0 if there is none.
+    pub fencing_token: u64,
+    /// Age of the newest progress of the shard from this leader, ms; for the leader itself, time since
+    /// it acquired the shard.
+    pub age_ms: Option<u64>,
+    /// True if the leader can't be asked directly.
+    pub pull_failed: bool,
+}
+
 /// Why a job waits that its placer does not know yet.
 const NOT_TAKEN_UP: &str = "its team's controller has not taken it up yet";
 
@@ -47,22 +81,34 @@
 
 impl Core {
     /// Progress of an unfinished job, from this controller's placers or as last received from
-    /// another controller's placer. `None` if what is known is too old to be told.
-    pub fn job_progress(&self, id: &JobId, now: u64) -> Option<JobProgressReport> {
+    /// another controller's placer.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if what is known can't be told, or is too old to be told.
+    pub fn job_progress(&self, id: &JobId, now: u64) -> Result<JobProgressReport, ProgressGap> {
         let own = self
             .shards
             .values()
             .find_map(|shard| shard.placer.job_status(id, now));
         if let Some(status) = own {
-            let known = status.known && !self.own_progress_outdated(now);
-            return known.then(|| report(status.done, status.running, status.reason));
+            if self.own_progress_outdated(now) {
+                return Err(ProgressGap::Stalled);
+            }
+            if !status.known {
+                return Err(ProgressGap::InheritedAttempts);
+            }
+            return Ok(report(status.done, status.running, status.reason));
         }
-        let team = &self.cache.jobs.get(id)?.record.spec.team;
-        let shard = Self::team_shard(&self.cache, &self.config, team);
+        let shard = self.job_shard(id).ok_or(ProgressGap::NeverReceived)?;
         if self.shards.contains_key(&shard) {
-            return Some(JobProgressReport::queued(NOT_TAKEN_UP.into()));
+            return Ok(JobProgressReport::queued(NOT_TAKEN_UP.into()));
         }
-        let leader = self.cache.shard_leaders.get(&shard)?;
+        let leader = self
+            .cache
+            .shard_leaders
+            .get(&shard)
+            .ok_or(ProgressGap::NoLeader)?;
         let told = self
             .peer_progress
             .query(shard, leader.fencing_token, id, now)?;
@@ -70,7 +116,31 @@
             .unreachable_placer(id, now)
             .or(told.reason)
             .unwrap_or_else(|| NOT_TAKEN_UP.into());
-        Some(report(told.done, told.running, reason))
+        Ok(report(told.done, told.running, reason))
+    }
+
+    /// The shard whose placer runs an unfinished job; `None`: the job is not in the cache.
+    fn job_shard(&self, id: &JobId) -> Option<u16> {
+        let team = &self.cache.jobs.get(id)?.record.spec.team;
+        Some(Self::team_shard(&self.cache, &self.config, team))
+    }
+
+    /// What this controller has of the progress of an unfinished job, for the log.
+    pub fn progress_gap_report(&self, id: &JobId, now: u64) -> Option<ProgressGapReport> {
+        let shard = self.job_shard(id)?;
+        let leader = self.cache.shard_leaders.get(&shard);
+        let fencing_token = leader.map_or(0, |leader| leader.fencing_token);
+        let age_ms = match self.shards.get(&shard) {
+            Some(led) => Some(now.saturating_sub(led.placer.started_at())),
+            None => self.peer_progress.age_ms(shard, fencing_token, now),
+        };
+        Some(ProgressGapReport {
+            shard,
+            leader: leader.map_or_else(String::new, |leader| leader.host.clone()),
+            fencing_token,
+            age_ms,
+            pull_failed: self.peer_progress.relies_on_store(shard),
+        })
     }
 
     /// Why this controller can't know the progress of a job: no controller places jobs of its
@@ -78,7 +148,7 @@
     /// is not in the cache.
     fn unreachable_placer(&self, id: &JobId, now: u64) -> Option<String> {
         let team = &self.cache.jobs.get(id)?.record.spec.team;
-        let shard = Self::team_shard(&self.cache, &self.config, team);
+        let shard = self.job_shard(id)?;
         let Some(leader) = self.cache.shard_leaders.get(&shard) else {
             return Some(format!(
                 "no controller places for {team}; another takes over within seconds"
--- a/crates/coordination/src/job_status.rs
+++ b/crates/coordination/src/job_status.rs
@@ -9,7 +9,7 @@
 //! clocks; the second one is longer to allow for their drift.
 
 use crate::dependencies::DependencyState;
-use crate::{Core, JobProgressReport};
+use crate::{Core, JobProgressReport, ProgressGap};
 use lemonweir_model::JobId;
 use lemonweir_protocol::users::JobPhase;
 use lemonweir_storage::state_cache::CachedJobEnd;
@@ -31,8 +31,8 @@
     FinishedIn(u64),
     /// The job is unfinished.
     Unfinished(JobProgressReport),
-    /// The job is unfinished, but what is known of its progress is too old to be told.
-    ProgressOutdated,
+    /// The job is unfinished, but its progress can't be told now.
+    ProgressOutdated(ProgressGap),
     /// The job was unfinished when the cache was last read; a new read of the store must show
     /// whether it still is.
     NeedsRefresh,
@@ -109,7 +109,7 @@
         if self.cache.job_end(id).is_some() || !self.cache.jobs.contains_key(id) {
             return None;
         }
-        Some(self.job_progress(id, now).map_or(
+        Some(self.job_progress(id, now).map_or_else(
             JobStatusAnswer::ProgressOutdated,
             JobStatusAnswer::Unfinished,
         ))
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -65,7 +65,7 @@
     Effect, HeartbeatAnswer, HeartbeatId, ProvisioningResult, ShardLease, WorkCounters,
     keys_to_reread,
 };
-pub use job_progress::JobProgressReport;
+pub use job_progress::{JobProgressReport, ProgressGap, ProgressGapReport};
 pub use peer_progress::{PROGRESS_MAX_AGE_MS, PULL_INTERVAL_MS};
 pub use progress_exchange::ProgressMessage;
 pub use shard::STORE_ROUTE_AFTER_FAILURES;
--- a/crates/coordination/src/peer_progress.rs
+++ b/crates/coordination/src/peer_progress.rs
@@ -8,6 +8,7 @@
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
+use crate::ProgressGap;
 use lemonweir_model::JobId;
 use lemonweir_protocol::peer::JobProgress;
 use lemonweir_protocol::progress::{
@@ -107,7 +108,7 @@
         }
     }
 
-    fn query(&self, id: &JobId, now: u64) -> Option<ToldProgress> {
+    fn query(&self, id: &JobId, now: u64) -> Result<ToldProgress, ProgressGap> {
         let queued = Row {
             done: 0,
             running: 0,
@@ -115,14 +116,28 @@
             reason: None,
         };
         if self.valid_until.is_some_and(|until| now <= until) {
-            return self.jobs.get(id).unwrap_or(&queued).told();
+            let row = self.jobs.get(id).unwrap_or(&queued);
+            return row.told().ok_or(ProgressGap::UnknownToLeader);
         }
         let range = self
             .stored
             .iter()
             .rev()
-            .find(|range| now <= range.valid_until && range.covers(id))?;
-        range.jobs.get(id).unwrap_or(&queued).told()
+            .find(|range| now <= range.valid_until && range.covers(id));
+        match range {
+            Some(range) => {
+                let row = range.jobs.get(id).unwrap_or(&queued);
+                row.told().ok_or(ProgressGap::UnknownToLeader)
+            }
+            None if self.newest_until().is_some() => Err(ProgressGap::Outdated),
+            None => Err(ProgressGap::NeverReceived),
+        }
+    }
+
+    /// Until when the newest progress received could be told, ms; `None`: none was received.
+    fn newest_until(&self) -> Option<u64> {
+        let stored = self.stored.back().map(|range| range.valid_until);
+        self.valid_until.max(stored)
     }
 }
 
@@ -145,11 +160,23 @@
         fencing_token: u64,
         id: &JobId,
         now: u64,
-    ) -> Option<ToldProgress> {
+    ) -> Result<ToldProgress, ProgressGap> {
+        self.led_under(shard, fencing_token)
+            .map_or(Err(ProgressGap::NeverReceived), |progress| {
+                progress.query(id, now)
+            })
+    }
+
+    /// Age of the newest progress of a shard whose leader has this token, ms; `None`: none was
+    /// received.
+    pub(crate) fn age_ms(&self, shard: u16, fencing_token: u64, now: u64) -> Option<u64> {
+        let until = self.led_under(shard, fencing_token)?.newest_until()?;
+        Some((now + PROGRESS_MAX_AGE_MS).saturating_sub(until))
+    }
+
+    fn led_under(&self, shard: u16, fencing_token: u64) -> Option<&ShardProgress> {
         let progress = self.shards.get(&shard)?;
-        (progress.fencing_token >= fencing_token)
-            .then(|| progress.query(id, now))
-            .flatten()
+        (progress.fencing_token >= fencing_token).then_some(progress)
     }
 
     /// The progress of a job as last received, however old.
--- a/crates/coordination/src/placer/mod.rs
+++ b/crates/coordination/src/placer/mod.rs
@@ -389,6 +389,11 @@
             .collect();
     }
 
+    /// When this placer started, ms.
+    pub fn started_at(&self) -> u64 {
+        self.started_at
+    }
+
     /// IDs of all jobs that this placer keeps.
     pub fn known_jobs(&self) -> impl Iterator<Item = &JobId> {
         self.jobs.keys()
--- a/crates/coordination/src/query_admission.rs
+++ b/crates/coordination/src/query_admission.rs
@@ -10,6 +10,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 
+use crate::ProgressGap;
 use lemonweir_model::JobId;
 
 /// ms for which a job's queries may be refused because of a controller's own load: two polls
@@ -33,8 +34,8 @@
     LookupQueueFull,
     /// The store did not answer in time.
     StoreFailed,
-    /// The job is unfinished, but what is known of its progress is too old to be told.
-    ProgressOutdated,
+    /// The job is unfinished, but its progress can't be told now.
+    ProgressOutdated(ProgressGap),
     /// Too many writes wait.
     WriteQueueFull,
     /// The machine types are not known yet.
@@ -65,6 +66,8 @@
     pub counts: QueryRefusalCounts,
     /// Longest time for which queries about the same job were refused, ms.
     pub longest_ms: u64,
+    /// That job; `None`: no job was refused twice.
+    pub longest_job: Option<JobId>,
 }
 
 /// Refused queries about one job since the last answer.
@@ -107,7 +110,10 @@
         if let Some(reply) = self.pending.get_mut(id) {
             reply.last_query = now;
             let refused_ms = now.saturating_sub(reply.since);
-            self.refused.longest_ms = self.refused.longest_ms.max(refused_ms);
+            if refused_ms > self.refused.longest_ms {
+                self.refused.longest_ms = refused_ms;
+                self.refused.longest_job = Some(id.clone());
+            }
         } else if self.pending.len() < PENDING_REPLIES_MAX {
             self.pending.insert(
                 id.clone(),
--- a/crates/coordination/tests/answers.rs
+++ b/crates/coordination/tests/answers.rs
@@ -224,7 +224,8 @@
                 ((QueryKind::Poll, QueryRefusal::Overloaded), 1),
                 ((QueryKind::Poll, QueryRefusal::LookupQueueFull), 1)
             ]),
-            longest_ms: 5_000
+            longest_ms: 5_000,
+            longest_job: Some(id(1)),
         })
     );
     assert_eq!(admission.take_refusals(), None);
--- a/crates/coordination/tests/late_peer_messages.rs
+++ b/crates/coordination/tests/late_peer_messages.rs
@@ -153,7 +153,7 @@
         }],
         ..sync(0, token, 1, 11)
     };
-    let running = |core: &Core| core.job_progress(&job, 2_500).map(|p| p.running);
+    let running = |core: &Core| core.job_progress(&job, 2_500).ok().map(|p| p.running);
     assert!(
         core.handle_sync(&sync_with_progress(12, 2, 3), 2_200)
             .is_ok()
--- a/crates/coordination/tests/progress_age.rs
+++ b/crates/coordination/tests/progress_age.rs
@@ -75,7 +75,7 @@
 fn told(core: &Core, now: u64) -> Option<JobPhase> {
     match core.unfinished_status(&job(), now) {
         Some(JobStatusAnswer::Unfinished(report)) => Some(report.phase),
-        Some(JobStatusAnswer::ProgressOutdated) => None,
+        Some(JobStatusAnswer::ProgressOutdated(_)) => None,
         other => panic!("{other:?}"),
     }
 }
--- a/crates/node/src/public_api/cancel.rs
+++ b/crates/node/src/public_api/cancel.rs
@@ -53,7 +53,7 @@
                 return answer(node, 200, &status);
             }
             // An unfinished job is cancelled whatever is known of its progress.
-            Ok(Some(_)) | Err(QueryRefusal::ProgressOutdated) => {}
+            Ok(Some(_)) | Err(QueryRefusal::ProgressOutdated(_)) => {}
             Err(refusal) => return refused(refusal),
         }
         match pending_cancellation(node, &id) {
--- a/crates/node/src/public_api/job_status.rs
+++ b/crates/node/src/public_api/job_status.rs
@@ -43,7 +43,7 @@
     let wait_until_ms = node.now_ms() + PROGRESS_WAIT_MS;
     loop {
         match find_status(node, id).await {
-            Err(QueryRefusal::ProgressOutdated) if node.now_ms() < wait_until_ms => {
+            Err(QueryRefusal::ProgressOutdated(_)) if node.now_ms() < wait_until_ms => {
                 sleep_ms(TICK_MS).await;
             }
             result => return result,
@@ -88,14 +88,16 @@
             JobStatusAnswer::NeedsRefresh => {
                 node.refresh_cache().await.map_err(refresh_refusal)?;
                 match node.with_core(|core, now| core.unfinished_status(id, now)) {
-                    Some(JobStatusAnswer::ProgressOutdated) => {
-                        return Err(QueryRefusal::ProgressOutdated);
+                    Some(JobStatusAnswer::ProgressOutdated(gap)) => {
+                        return Err(QueryRefusal::ProgressOutdated(gap));
                     }
                     Some(status) => return Ok(status_of(id, status)),
                     None => {}
                 }
             }
-            JobStatusAnswer::ProgressOutdated => return Err(QueryRefusal::ProgressOutdated),
+            JobStatusAnswer::ProgressOutdated(gap) => {
+                return Err(QueryRefusal::ProgressOutdated(gap));
+            }
             JobStatusAnswer::NeedsFinalStates(ids) => read_dependencies(node, &ids).await?,
             JobStatusAnswer::Unknown => {
                 match look_up_job(node, id).await.map_err(lookup_refusal)? {
@@ -152,7 +154,7 @@
             reason: (!progress.reason.is_empty()).then_some(progress.reason),
         }),
         JobStatusAnswer::FinishedIn(_)
-        | JobStatusAnswer::ProgressOutdated
+        | JobStatusAnswer::ProgressOutdated(_)
         | JobStatusAnswer::NeedsRefresh
         | JobStatusAnswer::NeedsFinalStates(_)
         | JobStatusAnswer::Unknown => None,
--- a/crates/node/src/public_api/replies.rs
+++ b/crates/node/src/public_api/replies.rs
@@ -47,7 +47,7 @@
 ) -> Reply {
     let now_ms = node.now_ms();
     let mut admission = node.query_admission.borrow_mut();
-    debug!(job_id = %id, ?query, ?refusal, "query refused");
+    log_refusal(node, id, query, refusal, now_ms);
     admission.record_refusal(id, query, refusal, now_ms);
     // Closes the connection if this controller is not ready, or keeps refusing the job, so
     // that the user reaches another one: the load balancer does not move open connections.
@@ -59,15 +59,47 @@
     }
 }
 
+fn log_refusal(node: &Node, id: &JobId, query: QueryKind, refusal: QueryRefusal, now_ms: u64) {
+    if !tracing::enabled!(tracing::Level::DEBUG) {
+        return;
+    }
+    let gap = match refusal {
+        QueryRefusal::ProgressOutdated(_) => {
+            node.with_core(|core, _| core.progress_gap_report(id, now_ms))
+        }
+        _ => None,
+    };
+    match gap {
+        Some(gap) => debug!(
+            job_id = %id,
+            ?query,
+            ?refusal,
+            shard = gap.shard,
+            leader = gap.leader,
+            fencing_token = gap.fencing_token,
+            age_ms = gap.age_ms,
+            pull_failed = gap.pull_failed,
+            "query refused"
+        ),
+        None => debug!(job_id = %id, ?query, ?refusal, "query refused"),
+    }
+}
+
 /// Periodically logs which users' queries were refused, and why. Never returns.
 pub(crate) async fn log_refused_queries(node: Rc<Node>) {
     loop {
         sleep_ms(SUMMARY_INTERVAL_MS).await;
         let summary = node.query_admission.borrow_mut().take_refusals();
-        if let Some(RefusalSummary { counts, longest_ms }) = summary {
+        if let Some(summary) = summary {
+            let RefusalSummary {
+                counts,
+                longest_ms,
+                longest_job,
+            } = summary;
             info!(
                 refusals = ?counts,
                 longest_refused_ms = longest_ms,
+                longest_refused_job = longest_job.as_ref().map(JobId::as_str),
                 "queries refused"
             );
         }
--- a/crates/simulator/src/simulation/user_answers.rs
+++ b/crates/simulator/src/simulation/user_answers.rs
@@ -157,7 +157,7 @@
         };
         let unfinished = match core.unfinished_status(&id, now_ms) {
             Some(JobStatusAnswer::Unfinished(report)) => Some((Some(report.phase), 200)),
-            Some(JobStatusAnswer::ProgressOutdated) => Some((None, 503)),
+            Some(JobStatusAnswer::ProgressOutdated(_)) => Some((None, 503)),
             _ => None,
         };
         if let Some((phase, status)) = unfinished {
