Reproduce accepted jobs that no controller answers for, and check the protocol's 90 s

The simulator's checker asked for an answer within 75 s after the last fault only; the protocol's other half, every poll failing for 90 s while most others are answered, it didn't ask at all. It does now, at any time, over all controllers. New draw of the fault search: a zone or machines out of reach for 70 to 130 s while controllers end or stall every 8 to 25 s.

--- a/crates/coordination/tests/support/controllers.rs
+++ b/crates/coordination/tests/support/controllers.rs
@@ -79,6 +79,8 @@
     /// Start time of each attempt, and its exit cause if it has exited.
     pub tasks: BTreeMap<AttemptId, (u64, Option<&'static str>)>,
     pub released: bool,
+    /// No message reaches it, and none of its own arrives.
+    pub unreachable: bool,
 }
 
 impl SimulatedMachine {
@@ -149,6 +151,8 @@
     /// Run time of a task, ms.
     pub task_ms: u64,
     pub completed_tasks: BTreeSet<(JobId, u32)>,
+    /// Until when each controller's process is down, ms.
+    pub down_until: [u64; CONTROLLERS],
 }
 
 pub fn within(span: (u64, u64), now: u64) -> bool {
@@ -225,6 +229,7 @@
             held: None,
             tasks: BTreeMap::new(),
             released: false,
+            unreachable: false,
         };
         Self {
             now: 0,
@@ -241,9 +246,20 @@
             users: Vec::new(),
             task_ms: u64::MAX / 2,
             completed_tasks: BTreeSet::new(),
+            down_until: [0; CONTROLLERS],
         }
     }
 
+    pub fn is_up(&self, node: usize) -> bool {
+        self.now >= self.down_until[node]
+    }
+
+    /// Ends a controller's process; a new one starts after `down_ms`.
+    pub fn end_controller(&mut self, node: usize, down_ms: u64) {
+        self.down_until[node] = self.now + down_ms;
+        self.nodes[node] = start_controller(node, self.now + down_ms);
+    }
+
     pub fn draw_message_fault(&mut self) -> bool {
         let n = self.faults.one_fault_in;
         self.now > 20_000 && self.random.one_in(n)
@@ -257,7 +273,8 @@
     // ---- links ----
 
     pub fn partitioned(&self, a: usize, b: usize) -> bool {
-        a != b && (a == 0 || b == 0) && within(self.faults.partitioned, self.now)
+        let cut = (a == 0 || b == 0) && within(self.faults.partitioned, self.now);
+        a != b && (cut || !self.is_up(a) || !self.is_up(b))
     }
 
     pub fn store_down(&self) -> bool {
@@ -271,6 +288,7 @@
     /// Whether a controller reaches the store, directly or through another controller.
     pub fn reaches_store(&self, node: usize) -> bool {
         !self.store_down()
+            && self.is_up(node)
             && (0..CONTROLLERS)
                 .any(|relay| !self.store_unreachable(relay) && !self.partitioned(node, relay))
     }
@@ -858,7 +876,7 @@
             .find(|n| machine_id(*n) == call.machine)
             .expect("a known machine");
         let m = &mut self.machines[n];
-        if m.released {
+        if m.released || m.unreachable {
             return CommandResult::Unknown;
         }
         if call.commands.fencing_token < m.token || call.commands.incarnation != m.session {
@@ -875,7 +893,13 @@
             // The machine gave up waiting for the answer, and tries the next controller.
             self.machines[n].controller = (self.machines[n].controller + 1) % CONTROLLERS;
         }
-        let (node, report) = (self.machines[n].controller, self.heartbeat_of(n));
+        let node = self.machines[n].controller;
+        if self.machines[n].unreachable || !self.is_up(node) {
+            self.machines[n].next_heartbeat_at = now + WORKER_RETRY_MS;
+            self.machines[n].controller = (node + 1) % CONTROLLERS;
+            return;
+        }
+        let report = self.heartbeat_of(n);
         let lost = self.draw_message_fault();
         let answer = match self.nodes[node].core.handle_heartbeat(&report, now) {
             HeartbeatAnswer::Relay(to) if !self.partitioned(node, usize::from(to)) => self.nodes
@@ -1030,7 +1054,10 @@
         if self.faults.restarts.1 == now {
             self.nodes[self.faults.restarts.0] = start_controller(self.faults.restarts.0, now);
         }
-        for node in 0..CONTROLLERS {
+        for node in (0..CONTROLLERS)
+            .filter(|node| now >= self.down_until[*node])
+            .collect::<Vec<_>>()
+        {
             self.nodes[node].core.set_wall_clock(now, 1_000_000 + now);
             self.refresh_cache(node);
             if (now / 100) as usize % 4 == node {
--- a/crates/simulator/src/fault_search.rs
+++ b/crates/simulator/src/fault_search.rs
@@ -19,12 +19,13 @@
 use crate::scenario::Scenario;
 use crate::simulation::Simulation;
 use draw_faults::{
-    draw_faults, draw_losses_and_failovers, draw_lowered_limits, draw_repeated_messages,
-    draw_repeated_messages_with_machine_restarts, draw_stalls_over_slow_links,
+    draw_failovers_beside_lost_machines, draw_faults, draw_losses_and_failovers,
+    draw_lowered_limits, draw_repeated_messages, draw_repeated_messages_with_machine_restarts,
+    draw_stalls_over_slow_links,
 };
 use draw_site::{
     DrawnSite, draw_site, draw_site_of_jobs_bound_to_zones, draw_site_of_large_records,
-    draw_site_of_short_jobs,
+    draw_site_of_several_zones, draw_site_of_short_jobs,
 };
 use liveness::{jobs_that_never_begin, unconfirmed_cancellations};
 
@@ -63,6 +64,9 @@
     /// Losses of machines, each with ends of controllers around the time at which the loss is
     /// proven, while jobs of several task records must share a zone or be spread over zones.
     LossesOfJobsBoundToZones,
+    /// Machines and zones out of reach for longer than a worker's lease, while leaders change again
+    /// and again.
+    FailoversBesideLostMachines,
 }
 
 impl FaultMix {
@@ -75,6 +79,7 @@
             }
             Self::LoweredLimits => draw_site_of_large_records(rng, max_machines),
             Self::LossesOfJobsBoundToZones => draw_site_of_jobs_bound_to_zones(rng, max_machines),
+            Self::FailoversBesideLostMachines => draw_site_of_several_zones(rng, max_machines),
         };
         let faults = match self {
             Self::Any => draw_faults(rng, &site),
@@ -85,6 +90,7 @@
                 draw_repeated_messages_with_machine_restarts(rng, &site)
             }
             Self::LossesOfJobsBoundToZones => draw_losses_and_failovers(rng, &site),
+            Self::FailoversBesideLostMachines => draw_failovers_beside_lost_machines(rng, &site),
         };
         (site, faults)
     }
@@ -96,7 +102,8 @@
             | Self::StallsOverSlowLinks
             | Self::Repeated
             | Self::RepeatedWithMachineRestarts
-            | Self::LossesOfJobsBoundToZones => Vec::new(),
+            | Self::LossesOfJobsBoundToZones
+            | Self::FailoversBesideLostMachines => Vec::new(),
             Self::LoweredLimits => [
                 jobs_that_never_begin(simulation),
                 unconfirmed_cancellations(simulation),
--- a/crates/simulator/src/fault_search/draw_faults.rs
+++ b/crates/simulator/src/fault_search/draw_faults.rs
@@ -36,6 +36,12 @@
 /// When a controller ends after a lease has passed since a loss, s: ends of attempts are
 /// learned about then, and written up to 3 s later.
 const END_AFTER_PROOF_S: Range<f64> = -1.0..6.0;
+/// Duration of a loss of machines beside changes of leaders, s: beyond a worker's lease.
+const LONG_LOSS_S: Range<f64> = 70.0..130.0;
+/// Time between two ends or stalls of controllers beside it, s.
+const FAILOVER_INTERVAL_S: Range<f64> = 8.0..25.0;
+/// Duration of a stall that costs a controller its shards, s.
+const FAILOVER_STALL_S: Range<f64> = 8.0..16.0;
 /// Share of the machines that become faulty beside repeated messages.
 const FAULTY_SHARE: Range<f64> = 0.02..0.15;
 /// Share of the machines that restart at a time beside repeated messages.
@@ -194,6 +200,44 @@
     faults
 }
 
+/// Draws a long loss of a zone or of machines, during which controllers end or stall one after the
+/// other, and in half of the runs another single fault.
+pub(super) fn draw_failovers_beside_lost_machines(
+    rng: &mut ChaCha8Rng,
+    site: &DrawnSite,
+) -> Vec<String> {
+    let lost_at = WARM_UP_S + rng.random::<f64>() * (FAULT_WINDOW_S / 2.0);
+    let length = rng.random_range(LONG_LOSS_S);
+    let share = rng.random_range(LOST_SHARE);
+    let zone = rng.random_range(0..site.zones);
+    let losses = [
+        format!("kind = 'cut_zone'\nzone = 'z{zone}'\nfor_s = {length:.1}"),
+        format!("kind = 'cut_zone'\nzone = 'z{zone}'\nfor_s = {length:.1}"),
+        format!("kind = 'silent'\nshare = {share:.2}\nfor_s = {length:.1}"),
+        format!("kind = 'hang'\nshare = {share:.2}\nfor_s = {length:.1}"),
+        format!("kind = 'mute'\nzone = 'z{zone}'\nfor_s = {length:.1}"),
+    ];
+    let loss = losses.choose(rng).map_or("", String::as_str);
+    let mut faults = vec![format!("[[fault]]\nat_s = {lost_at:.1}\n{loss}\n")];
+    let mut at = lost_at + rng.random_range(0.0..FAILOVER_INTERVAL_S.end);
+    while at < lost_at + length {
+        let controller = rng.random_range(0..site.controllers);
+        let fault = if rng.random_range(0..4) == 0 {
+            let stall = rng.random_range(FAILOVER_STALL_S);
+            format!("kind = 'freeze'\ncontroller = {controller}\nfor_s = {stall:.1}")
+        } else {
+            let back_after = rng.random_range(0.05..8.0);
+            format!("kind = 'crash'\ncontroller = {controller}\nfor_s = {back_after:.2}")
+        };
+        faults.push(format!("[[fault]]\nat_s = {at:.1}\n{fault}\n"));
+        at += rng.random_range(FAILOVER_INTERVAL_S);
+    }
+    if rng.random::<bool>() {
+        faults.push(draw_single_fault(rng, site));
+    }
+    faults
+}
+
 /// Draws the end of one controller or of all, and when it is back.
 fn draw_end_of_controllers(
     rng: &mut ChaCha8Rng,
--- a/crates/simulator/src/fault_search/draw_site.rs
+++ b/crates/simulator/src/fault_search/draw_site.rs
@@ -85,12 +85,7 @@
     rng: &mut ChaCha8Rng,
     max_machines: u32,
 ) -> DrawnSite {
-    let mut site = loop {
-        let site = draw_infrastructure(rng, max_machines, FEW_CAS_OPERATIONS);
-        if site.zones > 1 && site.controllers > 1 {
-            break site;
-        }
-    };
+    let mut site = draw_infrastructure_of_several_zones(rng, max_machines, FEW_CAS_OPERATIONS);
     let per_min = 0.2 + f64::from(site.machines) / 150.0;
     let tasks = "tasks = { dist = 'uniform', low = 65, high = 140 }";
     let classes = [
@@ -110,6 +105,26 @@
     site
 }
 
+/// Draws a site of at least two zones and controllers, with its load.
+pub(super) fn draw_site_of_several_zones(rng: &mut ChaCha8Rng, max_machines: u32) -> DrawnSite {
+    let mut site = draw_infrastructure_of_several_zones(rng, max_machines, CAS_OPERATIONS);
+    write_load(&mut site, rng);
+    site
+}
+
+fn draw_infrastructure_of_several_zones(
+    rng: &mut ChaCha8Rng,
+    max_machines: u32,
+    cas_operations: Range<u32>,
+) -> DrawnSite {
+    loop {
+        let site = draw_infrastructure(rng, max_machines, cas_operations.clone());
+        if site.zones > 1 && site.controllers > 1 {
+            return site;
+        }
+    }
+}
+
 /// Draws the size of a site, and its infrastructure, whose store allows this many operations in a
 /// compare-and-swap.
 fn draw_infrastructure(
--- a/crates/simulator/src/invariants.rs
+++ b/crates/simulator/src/invariants.rs
@@ -16,7 +16,7 @@
 pub use answers::UserAnswer;
 pub use placement::TaskPlacement;
 
-use answers::TerminalAnswer;
+use answers::{AwaitedJob, PollCounts, TerminalAnswer};
 use placement::OccupiedMachine;
 
 /// Checks the invariants of a run. All times are µs.
@@ -50,8 +50,10 @@
     cancellation_deadline_us: u64,
     /// Number of live tasks of each gang by attempt, from the launch command to the exit.
     live_gang_tasks: HashMap<JobId, BTreeMap<u32, u32>>,
-    /// Jobs that a user waits for, with the time of the last answer about them.
-    awaiting_answer: HashMap<JobId, u64>,
+    /// Jobs that a user waits for.
+    awaiting_answer: HashMap<JobId, AwaitedJob>,
+    /// Polls of accepted jobs.
+    polls: PollCounts,
 }
 
 impl InvariantChecker {
--- a/crates/simulator/src/invariants/answers.rs
+++ b/crates/simulator/src/invariants/answers.rs
@@ -8,8 +8,34 @@
 
 use super::InvariantChecker;
 
-/// Time without an answer after which a job counts as forgotten, µs.
+/// Time without an answer, after the last fault, after which a job counts as forgotten, µs.
 const MAX_UNANSWERED_US: u64 = 75_000_000;
+/// The same at any time, if most other polls are answered meanwhile, µs.
+const MAX_UNANSWERED_AMONG_OTHERS_US: u64 = 90_000_000;
+
+/// Number of polls since the start of a run.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct PollCounts {
+    sent: u64,
+    answered: u64,
+}
+
+impl PollCounts {
+    /// True if more than half of the polls since `earlier` were answered.
+    fn mostly_answered_since(self, earlier: Self) -> bool {
+        2 * (self.answered - earlier.answered) > self.sent - earlier.sent
+    }
+}
+
+/// A job that a user waits for.
+pub(super) struct AwaitedJob {
+    /// Time of the last answer about it.
+    answered_at: u64,
+    /// Polls of all jobs up to then.
+    polls_before: PollCounts,
+    /// Number of polls of this job since then.
+    polls_sent: u64,
+}
 
 /// The final phase of a job that a user was told, and when.
 pub(super) struct TerminalAnswer {
@@ -99,9 +125,27 @@
         false
     }
 
+    /// Records that a user polled an accepted job, whether or not a controller could be reached.
+    pub fn poll_sent(&mut self, job: &JobId) {
+        self.polls.sent += 1;
+        if let Some(awaited) = self.awaiting_answer.get_mut(job) {
+            awaited.polls_sent += 1;
+        }
+    }
+
+    /// Records that a poll was answered.
+    pub fn poll_answered(&mut self) {
+        self.polls.answered += 1;
+    }
+
     /// Records that a request about a job that a user waits for was answered at `now`.
     pub fn query_answered(&mut self, job: &JobId, now: u64) {
-        self.awaiting_answer.insert(job.clone(), now);
+        let awaited = AwaitedJob {
+            answered_at: now,
+            polls_before: self.polls,
+            polls_sent: 0,
+        };
+        self.awaiting_answer.insert(job.clone(), awaited);
     }
 
     /// Records that no user waits for a job any more.
@@ -109,22 +153,34 @@
         self.awaiting_answer.remove(job);
     }
 
-    /// Checks that every job that a user waits for gets answers. Time before `quiet_since`, when
-    /// the last fault ended, does not count.
+    /// Checks that every job that a user waits for gets answers: within [`MAX_UNANSWERED_US`], of
+    /// which time before `quiet_since`, when the last fault ended, does not count, and at any time
+    /// within [`MAX_UNANSWERED_AMONG_OTHERS_US`], unless most polls of other jobs fail too.
     pub fn check_answers(&mut self, quiet_since: u64, now: u64) {
-        let late = |at: &u64| (*at).max(quiet_since) + MAX_UNANSWERED_US < now;
-        let mut forgotten: Vec<JobId> = self
+        let polls = self.polls;
+        let late = |job: &AwaitedJob| {
+            let unanswered_since_faults =
+                job.answered_at.max(quiet_since) + MAX_UNANSWERED_US < now;
+            let unanswered_among_others = job.answered_at + MAX_UNANSWERED_AMONG_OTHERS_US < now
+                && job.polls_sent > 0
+                && polls.mostly_answered_since(job.polls_before);
+            match (unanswered_since_faults, unanswered_among_others) {
+                (true, _) => Some("for 75 s"),
+                (false, true) => Some("for 90 s while most others are answered"),
+                (false, false) => None,
+            }
+        };
+        let mut forgotten: Vec<(JobId, &str)> = self
             .awaiting_answer
             .iter()
-            .filter(|(_, at)| late(at))
-            .map(|(job, _)| job.clone())
+            .filter_map(|(job, awaited)| Some((job.clone(), late(awaited)?)))
             .collect();
         forgotten.sort_unstable();
-        for job in forgotten {
+        for (job, duration) in forgotten {
             self.awaiting_answer.remove(&job);
             self.violation(
                 now,
-                format!("forgotten: no question about {job} is answered for 75 s"),
+                format!("forgotten: no question about {job} is answered {duration}"),
             );
         }
     }
--- a/crates/simulator/src/simulation/users.rs
+++ b/crates/simulator/src/simulation/users.rs
@@ -198,6 +198,7 @@
             return;
         };
         user.last_poll = now;
+        self.workload.checker.poll_sent(&id);
         let sent = self.send_to_ready_controller(Input::Poll(id.clone()));
         let again_us = if sent {
             POLL_ANSWER_US + self.poll_interval_us()
@@ -258,6 +259,9 @@
         let accepted_when_asked = user.accepted_at.is_some_and(|at| at <= asked_at);
         let (is_accepted, is_finished) = (user.accepted_at.is_some(), user.finished);
         let answers_poll = matches!(status, 200 | 404) && now <= user.last_poll + POLL_ANSWER_US;
+        if is_accepted && answers_poll {
+            self.workload.checker.poll_answered();
+        }
         if poll_us > 0 && !is_finished && (!is_accepted && status < 300 || answers_poll) {
             self.workload.checker.query_answered(&id, now);
         }
