A sync says nothing of jobs whose progress it doesn't carry

What callers saw: a leader stood still for 8 s just as a job's task began to run.

Cause: syncs carry progress for controllers of an earlier version. A receiver took any sync of a leader that had answered no pull under its token yet for all of its progress, so that each job of which it held no row was queued; and a leader that doesn't know whether an earlier one's attempts run sent such a job as one of which no task runs, since a row of a sync can't say so.

Why this works: that a row is missing counts only where the leader answers pulls with 404, as an earlier version does; rows that are not known are not sent. What was last known is told instead, or nothing. The last known progress is written again every 2 s while a job may begin to run (6 s before), so that its age when a leader stops is small.

--- a/crates/coordination/src/last_progress.rs
+++ b/crates/coordination/src/last_progress.rs
@@ -21,11 +21,9 @@
 /// ms between two writes of a shard's last known progress, if a job got its first attempt: until then
 /// the others call it queued.
 const FIRST_ATTEMPT_WRITE_INTERVAL_MS: u64 = 500;
-/// The same for any other change.
+/// The same for any other change, and while some job may begin to run: how long such a job is not told
+/// depends on the age.
 const CHANGE_WRITE_INTERVAL_MS: u64 = 2_000;
-/// ms after which it is written again although it didn't change, if some job may begin to run: how
-/// long such a job is not told depends on the age.
-const REFRESH_INTERVAL_MS: u64 = 6_000;
 /// ms since its progress was last known for which a job of which an attempt may have begun to run
 /// is not called queued: an election and its machines' next heartbeats take less.
 pub const MAY_RUN_UNTOLD_MS: u64 = 15_000;
@@ -62,10 +60,9 @@
             return written(FIRST_ATTEMPT_WRITE_INTERVAL_MS);
         }
         let changed = !rows.iter().map(phase).eq(self.rows.iter().map(phase));
-        if changed || stored_at_ms != Some(self.known_at_ms) {
-            return written(CHANGE_WRITE_INTERVAL_MS);
-        }
-        written(REFRESH_INTERVAL_MS) && rows.iter().any(|row| row.may_run)
+        let is_lost = stored_at_ms != Some(self.known_at_ms);
+        (changed || is_lost || rows.iter().any(|row| row.may_run))
+            && written(CHANGE_WRITE_INTERVAL_MS)
     }
 
     fn lists(&self, id: &JobId) -> bool {
--- a/crates/coordination/src/peer_progress.rs
+++ b/crates/coordination/src/peer_progress.rs
@@ -85,14 +85,19 @@
     until: u64,
     /// Until when `jobs` may be told, ms; `None`: it is incomplete.
     valid_until: Option<u64>,
+    /// Until when those of `jobs` that are known may be told since a sync arrived, ms. That a sync holds
+    /// no progress says nothing of other jobs, unless the leader sends all of it with its syncs.
+    synced_until: Option<u64>,
     pull_in_flight: bool,
     next_pull_at: u64,
     /// The last pull failed.
     pull_failed: bool,
     /// When the leader is next asked through the store, ms.
     next_store_request_at: u64,
-    /// The leader has answered a pull; one of an earlier version sends progress with its syncs.
+    /// The leader has answered a pull.
     answers_pulls: bool,
+    /// The leader is of an earlier version: it sends all progress with its syncs.
+    sends_with_syncs: bool,
     stored: VecDeque<StoredRange>,
 }
 
@@ -119,6 +124,12 @@
             let row = self.jobs.get(id).unwrap_or(&queued);
             return row.told().ok_or(ProgressGap::UnknownToLeader);
         }
+        if self.synced_until.is_some_and(|until| now <= until) {
+            let unlisted = self.sends_with_syncs.then_some(&queued);
+            if let Some(row) = self.jobs.get(id).or(unlisted) {
+                return row.told().ok_or(ProgressGap::UnknownToLeader);
+            }
+        }
         let range = self
             .stored
             .iter()
@@ -137,7 +148,7 @@
     /// Until when the newest progress received could be told, ms; `None`: none was received.
     fn newest_until(&self) -> Option<u64> {
         let stored = self.stored.back().map(|range| range.valid_until);
-        self.valid_until.max(stored)
+        self.valid_until.max(stored).max(self.synced_until)
     }
 }
 
@@ -199,6 +210,7 @@
         self.reads.clear();
         for progress in self.shards.values_mut() {
             progress.valid_until = progress.valid_until.map(|_| 0);
+            progress.synced_until = None;
             progress.stored.clear();
             progress.next_pull_at = 0;
         }
@@ -294,6 +306,15 @@
         }
     }
 
+    /// Handles the answer of a leader that does not answer pulls.
+    pub(crate) fn apply_unsupported_pull(&mut self, query: &ProgressQuery, now: u64) {
+        if let Some(progress) = self.shards.get_mut(&query.shard) {
+            progress.pull_in_flight = false;
+            progress.next_pull_at = now + PULL_FAILURE_RETRY_MS;
+            progress.sends_with_syncs |= progress.fencing_token == query.fencing_token;
+        }
+    }
+
     /// Handles the progress in a direct sync of a controller that answers no pulls.
     pub(crate) fn apply_sync(
         &mut self,
@@ -318,7 +339,7 @@
                 },
             );
         }
-        progress.valid_until = Some(now + SYNCED_PROGRESS_MAX_AGE_MS);
+        progress.synced_until = Some(now + SYNCED_PROGRESS_MAX_AGE_MS);
     }
 
     /// Records a read of the store that began at `began`, ms, and showed this revision.
--- a/crates/coordination/src/placer/owner_channel.rs
+++ b/crates/coordination/src/placer/owner_channel.rs
@@ -234,7 +234,9 @@
         changes
             .into_iter()
             .filter_map(|(job, progress)| {
-                progress.map(|progress| JobProgress {
+                // A row of a sync can't say that it is not known whether a task runs.
+                let progress = progress.filter(|progress| progress.known)?;
+                Some(JobProgress {
                     job: job.clone(),
                     tasks_done: progress.done,
                     tasks_running: progress.running,
--- a/crates/coordination/src/progress_exchange.rs
+++ b/crates/coordination/src/progress_exchange.rs
@@ -180,6 +180,12 @@
         self.peer_progress.apply_pull(query, page, sent_at, now);
     }
 
+    /// Handles the answer of a leader that does not answer pulls: one of an earlier version, which
+    /// sends its progress with its syncs.
+    pub fn pull_unsupported(&mut self, query: &ProgressQuery, now: u64) {
+        self.peer_progress.apply_unsupported_pull(query, now);
+    }
+
     /// True if this controller's own placers may not know what their tasks do: it stalled, and its
     /// workers may not have sent heartbeats since.
     pub(crate) fn own_progress_outdated(&self, now: u64) -> bool {
--- a/crates/coordination/tests/progress_age.rs
+++ b/crates/coordination/tests/progress_age.rs
@@ -17,7 +17,7 @@
     CompareAndSwap, Condition, KeyValue, WatchEvent, Write, to_value,
 };
 use lemonweir_protocol::last_progress::{self, LastProgressRow};
-use lemonweir_protocol::peer::{self, ChangeRange};
+use lemonweir_protocol::peer::{self, ChangeRange, ObservedState, SyncRequest};
 use lemonweir_protocol::progress::{
     ProgressPage, ProgressQuery, ProgressRow, StoredProgress, StoredRow, pack_row,
 };
@@ -493,3 +493,66 @@
         "{stored:?}"
     );
 }
+
+/// A sync of the leader of shard 0 to this controller's shard 1, without progress.
+fn sync_without_progress(fencing_token: u64) -> SyncRequest {
+    SyncRequest {
+        from_fencing_token: fencing_token,
+        to_shard: 1,
+        to_fencing_token: TOKEN + 1,
+        ..sync_request(
+            1,
+            ChangeRange::default(),
+            Vec::new(),
+            ObservedState::default(),
+        )
+    }
+}
+
+/// Guards against a running job that is called queued since its new leader answers no pull yet.
+#[test]
+fn sync_without_progress_does_not_make_jobs_queued() {
+    for supported in [true, false] {
+        let mut core = controller(1);
+        let own = ShardLease {
+            shard: 1,
+            token: TOKEN + 1,
+        };
+        core.acquire(own, &[], Vec::new(), 20);
+        let query = pull(&mut core, 30).expect("a pull");
+        if supported {
+            core.progress_pulled(&query, None, 30, 40);
+        } else {
+            core.pull_unsupported(&query, 40);
+        }
+        assert!(core.handle_sync(&sync_without_progress(TOKEN), 50).is_ok());
+        // A leader of an earlier version sends all progress with its syncs.
+        let expected = (!supported).then_some(JobPhase::Queued);
+        assert_eq!(told(&core, 60), expected, "pulls supported: {supported}");
+    }
+}
+
+/// Guards against a sync by which another controller takes an inherited job for queued.
+#[test]
+fn leader_sends_no_progress_with_syncs_that_it_does_not_know() {
+    let mut core = controller(0);
+    let shard = ShardRecord { host: "h1".into() };
+    let change = WatchEvent {
+        set: Some(shard_key(1)),
+        drop: None,
+        value: Some(to_value(&shard)),
+        version: 101,
+    };
+    core.cache.apply_changes(&[change], 101, 15);
+    core.acquire(LEASE, &[inherited_chunk()], Vec::new(), 20);
+    let syncs = core
+        .flush(5_000)
+        .into_iter()
+        .filter_map(|effect| match effect {
+            Effect::Sync(_, sync) if sync.to_shard == 1 => Some(sync),
+            _ => None,
+        });
+    let syncs: Vec<SyncRequest> = syncs.collect();
+    assert_eq!(syncs.len(), 1);
+    assert!(syncs[0].progress.is_empty(), "{:?}", syncs[0].progress);
+}
--- a/crates/node/src/effect_executor.rs
+++ b/crates/node/src/effect_executor.rs
@@ -26,13 +26,13 @@
     self, AvailabilityGossip, GOSSIP_PATH, LINKS_VERSION, RelayRequest, RelayTarget, Service,
 };
 use lemonweir_protocol::peer::{self, ShardView, Superseded, SyncRequest};
-use lemonweir_protocol::progress::{PROGRESS_PATH, ProgressPage, ProgressQuery};
+use lemonweir_protocol::progress::{PROGRESS_PATH, ProgressQuery};
 use lemonweir_protocol::worker::Heartbeat;
 use lemonweir_protocol::{decode, encode};
 use lemonweir_storage::records::{
     StoreMessageKind, StoreMessageRoute, parse_task_chunk_key, shard_key, write_store_message,
 };
-use lemonweir_transport::CallError;
+use lemonweir_transport::{CallError, Response};
 
 /// ms after which a failed store request is repeated.
 const STORE_RETRY_MS: u64 = 2 * TICK_MS;
@@ -270,24 +270,25 @@
 /// Pulls progress from the leader of a shard, and reports the answer to the core.
 async fn pull_progress(node: &Node, index: u16, query: &ProgressQuery) {
     let sent_at = node.now_ms();
-    let page = send_progress_query(node, index, query).await;
-    node.with_core(|core, now| core.progress_pulled(query, page, sent_at, now));
+    let response = send_progress_query(node, index, query).await;
+    node.with_core(|core, now| match response {
+        Some(response) if response.status == 404 => core.pull_unsupported(query, now),
+        response => {
+            let page = response
+                .filter(|response| response.status == 200)
+                .and_then(|response| peer::decode(&response.body).ok());
+            core.progress_pulled(query, page, sent_at, now);
+        }
+    });
 }
 
-async fn send_progress_query(
-    node: &Node,
-    index: u16,
-    query: &ProgressQuery,
-) -> Option<ProgressPage> {
+async fn send_progress_query(node: &Node, index: u16, query: &ProgressQuery) -> Option<Response> {
     let address = node.router.peers.get(&index)?;
     let body = peer::encode(query);
-    let response = node
+    let call = node
         .http
-        .call(*address, "POST", PROGRESS_PATH, &body, PULL_INTERVAL_MS)
-        .await
-        .ok()
-        .filter(|response| response.status == 200)?;
-    peer::decode(&response.body).ok()
+        .call(*address, "POST", PROGRESS_PATH, &body, PULL_INTERVAL_MS);
+    call.await.ok()
 }
 
 /// Writes a shard's progress to the store.
