Last known progress: a leader that stalled asks its own attempts too; simpler inheritance

Seen while reading the change again: a leader that stalled right after it recorded a job's first attempt, and before it listed the job, would have called it queued from its own record. stalled_leader_does_not_call_a_job_with_an_attempt_queued failed before. What a placer inherits is a plain map; that a job not listed may have an attempt is decided in one place.

--- a/crates/coordination/src/last_progress.rs
+++ b/crates/coordination/src/last_progress.rs
@@ -5,8 +5,6 @@
 //! So how long a job stays unanswered depends on when its progress was last known, and not on how long
 //! a leader or a process has waited (`docs/design.md`, 18).
 
-use std::collections::BTreeMap;
-
 use lemonweir_model::JobId;
 use lemonweir_protocol::last_progress::{LastProgressRow, MAX_PACKED_ROW_BYTES, pack_row};
 use lemonweir_storage::last_progress::{
@@ -141,11 +139,16 @@
     /// Takes over what earlier leaders last knew of the jobs of a shard that this controller has just
     /// acquired, as far as they have attempts that it knows nothing of.
     pub(crate) fn inherit_last_progress(&mut self, shard: u16, now: u64) {
-        let time_of_day_ms = now + self.config.wall_clock_offset_ms;
+        // Where earlier leaders left nothing, the age counts from now on.
+        let unknown = LastProgress {
+            tasks_done: 0,
+            phase: LastPhase::MayRun,
+            known_at_ms: now + self.config.wall_clock_offset_ms,
+        };
         let cache = &self.cache.last_progress;
         if let Some(led) = self.shards.get_mut(&shard) {
             led.placer
-                .inherit_last_progress(|id| cache.get(shard, id), time_of_day_ms);
+                .inherit_last_progress(|id| cache.get(shard, id).unwrap_or(unknown));
         }
     }
 
@@ -158,48 +161,22 @@
         inherited: bool,
         now: u64,
     ) -> Option<(LastProgress, u64)> {
-        let led = self.shards.get(&shard).filter(|_| inherited);
-        let last = match led.and_then(|led| led.placer.inherited_progress(id)) {
+        let placer = self.shards.get(&shard).map(|led| &led.placer);
+        let last = match placer
+            .filter(|_| inherited)
+            .and_then(|p| p.inherited_progress(id))
+        {
             Some(last) => *last,
             None => self.cache.last_progress.get(shard, id)?,
         };
-        // A job that was not listed has an attempt that was recorded later.
-        let may_run =
-            last.phase == LastPhase::MayRun || inherited && last.phase == LastPhase::Queued;
+        let may_run = match last.phase {
+            LastPhase::MayRun => true,
+            LastPhase::Running(_) => false,
+            // It may have an attempt that was recorded later.
+            LastPhase::Queued => inherited || placer.is_some_and(|placer| placer.has_attempt(id)),
+        };
         let time_of_day_ms = now + self.config.wall_clock_offset_ms;
         let age_ms = time_of_day_ms.saturating_sub(last.known_at_ms);
         (!may_run || age_ms >= MAY_RUN_UNTOLD_MS).then_some((last, age_ms))
     }
 }
-
-/// The progress that a placer inherits from earlier leaders of its shard.
-#[derive(Default)]
-pub(crate) struct InheritedProgress {
-    jobs: BTreeMap<JobId, LastProgress>,
-}
-
-impl InheritedProgress {
-    /// Records what earlier leaders last knew of a job with attempts of theirs; `None`: they left
-    /// nothing.
-    pub(crate) fn insert(&mut self, id: &JobId, last: Option<LastProgress>, time_of_day_ms: u64) {
-        let last = last.unwrap_or(LastProgress {
-            tasks_done: 0,
-            phase: LastPhase::MayRun,
-            known_at_ms: time_of_day_ms,
-        });
-        let phase = match last.phase {
-            // Its attempt was recorded after that.
-            LastPhase::Queued => LastPhase::MayRun,
-            phase => phase,
-        };
-        self.jobs.insert(id.clone(), LastProgress { phase, ..last });
-    }
-
-    pub(crate) fn get(&self, id: &JobId) -> Option<&LastProgress> {
-        self.jobs.get(id)
-    }
-
-    pub(crate) fn remove(&mut self, id: &JobId) {
-        self.jobs.remove(id);
-    }
-}
--- a/crates/coordination/src/placer/mod.rs
+++ b/crates/coordination/src/placer/mod.rs
@@ -49,6 +49,7 @@
 use lemonweir_model::policy::ServicePlacementWeights;
 use lemonweir_model::{Catalog, JobId, MachineId, MachineType, Priority, Resources};
 use lemonweir_protocol::peer::{MachineView, ProvisionedInstance};
+use lemonweir_storage::last_progress::LastProgress;
 use lemonweir_storage::records::JobRecord;
 
 use crate::autoscaler::CapacityDemand;
@@ -56,7 +57,6 @@
 use crate::fault_attribution::FaultAttribution;
 use crate::image_locality::usage::ImageUsage;
 use crate::job::Job;
-use crate::last_progress::InheritedProgress;
 use crate::placement::PlacementIndex;
 use crate::size_rejection::SizeRejection;
 use crate::supervision::services::SupervisedServices;
@@ -184,7 +184,7 @@
     dirty_jobs: BTreeMap<JobId, u64>,
     job_progress: ChangeLog<JobId, PublishedProgress>,
     /// What earlier leaders last knew of jobs with attempts of which nothing has been heard yet.
-    inherited_progress: InheritedProgress,
+    inherited_progress: BTreeMap<JobId, LastProgress>,
     /// Partitioned zones, by the shard whose owner can't reach them.
     partitions: Vec<BTreeMap<String, ZonePartition>>,
     /// Attributes failures to jobs or machines.
@@ -305,7 +305,7 @@
             quota_dirty_teams: BTreeSet::new(),
             dirty_jobs: BTreeMap::new(),
             job_progress: ChangeLog::default(),
-            inherited_progress: InheritedProgress::default(),
+            inherited_progress: BTreeMap::new(),
             partitions: (0..shards).map(|_| BTreeMap::new()).collect(),
             fault_attribution: FaultAttribution::default(),
             quota_limits,
--- a/crates/coordination/src/placer/status.rs
+++ b/crates/coordination/src/placer/status.rs
@@ -8,7 +8,6 @@
 use lemonweir_protocol::last_progress::LastProgressRow;
 use lemonweir_protocol::peer::ChangeRange;
 use lemonweir_protocol::progress::{ProgressRow, StoredRow, pack_row};
-
 use lemonweir_storage::last_progress::{LastPhase, LastProgress};
 
 use super::partitions::{ZonePartition, partition_of};
@@ -19,6 +18,7 @@
 const PROGRESS_ROW_BYTES: usize = 32;
 /// Bytes of a packed row at most.
 const MAX_PACKED_ROW_BYTES: usize = 24;
+
 /// Seconds for which a service must have lacked replicas before its status says so: up to
 /// then they are expected to be starting.
 const SHORTFALL_SHOWN_AFTER_S: u64 = 30;
@@ -85,15 +85,15 @@
     }
 
     /// Takes over what earlier leaders last knew of jobs with attempts of theirs.
-    pub(crate) fn inherit_last_progress(
-        &mut self,
-        last: impl Fn(&JobId) -> Option<LastProgress>,
-        time_of_day_ms: u64,
-    ) {
+    pub(crate) fn inherit_last_progress(&mut self, last: impl Fn(&JobId) -> LastProgress) {
         let unknown = |job: &Job| job.live.values().any(LiveAttempt::is_inherited_unknown);
-        for (id, _) in self.jobs.iter().filter(|(_, job)| unknown(job)) {
-            self.inherited_progress.insert(id, last(id), time_of_day_ms);
-        }
+        let inherited = self.jobs.iter().filter(|(_, job)| unknown(job));
+        self.inherited_progress = inherited.map(|(id, _)| (id.clone(), last(id))).collect();
+    }
+
+    /// True if a job has an attempt that is not proven to have ended.
+    pub(crate) fn has_attempt(&self, id: &JobId) -> bool {
+        self.jobs.get(id).is_some_and(|job| !job.live.is_empty())
     }
 
     /// The progress of this shard's jobs, as far as it is known, and else as it was last known. Jobs
--- a/crates/coordination/tests/progress_age.rs
+++ b/crates/coordination/tests/progress_age.rs
@@ -9,7 +9,7 @@
 use controllers::core_with_catalog;
 use lemonweir_coordination::job_status::JobStatusAnswer;
 use lemonweir_coordination::{
-    Core, Effect, MAY_RUN_UNTOLD_MS, PROGRESS_MAX_AGE_MS, PULL_INTERVAL_MS, ShardLease,
+    Core, Effect, MAY_RUN_UNTOLD_MS, PROGRESS_MAX_AGE_MS, PULL_INTERVAL_MS, ProgressGap, ShardLease,
 };
 use lemonweir_model::constants::PEER_VERSION;
 use lemonweir_model::{JobId, JobSpec};
@@ -556,3 +556,17 @@
     assert_eq!(syncs.len(), 1);
     assert!(syncs[0].progress.is_empty(), "{:?}", syncs[0].progress);
 }
+
+/// Guards against a job that began to run at a leader that stood still, which calls it queued.
+#[test]
+fn stalled_leader_does_not_call_a_job_with_an_attempt_queued() {
+    let mut core = controller(0);
+    core.set_wall_clock(0, MIDNIGHT_MS);
+    read_last_progress(&mut core, &[], 1_000);
+    core.acquire(LEASE, &[inherited_chunk()], Vec::new(), 1_100);
+    core.flush(1_200);
+    core.flush(10_000);
+    let gap = core.progress_gap(&job(), 10_000);
+    assert_eq!(gap, Some(ProgressGap::Stalled));
+    assert_eq!(told(&core, 10_000), None);
+}
