--- a/crates/simulator/src/invariants/answers.rs
+++ b/crates/simulator/src/invariants/answers.rs
@@ -153,9 +153,9 @@
         self.awaiting_answer.remove(job);
     }
 
-    /// Checks that every job that a user waits for gets answers: within [`MAX_UNANSWERED_US`], of
-    /// which time before `quiet_since`, when the last fault ended, does not count, and at any time
-    /// within [`MAX_UNANSWERED_AMONG_OTHERS_US`], unless most polls of other jobs fail too.
+    /// Checks that every job that a user waits for gets answers: within 75 s, of which time
+    /// before `quiet_since`, when the last fault ended, does not count, and at any time within 90 s,
+    /// unless most polls of other jobs fail too.
     pub fn check_answers(&mut self, quiet_since: u64, now: u64) {
         let polls = self.polls;
         let late = |job: &AwaitedJob| {
