--- a/crates/coordination/tests/progress_age.rs
+++ b/crates/coordination/tests/progress_age.rs
@@ -570,3 +570,108 @@
     assert_eq!(gap, Some(ProgressGap::Stalled));
     assert_eq!(told(&core, 10_000), None);
 }
+
+/// When a controller whose clock was set at 0 knows of its workers again, ms.
+const AFTER_CLOCK_SET: u64 = 5_000;
+
+/// Guards against a job that is called queued too soon, since its age in the store grew old while its
+/// leader lived.
+#[test]
+fn jobs_that_may_run_are_written_again_while_they_do_not_change() {
+    let mut core = controller(0);
+    core.set_wall_clock(0, MIDNIGHT_MS);
+    core.acquire(LEASE, &[inherited_chunk()], Vec::new(), AFTER_CLOCK_SET);
+    let mut written_at = Vec::new();
+    for now in (AFTER_CLOCK_SET + 100..AFTER_CLOCK_SET + 12_100).step_by(100) {
+        if let Some(cas) = last_progress_write(core.flush(now)) {
+            core.cache.apply_changes(&changes_of(cas, 200), 200, now);
+            written_at.push(now);
+        }
+    }
+    let gaps = written_at.windows(2).map(|two| two[1] - two[0]);
+    assert!(written_at.len() >= 5, "{written_at:?}");
+    assert!(gaps.max().is_some_and(|gap| gap <= 2_500), "{written_at:?}");
+}
+
+/// Guards against a running job that counts as queued since a shard has more jobs than a write holds.
+#[test]
+fn jobs_that_do_not_fit_the_last_known_progress_are_not_called_queued() {
+    const JOBS: u32 = 7_000;
+    let id = |n: u32| JobId::from(format!("req-{n:06}").as_str());
+    let mut core = controller(0);
+    core.set_wall_clock(0, MIDNIGHT_MS);
+    let accepted = |n: u32| WatchEvent {
+        set: Some(job_key(&id(n))),
+        drop: None,
+        value: Some(to_value(&JobRecord {
+            spec: JobSpec {
+                id: id(n),
+                team: "amber".into(),
+                ..array_job(1)
+            },
+            submitted_at_ms: 1,
+            cancel_requested: false,
+            dependency_count: 0,
+        })),
+        version: 101,
+    };
+    let jobs: Vec<WatchEvent> = (0..JOBS).map(accepted).collect();
+    core.cache.apply_changes(&jobs, 101, 15);
+    let (_, _, record, version) = inherited_chunk();
+    let chunks: Vec<_> = (0..JOBS)
+        .map(|n| (id(n), 0, record.clone(), version))
+        .collect();
+    core.acquire(LEASE, &chunks, Vec::new(), AFTER_CLOCK_SET);
+    let cas = last_progress_write(core.flush(AFTER_CLOCK_SET + 100)).expect("a write");
+    let mut other = controller(1);
+    other.cache.apply_changes(&changes_of(cas, 102), 102, 200);
+    let phase = |n: u32| {
+        other
+            .cache
+            .last_progress
+            .get(0, &id(n))
+            .map(|last| last.phase)
+    };
+    assert_eq!(phase(0), Some(LastPhase::MayRun));
+    assert_eq!(phase(JOBS - 1), None);
+}
+
+/// Guards against what a leader knew before a stall and writes with the time after it.
+#[test]
+fn stalled_leader_writes_no_last_known_progress() {
+    let mut core = controller(0);
+    core.set_wall_clock(0, MIDNIGHT_MS);
+    core.acquire(LEASE, &[inherited_chunk()], Vec::new(), AFTER_CLOCK_SET);
+    assert!(last_progress_write(core.flush(AFTER_CLOCK_SET + 100)).is_some());
+    assert!(last_progress_write(core.flush(10_000)).is_none());
+    assert!(
+        last_progress_write(core.flush(20_000)).is_none(),
+        "it stalled again"
+    );
+}
+
+/// Guards against progress that arrived with a sync before a stall in which the clock stood still.
+#[test]
+fn progress_of_a_sync_is_not_told_after_a_stall() {
+    let mut core = controller(1);
+    core.set_wall_clock(15, MIDNIGHT_MS);
+    let own = ShardLease {
+        shard: 1,
+        token: TOKEN + 1,
+    };
+    core.acquire(own, &[], Vec::new(), 20);
+    let row = peer::JobProgress {
+        job: job(),
+        tasks_done: 0,
+        tasks_running: 1,
+        wait_reason: String::new(),
+    };
+    let sync = SyncRequest {
+        progress: vec![row],
+        ..sync_without_progress(TOKEN)
+    };
+    assert!(core.handle_sync(&sync, 50).is_ok());
+    assert_eq!(told(&core, 60), Some(JobPhase::Running));
+    core.set_wall_clock(100, MIDNIGHT_MS + 85 + 8_000);
+    assert_eq!(told(&core, 100), None);
+}
